--- /dev/null
+++ b/cmd/jujubegrade/command.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/operator"
+)
+
+type (
+	// console is where a command writes.
+	console struct {
+		out, errOut *os.File
+	}
+
+	// remote are the flags of commands that call an entry instance.
+	remote struct {
+		console
+		operators, callers, token string
+		json                      bool
+	}
+
+	// printedError is an error that the command has told of already.
+	printedError struct{ text string }
+)
+
+// The exit codes.
+const (
+	exitOK = iota
+	// exitFailed tells that the command failed.
+	exitFailed
+	// exitUsage tells that the command line or a file is not valid.
+	exitUsage
+	// exitConflict tells that another change came first.
+	exitConflict
+	// exitRefused tells that a job was refused and truly not run.
+	exitRefused
+	// exitUnknown tells that the outcome is unknown.
+	exitUnknown
+)
+
+func (e *printedError) Error() string { return e.text }
+
+// rootCommand returns the command table.
+func rootCommand(out, errOut *os.File) *ffcli.Command {
+	c := console{out: out, errOut: errOut}
+	return &ffcli.Command{
+		Name: "jujubegrade", ShortUsage: "jujubegrade COMMAND [flags]",
+		ShortHelp: "Schedules gangs of accelerator tasks under guarantees, and leads to services",
+		LongHelp:  "Every flag can be set by the environment as JUJUBEGRADE_FLAG and by a file named with -flags, one flag a line.\n\nExample:\n  jujubegrade demo",
+		FlagSet:   c.flagSet("jujubegrade"),
+		Subcommands: []*ffcli.Command{
+			c.accountCommand(), c.checkCommand(), c.configCommand(), c.demoCommand(), c.instanceCommand(), c.jobCommand(),
+			c.reportCommand(), c.serveCommand(), c.timelineCommand(), c.versionCommand(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func (c console) flagSet(name string) *flag.FlagSet {
+	set := flag.NewFlagSet(name, flag.ContinueOnError)
+	set.SetOutput(c.errOut)
+	return set
+}
+
+// options let flags be set by the environment and by a file.
+func options() []ff.Option {
+	return []ff.Option{
+		ff.WithEnvVarPrefix("JUJUBEGRADE"), ff.WithConfigFileFlag("flags"),
+		ff.WithConfigFileParser(ff.PlainParser), ff.WithAllowMissingConfigFile(false),
+	}
+}
+
+// group returns a command that only holds others.
+func (c console) group(name, help string, commands ...*ffcli.Command) *ffcli.Command {
+	return &ffcli.Command{
+		Name: name, ShortUsage: "jujubegrade " + name + " COMMAND [flags]", ShortHelp: help, FlagSet: c.flagSet(name), Subcommands: commands,
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+// remoteFlags returns a flag set with the flags of commands that call an entry instance.
+func (c console) remoteFlags(name string) (*flag.FlagSet, *remote) {
+	set := c.flagSet(name)
+	r := &remote{console: c}
+	set.StringVar(&r.operators, "operators", "127.0.0.1:7001", "IP:port of an instance's listener for operators")
+	set.StringVar(&r.callers, "callers", "127.0.0.1:7000", "IP:port of an instance's listener for callers")
+	set.StringVar(&r.token, "token", "", "bearer token")
+	set.BoolVar(&r.json, "json", false, "write JSON for programs")
+	set.String("flags", "", "file that sets flags, one a line")
+	return set, r
+}
+
+func (r *remote) operator() *operator.Client { return operator.NewClient(r.operators, r.token) }
+func (r *remote) caller() *caller.Client     { return caller.NewClient(r.callers, r.token) }
+
+// show writes a value as JSON, or as the text that the function writes.
+func (r *remote) show(value any, text func(w io.Writer)) error {
+	if r.json {
+		encoder := json.NewEncoder(r.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	table := tabwriter.NewWriter(r.out, 0, 8, 2, ' ', 0)
+	text(table)
+	return table.Flush()
+}
+
+// exitCode returns the exit code that an error stands for.
+func exitCode(err error) int {
+	var fault *httpjson.Fault
+	var printed *printedError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, flag.ErrHelp), errors.As(err, &printed):
+		return exitUsage
+	case errors.Is(err, httpjson.ErrNoAnswer):
+		return exitUnknown
+	case !errors.As(err, &fault):
+		return exitFailed
+	}
+	switch fault.Code {
+	case "Conflict":
+		return exitConflict
+	case "NeverFits", "QueueFull", "NoOwner", "StoreOut", "NotReady":
+		return exitRefused
+	case "OutcomeUnknown":
+		return exitUnknown
+	case "Invalid":
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// oneArgument returns the only argument of a command.
+func oneArgument(args []string, what string) (string, error) {
+	if len(args) != 1 {
+		return "", errors.Newf("give exactly one %s", what)
+	}
+	return args[0], nil
+}
+
+func line(w io.Writer, format string, args ...any) {
+	// A failed write shows when the table is flushed.
+	_, _ = fmt.Fprintf(w, format+"\n", args...)
+}
--- /dev/null
+++ b/cmd/jujubegrade/command_check.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jujubegrade/jujubegrade/internal/process/settings"
+	"github.com/jujubegrade/jujubegrade/internal/version/config"
+)
+
+// checkCommand checks a settings or configuration file.
+func (c console) checkCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "check", ShortUsage: "jujubegrade check FILE", ShortHelp: "Check a settings or configuration file", FlagSet: c.flagSet("check"),
+		LongHelp: "Prints each fault on a line as FILE:LINE: Section.Key: what is wrong, what is allowed, and exits with 2.\nA file with a section [Listen] or [Instance] without a title is taken as settings.\n\nExample:\n  jujubegrade check examples/kerotechni.ini",
+		Exec: func(_ context.Context, args []string) error {
+			name, err := oneArgument(args, "file")
+			if err != nil {
+				return err
+			}
+			text, err := os.ReadFile(name)
+			if err != nil {
+				return err
+			}
+			if err := checkText(name, text); err != nil {
+				fmt.Fprintln(c.errOut, err)
+				return &printedError{text: err.Error()}
+			}
+			_, err = fmt.Fprintln(c.out, name+": valid")
+			return err
+		},
+	}
+}
+
+func checkText(name string, text []byte) error {
+	if bytes.Contains(text, []byte("[Listen]")) || bytes.Contains(text, []byte("[Instance]")) {
+		_, err := settings.Parse(name, text)
+		return err
+	}
+	_, err := config.Parse(name, text)
+	return err
+}
--- /dev/null
+++ b/cmd/jujubegrade/command_instance.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jujubegrade/jujubegrade/internal/version/config"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+	"github.com/jujubegrade/jujubegrade/pkg/operator"
+)
+
+// instanceCommand shows workers and sets their labels.
+func (c console) instanceCommand() *ffcli.Command {
+	return c.group("instance", "Show, label and drain instances", c.instanceList(), c.instanceLabel(), c.instanceDrain())
+}
+
+func (c console) instanceList() *ffcli.Command {
+	set, r := c.remoteFlags("list")
+	return &ffcli.Command{
+		Name: "list", ShortUsage: "jujubegrade instance list [flags]", ShortHelp: "List workers", FlagSet: set, Options: options(),
+		Exec: func(ctx context.Context, _ []string) error {
+			reports, err := r.operator().Reports(ctx)
+			if err != nil {
+				return err
+			}
+			var all []operator.InstanceStatus
+			for _, report := range reports.Reports {
+				all = append(all, report.Instances...)
+			}
+			return r.show(all, func(w io.Writer) {
+				line(w, "INSTANCE\tDATACENTRE\tRACK\tSTATE\tACCELERATORS\tUSED\tJOBS")
+				for _, i := range all {
+					line(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d", i.ID, i.DataCentre, i.Rack, i.State, i.Total.Accelerators, i.Used.Accelerators, i.Jobs)
+				}
+			})
+		},
+	}
+}
+
+func (c console) instanceLabel() *ffcli.Command {
+	set, r := c.remoteFlags("label")
+	return &ffcli.Command{
+		Name: "label", ShortUsage: "jujubegrade instance label [flags] ID NAME=VALUE...", ShortHelp: "Set labels of an instance; NAME= removes one", FlagSet: set, Options: options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) < 2 {
+				return errors.New("give an instance id and at least one NAME=VALUE")
+			}
+			edit := config.InstanceEdit{Labels: make(map[string]string)}
+			for _, pair := range args[1:] {
+				name, value, found := strings.Cut(pair, "=")
+				if !found || name == "" {
+					return errors.Newf("%q is no label, write NAME=VALUE", pair)
+				}
+				edit.Labels[name] = value
+			}
+			return r.editInstance(ctx, ids.InstanceID(args[0]), edit, "label "+strings.Join(args, " "))
+		},
+	}
+}
+
+func (c console) instanceDrain() *ffcli.Command {
+	set, r := c.remoteFlags("drain")
+	undo := set.Bool("undo", false, "give the instance new work again")
+	return &ffcli.Command{
+		Name: "drain", ShortUsage: "jujubegrade instance drain [flags] ID", ShortHelp: "Give an instance no new work", FlagSet: set, Options: options(),
+		Exec: func(ctx context.Context, args []string) error {
+			id, err := oneArgument(args, "instance id")
+			if err != nil {
+				return err
+			}
+			drain := !*undo
+			return r.editInstance(ctx, ids.InstanceID(id), config.InstanceEdit{Drain: &drain}, "drain "+id)
+		},
+	}
+}
+
+// editInstance changes one instance's section of the configuration in force; a racing change ends in a conflict.
+func (r *remote) editInstance(ctx context.Context, id ids.InstanceID, edit config.InstanceEdit, note string) error {
+	current, err := r.operator().Config(ctx)
+	if err != nil {
+		return err
+	}
+	text, err := config.EditInstance(current.Text, id, edit)
+	if err != nil {
+		return err
+	}
+	return r.apply(ctx, operator.Change{Base: current.Version, Author: author(), Note: note, Text: text})
+}
--- /dev/null
+++ b/cmd/jujubegrade/command_timeline.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+	"github.com/jujubegrade/jujubegrade/pkg/operator"
+)
+
+// timelineCommand prints the events of all entry instances in order.
+func (c console) timelineCommand() *ffcli.Command {
+	set, r := c.remoteFlags("timeline")
+	job := set.String("job", "", "only events of a job")
+	account := set.String("account", "", "only events of a client account")
+	request := set.String("request", "", "only events of a request")
+	return &ffcli.Command{
+		Name: "timeline", ShortUsage: "jujubegrade timeline [flags]", ShortHelp: "Print the events of all entry instances in order", FlagSet: set, Options: options(),
+		LongHelp: "Example:\n  jujubegrade timeline -job 3f0c9d",
+		Exec: func(ctx context.Context, _ []string) error {
+			t, err := r.operator().Timeline(ctx, operator.Filter{Job: ids.JobID(*job), Account: ids.AccountID(*account), Request: ids.RequestID(*request)})
+			if err != nil {
+				return err
+			}
+			return r.show(t, func(w io.Writer) { writeTimeline(w, t) })
+		},
+	}
+}
+
+func writeTimeline(w io.Writer, t operator.Timeline) {
+	for _, e := range t.Events {
+		line(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s", e.Time.Format("15:04:05.000"), e.Instance, e.Kind, e.DataCentre, e.Job, e.Account, e.Cause)
+	}
+	if t.Dropped > 0 {
+		line(w, "%d older events were dropped by full buffers", t.Dropped)
+	}
+}
--- /dev/null
+++ b/cmd/standin/worker_runner.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/instancelist"
+	"github.com/jujubegrade/jujubegrade/internal/standin/runnerservice"
+	"github.com/jujubegrade/jujubegrade/internal/standin/workerservice"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+func workerCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("worker", flag.ContinueOnError)
+	listen := flags.String("listen", "127.0.0.1:7910", "IP:port to listen on")
+	list := flags.String("list", "", "IP:port of the instance list to register with")
+	id := flags.String("id", "worker-1", "instance id")
+	dataCentre := flags.String("datacentre", "", "data centre")
+	rack := flags.String("rack", "", "rack")
+	accelerators := flags.Int("accelerators", 8, "accelerators")
+	cores := flags.Int("cores", 60000, "thousandths of a core")
+	memory := flags.Int("memory", 256000, "memory in MiB")
+	return &ffcli.Command{
+		Name: "worker", ShortUsage: "standin worker [flags]", ShortHelp: "Runs one worker; POST " + workerservice.PathFaults + " sets faults", FlagSet: flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			total := ids.Resources{Accelerators: ids.Accelerators(*accelerators), Cores: ids.MilliCores(*cores), Memory: ids.MebiBytes(*memory)}
+			row := instancelist.Instance{
+				ID: ids.InstanceID(*id), Role: instancelist.Worker, Address: *listen,
+				DataCentre: ids.DataCentreID(*dataCentre), Rack: ids.RackID(*rack), Total: total,
+			}
+			if err := register(ctx, *list, row); err != nil {
+				return err
+			}
+			return serve(ctx, *listen, (&workerservice.Service{Total: total}).Handler())
+		},
+	}
+}
+
+func runnerCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("runner", flag.ContinueOnError)
+	listen := flags.String("listen", "127.0.0.1:7950", "IP:port to listen on")
+	list := flags.String("list", "", "IP:port of the instance list to register with")
+	id := flags.String("id", "runner-1", "instance id")
+	dataCentre := flags.String("datacentre", "", "data centre")
+	service := flags.String("service", "catalogue", "service")
+	slots := flags.Int("slots", 8, "requests served at once")
+	work := flags.Duration("work", 0, "time that a request takes")
+	return &ffcli.Command{
+		Name: "runner", ShortUsage: "standin runner [flags]", ShortHelp: "Runs one runner; POST " + runnerservice.PathFaults + " sets faults", FlagSet: flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			row := instancelist.Instance{
+				ID: ids.InstanceID(*id), Role: instancelist.Runner, Address: *listen,
+				DataCentre: ids.DataCentreID(*dataCentre), Service: ids.ServiceID(*service), Slots: *slots,
+			}
+			if err := register(ctx, *list, row); err != nil {
+				return err
+			}
+			return serve(ctx, *listen, (&runnerservice.Service{Slots: *slots, Work: *work}).Handler())
+		},
+	}
+}
--- /dev/null
+++ b/internal/connection/httpjson/httpjson.go
@@ -0,0 +1,186 @@
+// Package httpjson carries typed calls as JSON over HTTP, for clients and servers.
+package httpjson
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+type (
+	// Fault is the typed error of a call, as its answer's body carries it.
+	Fault struct {
+		// Status is the HTTP status.
+		Status int `json:"-"`
+		// Code names the kind of error; it is stable.
+		Code string
+		// Message says what was wrong, for people.
+		Message string
+		// RetryAfter says when to come back, in seconds; zero says nothing.
+		RetryAfter float64 `json:",omitempty"`
+	}
+
+	// Peer is the other end of calls: one address with its connections.
+	Peer struct {
+		// Address is IP:port.
+		Address string
+		// Token is the bearer token that each call carries; empty sends none.
+		Token string
+		// Timeout bounds a call whose context has no deadline.
+		Timeout time.Duration
+
+		client fasthttp.HostClient
+	}
+)
+
+const (
+	defaultTimeout = 5 * time.Second
+	maxIdle        = 20 * time.Second
+)
+
+var (
+	// ErrNotSent tells that no byte of the call was delivered.
+	ErrNotSent = errors.New("the call was not sent")
+	// ErrNoAnswer tells that no complete answer came.
+	ErrNoAnswer = errors.New("no answer came")
+)
+
+// Error returns the fault's message.
+func (f *Fault) Error() string {
+	return f.Message
+}
+
+// NewPeer returns a peer at an address.
+func NewPeer(address string) *Peer {
+	return &Peer{Address: address, client: fasthttp.HostClient{
+		Addr:                address,
+		MaxConns:            512,
+		MaxIdleConnDuration: maxIdle,
+		// A call that was sent may have taken effect, so the transport never repeats one.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial:                      dial,
+		MaxResponseBodySize:       64 << 20,
+	}}
+}
+
+func dial(address string) (net.Conn, error) {
+	const dialTimeout = time.Second
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	return conn, nil
+}
+
+// Call sends in to a path and reads the answer into out; either may be nil.
+// An answer of status 400 and above is returned as a *Fault.
+func (p *Peer) Call(ctx context.Context, method, path string, in, out any) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + p.Address + path)
+	if p.Token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+p.Token)
+	}
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return errors.Mark(err, ErrNotSent)
+		}
+		req.SetBodyRaw(body)
+		req.Header.SetContentType("application/json")
+	}
+	if err := p.client.DoDeadline(req, resp, p.deadline(ctx)); err != nil {
+		if errors.Is(err, ErrNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) {
+			return errors.Mark(err, ErrNotSent)
+		}
+		return errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrNoAnswer)
+	}
+	return decode(resp, out)
+}
+
+func (p *Peer) deadline(ctx context.Context) time.Time {
+	if deadline, found := ctx.Deadline(); found {
+		return deadline
+	}
+	if p.Timeout > 0 {
+		return time.Now().Add(p.Timeout)
+	}
+	return time.Now().Add(defaultTimeout)
+}
+
+func decode(resp *fasthttp.Response, out any) error {
+	status := resp.StatusCode()
+	if status >= fasthttp.StatusBadRequest {
+		fault := &Fault{Status: status}
+		if err := json.Unmarshal(resp.Body(), fault); err != nil || fault.Code == "" {
+			fault.Code = "Unexpected"
+			fault.Message = "unexpected answer with status " + strconv.Itoa(status)
+		}
+		return fault
+	}
+	if out == nil || len(resp.Body()) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return errors.Mark(errors.Wrap(err, "malformed answer"), ErrNoAnswer)
+	}
+	return nil
+}
+
+// Reply writes a value as the answer.
+func Reply(ctx *fasthttp.RequestCtx, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ReplyFault(ctx, &Fault{Status: fasthttp.StatusInternalServerError, Code: "Internal", Message: err.Error()})
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// ReplyFault writes a fault as the answer, with a Retry-After header in whole seconds.
+func ReplyFault(ctx *fasthttp.RequestCtx, fault *Fault) {
+	Reply(ctx, fault.Status, fault)
+	if fault.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, RetryAfterSeconds(fault.RetryAfter))
+	}
+}
+
+// RetryAfterSeconds writes a delay as the header wants it: whole seconds, at least one.
+func RetryAfterSeconds(seconds float64) string {
+	return strconv.Itoa(max(1, int(seconds+0.999)))
+}
+
+// Handle serves one call: it decodes the body, runs the function and writes its result.
+// Errors that are no *Fault are answered by the fault function.
+func Handle[In, Out any](run func(context.Context, In) (Out, error), fault func(error) *Fault) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		var in In
+		if body := ctx.PostBody(); len(body) > 0 {
+			if err := json.Unmarshal(body, &in); err != nil {
+				ReplyFault(ctx, &Fault{Status: fasthttp.StatusBadRequest, Code: "Malformed", Message: err.Error()})
+				return
+			}
+		}
+		out, err := run(ctx, in)
+		if err == nil {
+			Reply(ctx, fasthttp.StatusOK, out)
+			return
+		}
+		var typed *Fault
+		if !errors.As(err, &typed) {
+			typed = fault(err)
+		}
+		ReplyFault(ctx, typed)
+	}
+}
--- /dev/null
+++ b/internal/connection/instancelist/instancelist.go
@@ -0,0 +1,59 @@
+// Package instancelist speaks to the platform's list of live and leaving instances.
+package instancelist
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+type (
+	// Role says what an instance does.
+	Role string
+
+	// Instance is one row of the list, which lags behind the truth.
+	Instance struct {
+		ID         ids.InstanceID
+		Role       Role
+		Address    string
+		DataCentre ids.DataCentreID
+		Rack       ids.RackID `json:",omitempty"`
+		Labels     labels.Set `json:",omitempty"`
+		// Total is what a worker offers.
+		Total ids.Resources `json:",omitzero"`
+		// Service and Slots are what a runner offers.
+		Service ids.ServiceID `json:",omitempty"`
+		Slots   int           `json:",omitempty"`
+		// Leaving instances take no new work.
+		Leaving bool `json:",omitempty"`
+	}
+
+	// Client holds the calls of the instance list.
+	Client struct {
+		List func(ctx context.Context) ([]Instance, error)
+	}
+)
+
+const (
+	// Worker runs tasks.
+	Worker Role = "Worker"
+	// Runner serves requests.
+	Runner Role = "Runner"
+)
+
+// PathInstances is the path of the list.
+const PathInstances = "/v1/instances"
+
+// Dial returns a client of the instance list at an address.
+func Dial(address string, timeout time.Duration) Client {
+	peer := httpjson.NewPeer(address)
+	peer.Timeout = timeout
+	return Client{List: func(ctx context.Context) (instances []Instance, err error) {
+		err = peer.Call(ctx, "GET", PathInstances, nil, &instances)
+		return instances, err
+	}}
+}
--- /dev/null
+++ b/internal/connection/peer/server.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+)
+
+type (
+	// Server answers the calls of peers.
+	Server struct {
+		methods map[string]method
+	}
+
+	method func(ctx context.Context, params json.RawMessage) (any, error)
+)
+
+// maxMessage bounds one message of a peer, in bytes.
+const maxMessage = 72 << 20
+
+// Offer adds a method to a server.
+func Offer[In, Out any](s *Server, name string, run func(context.Context, In) (Out, error)) {
+	if s.methods == nil {
+		s.methods = make(map[string]method)
+	}
+	s.methods[name] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var in In
+		if len(params) > maxMessage {
+			return nil, &httpjson.Fault{Status: 413, Code: "TooLarge", Message: "the message is too large"}
+		}
+		if err := json.Unmarshal(params, &in); err != nil {
+			return nil, &httpjson.Fault{Status: 400, Code: "Malformed", Message: err.Error()}
+		}
+		return run(ctx, in)
+	}
+}
+
+// Serve answers the calls of all connections of a listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		s.ServeConn(ctx, conn)
+	}
+}
+
+// ServeConn answers the calls of one connection, each in a goroutine of its own.
+func (s *Server) ServeConn(ctx context.Context, conn net.Conn) {
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	c := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(s))
+	context.AfterFunc(ctx, func() { _ = c.Close() })
+}
+
+// Handle answers one call.
+func (s *Server) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	result, err := s.call(ctx, req)
+	if req.Notif {
+		return
+	}
+	// A caller that is gone makes the reply fail; it asks again elsewhere.
+	if err == nil {
+		_ = conn.Reply(ctx, req.ID, result)
+		return
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, rpcError(err))
+}
+
+func (s *Server) call(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	run, found := s.methods[req.Method]
+	if !found {
+		return nil, &httpjson.Fault{Status: 404, Code: "NoMethod", Message: "no method " + req.Method}
+	}
+	params := json.RawMessage("null")
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return run(ctx, params)
+}
+
+func rpcError(err error) *jsonrpc2.Error {
+	var fault *httpjson.Fault
+	if !errors.As(err, &fault) {
+		fault = &httpjson.Fault{Status: 500, Code: "Internal", Message: err.Error()}
+	}
+	e := &jsonrpc2.Error{Code: faultCode, Message: fault.Message}
+	e.SetError(carriedFault{Fault: *fault, Status: fault.Status})
+	return e
+}
--- /dev/null
+++ b/internal/connection/store/paced.go
@@ -0,0 +1,59 @@
+package store
+
+import (
+	"context"
+	"sync/atomic"
+
+	"golang.org/x/time/rate"
+)
+
+// Counts counts the calls that reached the store, by kind.
+type Counts struct {
+	Reads, Writes, Watches atomic.Int64
+}
+
+// Pace returns the client with its calls counted and held to the limiter's rate.
+// A nil limiter only counts. Ownership leases share the same limiter, so its burst must cover them.
+func Pace(c Client, limiter *rate.Limiter, counts *Counts) Client {
+	wait := func(ctx context.Context, counter *atomic.Int64) error {
+		if limiter != nil {
+			if err := limiter.Wait(ctx); err != nil {
+				return ErrRefused
+			}
+		}
+		counter.Add(1)
+		return nil
+	}
+	return Client{
+		Get: func(ctx context.Context, key string) (Entry, error) {
+			if err := wait(ctx, &counts.Reads); err != nil {
+				return Entry{}, err
+			}
+			return c.Get(ctx, key)
+		},
+		List: func(ctx context.Context, page Page) ([]Entry, error) {
+			if err := wait(ctx, &counts.Reads); err != nil {
+				return nil, err
+			}
+			return c.List(ctx, page)
+		},
+		Put: func(ctx context.Context, write Write) (Revision, error) {
+			if err := wait(ctx, &counts.Writes); err != nil {
+				return 0, err
+			}
+			return c.Put(ctx, write)
+		},
+		Delete: func(ctx context.Context, key string, revision Revision) error {
+			if err := wait(ctx, &counts.Writes); err != nil {
+				return err
+			}
+			return c.Delete(ctx, key, revision)
+		},
+		Watch: func(ctx context.Context, key string, after Revision) (Entry, error) {
+			if err := wait(ctx, &counts.Watches); err != nil {
+				return Entry{}, err
+			}
+			return c.Watch(ctx, key, after)
+		},
+	}
+}
--- /dev/null
+++ b/internal/connection/worker/http.go
@@ -0,0 +1,49 @@
+package worker
+
+import (
+	"context"
+	"time"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+)
+
+// The paths of a worker.
+const (
+	PathHold  = "/v1/hold"
+	PathStart = "/v1/start"
+	PathStop  = "/v1/stop"
+	PathRenew = "/v1/renew"
+)
+
+// ErrorCodes are the codes of a worker's errors.
+var ErrorCodes = httpjson.Codes{
+	"Fenced":  ErrFenced,
+	"Refused": ErrRefused,
+	"Unknown": ErrUnknown,
+}
+
+// Dial returns a client of the worker at an address; a call without answer fails after the timeout.
+func Dial(address string, timeout time.Duration) Client {
+	peer := httpjson.NewPeer(address)
+	call := func(ctx context.Context, extra time.Duration, path string, in, out any) error {
+		ctx, cancel := context.WithTimeout(ctx, timeout+extra)
+		defer cancel()
+		return ErrorCodes.Error(peer.Call(ctx, "POST", path, in, out), ErrUnreachable, ErrUnknown)
+	}
+	return Client{
+		Hold: func(ctx context.Context, hold Hold) error {
+			return call(ctx, 0, PathHold, hold, nil)
+		},
+		Start: func(ctx context.Context, start Start) error {
+			return call(ctx, 0, PathStart, start, nil)
+		},
+		Stop: func(ctx context.Context, stop Stop) (answer Stopping, err error) {
+			err = call(ctx, stop.Grace, PathStop, stop, &answer)
+			return answer, err
+		},
+		Renew: func(ctx context.Context, renew Renew) (report Report, err error) {
+			err = call(ctx, 0, PathRenew, renew, &report)
+			return report, err
+		},
+	}
+}
--- /dev/null
+++ b/internal/process/entry/callers.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+	"github.com/jujubegrade/jujubegrade/internal/process/settings"
+	"github.com/jujubegrade/jujubegrade/internal/request/service"
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// callerRoutes serves the callers' listener.
+func (e *Entry) callerRoutes() fasthttp.RequestHandler {
+	r := router.New()
+	r.POST("/v1/jobs", e.asCaller(e.postJob))
+	r.GET("/v1/jobs", e.asCaller(e.getJobs))
+	r.GET("/v1/jobs/{id}", e.asCaller(e.getJob))
+	r.DELETE("/v1/jobs/{id}", e.asCaller(e.deleteJob))
+	r.ANY("/service/{service}/{path:*}", e.asCaller(e.forward))
+	e.healthRoutes(r)
+	return e.counted(r.Handler)
+}
+
+// counted keeps count of the requests in flight, which a shutdown waits for.
+func (e *Entry) counted(serve fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		e.inFlight.Add(1)
+		defer e.inFlight.Done()
+		serve(ctx)
+		if e.leaving.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
+func (e *Entry) healthRoutes(r *router.Router) {
+	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET("/readyz", func(ctx *fasthttp.RequestCtx) {
+		if reason, ready := e.Ready(); !ready {
+			ctx.Error(reason+"\n", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		ctx.SetBodyString("ready\n")
+	})
+}
+
+func (e *Entry) postJob(ctx *fasthttp.RequestCtx, token *settings.Token) {
+	var job caller.Job
+	if err := json.Unmarshal(ctx.PostBody(), &job); err != nil {
+		e.replyRefused(ctx, &httpjson.Fault{Status: fasthttp.StatusBadRequest, Code: codeInvalid, Message: "the body is no job: " + err.Error()})
+		return
+	}
+	if key := ctx.Request.Header.Peek(caller.HeaderKey); len(key) > 0 && job.Key == "" {
+		job.Key = string(key)
+	}
+	status, err := e.submit(ctx, accountOf(ctx, token), job)
+	if err != nil {
+		e.replyRefused(ctx, faultOf(err))
+		return
+	}
+	httpjson.Reply(ctx, fasthttp.StatusAccepted, status)
+	ctx.Response.Header.Set(caller.HeaderOutcome, string(caller.Accepted))
+}
+
+func (e *Entry) replyRefused(ctx *fasthttp.RequestCtx, fault *httpjson.Fault) {
+	httpjson.ReplyFault(ctx, fault)
+	ctx.Response.Header.Set(caller.HeaderOutcome, string(outcomeOf(fault)))
+}
+
+// accountOf returns the account that a token acts for; operators may name any.
+func accountOf(ctx *fasthttp.RequestCtx, token *settings.Token) ids.AccountID {
+	if token.Operator {
+		return ids.AccountID(ctx.QueryArgs().Peek("Account"))
+	}
+	return token.Account
+}
+
+func (e *Entry) getJobs(ctx *fasthttp.RequestCtx, token *settings.Token) {
+	all, missing := e.listJobs(ctx, accountOf(ctx, token))
+	page := caller.JobList{Missing: missing}
+	after := ids.JobID(ctx.QueryArgs().Peek("After"))
+	limit := queryInt(ctx, "Limit", 100, 1000)
+	skipping := after != ""
+	for _, status := range all {
+		if skipping {
+			skipping = status.ID != after
+			continue
+		}
+		if len(page.Jobs) == limit {
+			page.More = true
+			break
+		}
+		page.Jobs = append(page.Jobs, status)
+	}
+	httpjson.Reply(ctx, fasthttp.StatusOK, page)
+}
+
+func queryInt(ctx *fasthttp.RequestCtx, name string, fallback, most int) int {
+	n, err := strconv.Atoi(string(ctx.QueryArgs().Peek(name)))
+	if err != nil || n < 1 {
+		return fallback
+	}
+	return min(n, most)
+}
+
+func (e *Entry) getJob(ctx *fasthttp.RequestCtx, token *settings.Token) {
+	e.withJob(ctx, token, e.jobStatus)
+}
+
+func (e *Entry) deleteJob(ctx *fasthttp.RequestCtx, token *settings.Token) {
+	find := func(c context.Context, id ids.JobID, hint ids.DataCentreID) (caller.JobStatus, error) {
+		if status, err := e.jobStatus(c, id, hint); err != nil || !mayUse(token, status) {
+			return status, err
+		}
+		return e.cancelJob(c, id, hint)
+	}
+	e.withJob(ctx, token, find)
+}
+
+// mayUse reports whether a token may see and cancel a job.
+func mayUse(token *settings.Token, status caller.JobStatus) bool {
+	return token.Operator || status.Account == token.Account
+}
+
+func (e *Entry) withJob(ctx *fasthttp.RequestCtx, token *settings.Token, find func(context.Context, ids.JobID, ids.DataCentreID) (caller.JobStatus, error)) {
+	id, _ := ctx.UserValue("id").(string)
+	status, err := find(ctx, ids.JobID(id), ids.DataCentreID(ctx.QueryArgs().Peek("DataCentre")))
+	if err != nil {
+		replyError(ctx, err)
+		return
+	}
+	if !mayUse(token, status) {
+		// Another account's job is answered as if it didn't exist.
+		httpjson.ReplyFault(ctx, &httpjson.Fault{Status: fasthttp.StatusNotFound, Code: codeNoJob, Message: "no such job"})
+		return
+	}
+	httpjson.Reply(ctx, fasthttp.StatusOK, status)
+}
+
+// forward sends a request to a runner of its service and answers the caller.
+func (e *Entry) forward(ctx *fasthttp.RequestCtx, token *settings.Token) {
+	id := service.NewRequestID()
+	ctx.Response.Header.Set(caller.HeaderRequest, string(id))
+	if reason, ready := e.Ready(); !ready && !e.leaving.Load() {
+		e.replyRefused(ctx, &httpjson.Fault{Status: fasthttp.StatusServiceUnavailable, Code: codeNotReady, Message: reason, RetryAfter: 2})
+		return
+	}
+	c := e.compiled()
+	name, _ := ctx.UserValue("service").(string)
+	s := e.service(ids.ServiceID(name))
+	account := c.Accounts[accountOf(ctx, token)]
+	if s == nil || account == nil {
+		e.replyRefused(ctx, &httpjson.Fault{Status: fasthttp.StatusNotFound, Code: codeInvalid, Message: "no such service or client account"})
+		return
+	}
+	settings := c.Service(s.ID)
+	deadline, fault := deadlineOf(ctx, settings.Timeout)
+	if fault != nil {
+		e.replyRefused(ctx, fault)
+		return
+	}
+	req := &service.Request{
+		ID: id, Account: account, Deadline: deadline, Policy: &c.Policy, Settings: settings,
+		Idempotent: string(ctx.Request.Header.Peek(caller.HeaderIdempotent)) == "true",
+		HTTP:       &ctx.Request,
+	}
+	key := string(ctx.Request.Header.Peek(caller.HeaderKey))
+	prepare(ctx)
+	if req.Idempotent || key == "" {
+		answer(ctx, id, s.Serve(req, &ctx.Response))
+		return
+	}
+	e.forwardOnce(ctx, s, req, key)
+}
+
+// deadlineOf reads the caller's deadline, bounded by the service's.
+func deadlineOf(ctx *fasthttp.RequestCtx, longest time.Duration) (time.Time, *httpjson.Fault) {
+	left := longest
+	if text := ctx.Request.Header.Peek(caller.HeaderDeadline); len(text) > 0 {
+		d, err := time.ParseDuration(string(text))
+		if err != nil || d <= 0 {
+			return time.Time{}, &httpjson.Fault{Status: fasthttp.StatusBadRequest, Code: codeInvalid, Message: caller.HeaderDeadline + " must be a duration such as 1500ms"}
+		}
+		left = min(left, d)
+	}
+	return time.Now().Add(left), nil
+}
+
+// prepare turns the caller's request into the runner's: its path without the prefix, and without the token.
+func prepare(ctx *fasthttp.RequestCtx) {
+	path, _ := ctx.UserValue("path").(string)
+	query := ctx.URI().QueryString()
+	target := "/" + strings.TrimPrefix(path, "/")
+	if len(query) > 0 {
+		target += "?" + string(query)
+	}
+	h := &ctx.Request.Header
+	h.Del(fasthttp.HeaderAuthorization)
+	h.Del(fasthttp.HeaderConnection)
+	ctx.Request.SetRequestURI(target)
+	ctx.Request.SetHost("runner")
+}
+
+// answer completes the response to a caller.
+func answer(ctx *fasthttp.RequestCtx, id ids.RequestID, result service.Result) {
+	if result.Outcome != caller.Answered {
+		ctx.Response.Reset()
+		httpjson.ReplyFault(ctx, &httpjson.Fault{Status: result.Status, Code: string(result.Outcome), Message: result.Reason, RetryAfter: result.RetryAfter.Seconds()})
+		ctx.Response.Header.Set(caller.HeaderReason, result.Reason)
+	}
+	ctx.Response.Header.Set(caller.HeaderRequest, string(id))
+	ctx.Response.Header.Set(caller.HeaderOutcome, string(result.Outcome))
+}
--- /dev/null
+++ b/internal/process/entry/fault.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
+	"github.com/jujubegrade/jujubegrade/internal/connection/store"
+	"github.com/jujubegrade/jujubegrade/internal/process/configuration"
+	"github.com/jujubegrade/jujubegrade/internal/process/owner"
+	"github.com/jujubegrade/jujubegrade/internal/process/placement"
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+)
+
+// The codes of faults, which clients may rely on.
+const (
+	codeNeverFits      = "NeverFits"
+	codeQueueFull      = "QueueFull"
+	codeNoOwner        = "NoOwner"
+	codeStoreOut       = "StoreOut"
+	codeOutcomeUnknown = "OutcomeUnknown"
+	codeNoJob          = "NoJob"
+	codeConflict       = "Conflict"
+	codeInvalid        = "Invalid"
+	codeNotReady       = "NotReady"
+	codeInternal       = "Internal"
+)
+
+// faultOf maps the errors of this instance's parts to what callers, operators and peers are told.
+func faultOf(err error) *httpjson.Fault {
+	var fault *httpjson.Fault
+	if errors.As(err, &fault) {
+		return fault
+	}
+	var never *placement.Never
+	if errors.As(err, &never) {
+		return &httpjson.Fault{Status: fasthttp.StatusUnprocessableEntity, Code: codeNeverFits, Message: never.Reason}
+	}
+	for _, known := range []struct {
+		err    error
+		status int
+		code   string
+		retry  float64
+	}{
+		{placement.ErrQueueFull, fasthttp.StatusTooManyRequests, codeQueueFull, 30},
+		{owner.ErrNotOwner, fasthttp.StatusServiceUnavailable, codeNoOwner, 2},
+		{owner.ErrStore, fasthttp.StatusServiceUnavailable, codeStoreOut, 5},
+		{configuration.ErrStore, fasthttp.StatusServiceUnavailable, codeStoreOut, 5},
+		{owner.ErrOutcomeUnknown, fasthttp.StatusGatewayTimeout, codeOutcomeUnknown, 2},
+		{configuration.ErrUnknown, fasthttp.StatusGatewayTimeout, codeOutcomeUnknown, 2},
+		{peer.ErrUnreachable, fasthttp.StatusServiceUnavailable, codeNoOwner, 2},
+		{peer.ErrUnknown, fasthttp.StatusGatewayTimeout, codeOutcomeUnknown, 2},
+		{owner.ErrNoJob, fasthttp.StatusNotFound, codeNoJob, 0},
+		{configuration.ErrConflict, fasthttp.StatusConflict, codeConflict, 0},
+		{configuration.ErrInvalid, fasthttp.StatusUnprocessableEntity, codeInvalid, 0},
+		{store.ErrUnknown, fasthttp.StatusServiceUnavailable, codeStoreOut, 5},
+		{store.ErrRefused, fasthttp.StatusServiceUnavailable, codeStoreOut, 5},
+	} {
+		if errors.Is(err, known.err) {
+			return &httpjson.Fault{Status: known.status, Code: known.code, Message: err.Error(), RetryAfter: known.retry}
+		}
+	}
+	return &httpjson.Fault{Status: fasthttp.StatusInternalServerError, Code: codeInternal, Message: err.Error()}
+}
+
+// outcomeOf says what a failed submission means for the job. Only faults that are known to come before the job's
+// record say that it was not run.
+func outcomeOf(fault *httpjson.Fault) caller.Outcome {
+	switch fault.Code {
+	case codeNeverFits, codeQueueFull, codeNoOwner, codeStoreOut, codeInvalid, codeNotReady:
+		return caller.NotRun
+	}
+	return caller.OutcomeUnknown
+}
+
+func replyError(ctx *fasthttp.RequestCtx, err error) {
+	httpjson.ReplyFault(ctx, faultOf(err))
+}
--- /dev/null
+++ b/internal/process/entry/metrics.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"expvar"
+	"sync"
+
+	"github.com/jujubegrade/jujubegrade/internal/process/owner"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+type dataCentreID = ids.DataCentreID
+
+var (
+	errNotOwner = owner.ErrNotOwner
+
+	metrics     = expvar.NewMap("jujubegrade")
+	metricsLock sync.Mutex
+)
+
+// ServiceMetrics are the metrics of one service.
+type ServiceMetrics struct {
+	Requests, Attempts, Answered, Refused, Unknown int64
+	Running, Waiting, Capacity                     int
+}
+
+// Metrics are the metrics of one instance.
+type Metrics struct {
+	Version      ids.Version
+	ConfirmedAge float64
+	Peers        int
+	PeerBytes    int64
+	StoreReads   int64
+	StoreWrites  int64
+	StoreWatches int64
+	Owned        map[ids.DataCentreID]ids.Epoch
+	Queued       map[ids.DataCentreID]int
+	Services     map[ids.ServiceID]ServiceMetrics
+}
+
+// Metrics returns the instance's metrics as they are now.
+func (e *Entry) Metrics() Metrics {
+	m := Metrics{
+		Version: e.config.Version(), ConfirmedAge: e.config.ConfirmedAge().Seconds(), Peers: len(e.members.Live()), PeerBytes: e.peerBytes.Load(),
+		StoreReads: e.storeCounts.Reads.Load(), StoreWrites: e.storeCounts.Writes.Load(), StoreWatches: e.storeCounts.Watches.Load(),
+		Owned: make(map[ids.DataCentreID]ids.Epoch), Queued: make(map[ids.DataCentreID]int), Services: make(map[ids.ServiceID]ServiceMetrics),
+	}
+	for _, owned := range e.beat().Owned {
+		m.Owned[owned.DataCentre] = owned.Epoch
+		m.Queued[owned.DataCentre] = owned.Queued
+	}
+	if services := e.services.Load(); services != nil {
+		for id, s := range *services {
+			m.Services[id] = ServiceMetrics{
+				Requests: s.Counts.Requests.Load(), Attempts: s.Counts.Attempts.Load(), Answered: s.Counts.Answered.Load(),
+				Refused: s.Counts.Refused.Load(), Unknown: s.Counts.Unknown.Load(),
+				Running: s.Gate().Running(), Waiting: s.Gate().Waiting(), Capacity: s.Gate().Capacity(),
+			}
+		}
+	}
+	return m
+}
+
+// Publish shows the instance's metrics among the process's.
+func (e *Entry) Publish() {
+	metricsLock.Lock()
+	defer metricsLock.Unlock()
+	metrics.Set(string(e.Settings.Name), expvar.Func(func() any { return e.Metrics() }))
+}
--- /dev/null
+++ b/internal/process/owner/record.go
@@ -0,0 +1,135 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/store"
+	"github.com/jujubegrade/jujubegrade/internal/process/placement"
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// Record is what the store keeps of a job.
+type Record struct {
+	// Format is the version of the record's format.
+	Format     int
+	Job        caller.Job
+	ID         ids.JobID
+	Account    ids.AccountID
+	DataCentre ids.DataCentreID
+	State      caller.State
+	Reason     string           `json:",omitempty"`
+	Attempt    ids.Attempt      `json:",omitempty"`
+	Each       ids.Resources    `json:",omitzero"`
+	Place      []ids.InstanceID `json:",omitempty"`
+	// Guarantee, Number and Shape name the guaranteed shape that the job uses and the shape's place.
+	Guarantee string           `json:",omitempty"`
+	Number    int              `json:",omitempty"`
+	Shape     []ids.InstanceID `json:",omitempty"`
+	Progress  float64          `json:",omitempty"`
+	Submitted time.Time
+	Started   time.Time `json:",omitzero"`
+	Finished  time.Time `json:",omitzero"`
+	// Writer names the write, so that a lost answer can be resolved by reading back.
+	Writer string
+}
+
+const (
+	// RecordFormat is the format that this version writes and reads.
+	RecordFormat = 1
+	// RecordPrefix is the prefix of the records' keys.
+	RecordPrefix = "Job/"
+)
+
+// ErrFormat tells that a record was written by a version that this one doesn't know.
+var ErrFormat = errors.New("the record has an unknown format")
+
+// RecordKey returns the key of a job's record.
+func RecordKey(id ids.JobID) string { return RecordPrefix + string(id) }
+
+// DecodeRecord reads a record and refuses unknown formats.
+func DecodeRecord(value []byte) (*Record, error) {
+	r := &Record{}
+	if err := json.Unmarshal(value, r); err != nil {
+		return nil, errors.Wrap(err, "malformed record")
+	}
+	if r.Format != RecordFormat {
+		return nil, errors.Wrapf(ErrFormat, "format %d", r.Format)
+	}
+	return r, nil
+}
+
+func (r *Record) status() caller.JobStatus {
+	return caller.JobStatus{
+		ID: r.ID, Account: r.Account, DataCentre: r.DataCentre, State: r.State, Reason: r.Reason, Attempt: r.Attempt,
+		Owed: r.Guarantee != "", Instances: r.Place, Submitted: r.Submitted, Started: r.Started, Finished: r.Finished, Due: r.Job.Due,
+	}
+}
+
+// ReadRecord reads a job's record from the store, whoever owns its data centre.
+func ReadRecord(ctx context.Context, s store.Client, id ids.JobID) (*Record, store.Revision, error) {
+	entry, err := s.Get(ctx, RecordKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, 0, ErrNoJob
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	r, err := DecodeRecord(entry.Value)
+	return r, entry.Revision, err
+}
+
+// Status returns what the record tells the job's caller.
+func (r *Record) Status() caller.JobStatus { return r.status() }
+
+// recordOf describes a job as it stands in the term's state. It runs on the term's goroutine.
+func (t *term) recordOf(j *placement.Job) *Record {
+	r := &Record{
+		Format: RecordFormat, Job: j.Job, ID: j.ID, Account: j.Account, DataCentre: t.owner.DataCentre,
+		State: j.StateOf(), Reason: j.Reason, Attempt: j.Attempt, Each: j.Each,
+		Place: append([]ids.InstanceID(nil), j.Place...), Progress: j.Progress,
+		Submitted: j.Submitted, Started: j.Started, Finished: j.Finished,
+	}
+	r.Guarantee, r.Number, r.Shape = j.Guarantee()
+	return r
+}
+
+// write puts a record in place of the revision known; a lost answer is resolved by reading the record back.
+func (t *term) write(ctx context.Context, r *Record, known store.Revision) (store.Revision, error) {
+	r.Writer = t.nextWriter()
+	value, err := json.Marshal(r)
+	if err != nil {
+		return 0, errors.Mark(err, store.ErrRefused)
+	}
+	revision, err := t.put(ctx, store.Write{Key: RecordKey(r.ID), Value: value, If: known})
+	if err == nil || errors.Is(err, store.ErrRefused) {
+		return revision, err
+	}
+	stored, at, readErr := t.read(ctx, r.ID)
+	switch {
+	case readErr == nil && stored.Writer == r.Writer:
+		return at, nil
+	case readErr == nil || errors.Is(readErr, ErrNoJob):
+		// The write did not take effect, and can't any more once the revision differs from the known one.
+		if errors.Is(err, store.ErrConflict) || at != known {
+			return at, store.ErrConflict
+		}
+	}
+	return 0, errors.Mark(err, store.ErrUnknown)
+}
+
+func (t *term) put(ctx context.Context, w store.Write) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.owner.Times.StoreCall)
+	defer cancel()
+	return t.owner.Store.Put(ctx, w)
+}
+
+func (t *term) read(ctx context.Context, id ids.JobID) (*Record, store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.owner.Times.StoreCall)
+	defer cancel()
+	return ReadRecord(ctx, t.owner.Store, id)
+}
--- /dev/null
+++ b/internal/process/owner/recover.go
@@ -0,0 +1,244 @@
+package owner
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/store"
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/placement"
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+type (
+	// survey is what a new owner found on the workers.
+	survey struct {
+		mu       sync.Mutex
+		sequence map[ids.InstanceID]uint64
+		// tasks holds the tasks of each job, with the worker of each.
+		tasks  map[ids.JobID][]found
+		silent []ids.InstanceID
+		fenced bool
+	}
+
+	found struct {
+		worker.TaskReport
+		on ids.InstanceID
+	}
+)
+
+// recover reads the job records, fences every worker and takes what it finds there as the truth.
+// It returns false if the term ended meanwhile.
+func (t *term) recover() bool {
+	records, ok := t.readRecords()
+	if !ok {
+		return false
+	}
+	nodes, _ := t.owner.Nodes()
+	v := t.survey(nodes)
+	if v.fenced || t.ctx.Err() != nil {
+		t.end("a worker has seen a newer epoch")
+		return false
+	}
+	now := time.Now()
+	for _, id := range v.silent {
+		t.state.NodeDown(id, now, "no answer to the new owner")
+	}
+	// Jobs under guarantees go first, since their shapes take the place that is recorded with them.
+	sort.SliceStable(records, func(i, j int) bool { return records[i].Guarantee != "" && records[j].Guarantee == "" })
+	for _, r := range records {
+		t.restore(r, v, now)
+	}
+	t.state.Settle()
+	for _, n := range nodes {
+		t.links[n.ID] = t.newLink(n.ID, 0)
+	}
+	return true
+}
+
+// readRecords reads the records of the data centre's jobs, and tries on while the store gives no answer.
+func (t *term) readRecords() ([]*Record, bool) {
+	pause := retryPause
+	for t.ctx.Err() == nil {
+		entries, err := t.listRecords()
+		if err == nil {
+			return t.decodeAll(entries), true
+		}
+		sleep(t.ctx, jitter(pause))
+		pause = min(2*pause, maxRetryPause)
+	}
+	return nil, false
+}
+
+func (t *term) listRecords() ([]store.Entry, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, 10*t.owner.Times.StoreCall)
+	defer cancel()
+	return t.owner.Store.ListAll(ctx, RecordPrefix)
+}
+
+func (t *term) decodeAll(entries []store.Entry) []*Record {
+	var records []*Record
+	for _, e := range entries {
+		r, err := DecodeRecord(e.Value)
+		if err != nil {
+			t.owner.event("RecordRefused", t.lease.epoch, e.Key+": "+err.Error())
+			continue
+		}
+		if r.DataCentre != t.owner.DataCentre {
+			continue
+		}
+		t.execution(r.ID).revision = e.Revision
+		if r.State == caller.Unknown {
+			t.unknown = append(t.unknown, unknownOf(r))
+		}
+		if r.State.Over() {
+			t.expire(r, e.Revision)
+			continue
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+// expire removes a record whose retention is over.
+func (t *term) expire(r *Record, revision store.Revision) {
+	delete(t.jobs, r.ID)
+	if t.config == nil || time.Since(r.Finished) < t.config.Policy.Retention {
+		return
+	}
+	t.spawn(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, t.owner.Times.StoreCall)
+		defer cancel()
+		// Without an answer the next owner removes the record.
+		_ = t.owner.Store.Delete(ctx, RecordKey(r.ID), revision)
+	})
+}
+
+// survey renews each worker's lease under the new epoch, which fences older owners, and takes its tasks.
+func (t *term) survey(nodes []placement.Node) *survey {
+	v := &survey{sequence: make(map[ids.InstanceID]uint64), tasks: make(map[ids.JobID][]found)}
+	var wait sync.WaitGroup
+	for _, n := range nodes {
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(t.ctx, t.owner.Times.WorkerCall)
+			defer cancel()
+			report, err := t.owner.Worker(n.ID).Renew(ctx, worker.Renew{Epoch: t.lease.epoch, TTL: t.owner.Times.WorkerLease})
+			v.add(n.ID, report, err)
+		})
+	}
+	wait.Wait()
+	return v
+}
+
+func (v *survey) add(id ids.InstanceID, report worker.Report, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case errors.Is(err, worker.ErrFenced):
+		v.fenced = true
+	case err != nil:
+		v.silent = append(v.silent, id)
+	default:
+		for _, task := range report.Tasks {
+			v.tasks[task.Job] = append(v.tasks[task.Job], found{TaskReport: task, on: id})
+		}
+	}
+}
+
+// restore takes one job over. What its workers report goes before the record, which may be older.
+func (t *term) restore(r *Record, v *survey, now time.Time) {
+	j := &placement.Job{Job: r.Job, ID: r.ID, Account: r.Account, Submitted: r.Submitted, Attempt: r.Attempt, Progress: r.Progress, Reason: r.Reason}
+	attempt, tasks := latest(v.tasks[r.ID])
+	sort.Slice(tasks, func(i, k int) bool { return tasks[i].Index < tasks[k].Index })
+	recorded := r.State != caller.Queued && len(r.Place) > 0
+	if len(tasks) == 0 && !recorded {
+		t.state.Restore(j)
+		return
+	}
+	a := placement.Adoption{Attempt: max(attempt, r.Attempt), Started: r.Started, Each: r.Each, Place: r.Place}
+	if recorded && r.Attempt >= attempt {
+		a.Guarantee, a.Number, a.Shape = r.Guarantee, r.Number, r.Shape
+	} else {
+		a.Place = placeOf(tasks, r.Job.Shape.Tasks)
+		a.Each = r.Job.Shape.Each
+	}
+	if a.Each == (ids.Resources{}) {
+		a.Each = r.Job.Shape.Each
+	}
+	if a.Started.IsZero() {
+		a.Started = now
+	}
+	a.Broken = broken(r, attempt, tasks, v.silent)
+	for _, f := range tasks {
+		if f.State == worker.Ended {
+			a.Ended = append(a.Ended, f.Index)
+		}
+	}
+	if a.Place == nil {
+		// Too few tasks were found to tell where the gang stood: stop what there is, and start anew.
+		a.Place = partialPlace(tasks)
+	}
+	t.state.Adopt(j, a, now)
+	if a.Broken == "" && len(a.Ended) == r.Job.Shape.Tasks {
+		t.state.TaskEnded(r.ID, a.Attempt, 0, false, now)
+	}
+}
+
+// latest returns the newest attempt among tasks, with its tasks.
+func latest(tasks []found) (ids.Attempt, []found) {
+	newest := ids.Attempt(0)
+	for _, f := range tasks {
+		newest = max(newest, f.Attempt)
+	}
+	var chosen []found
+	for _, f := range tasks {
+		if f.Attempt == newest {
+			chosen = append(chosen, f)
+		}
+	}
+	return newest, chosen
+}
+
+// placeOf returns the worker of each task, or nil unless all tasks were found.
+func placeOf(tasks []found, count int) []ids.InstanceID {
+	if len(tasks) != count {
+		return nil
+	}
+	return partialPlace(tasks)
+}
+
+func partialPlace(tasks []found) []ids.InstanceID {
+	place := make([]ids.InstanceID, 0, len(tasks))
+	for _, f := range tasks {
+		place = append(place, f.on)
+	}
+	return place
+}
+
+// broken says why a gang is not whole; it is empty for one that runs whole.
+func broken(r *Record, attempt ids.Attempt, tasks []found, silent []ids.InstanceID) string {
+	if attempt < r.Attempt {
+		return "the recorded start left no trace on the workers that answer"
+	}
+	whole := 0
+	for _, f := range tasks {
+		switch f.State {
+		case worker.Running, worker.Ended:
+			whole++
+		case worker.Failed:
+			return "a task failed"
+		}
+	}
+	if whole == r.Job.Shape.Tasks {
+		return ""
+	}
+	if len(silent) > 0 {
+		return "a part of the gang was not found, and some workers gave no answer"
+	}
+	return "a part of the gang was not found"
+}
--- /dev/null
+++ b/internal/process/placement/node.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+type (
+	// Node describes one worker as the instance list and the operators give it.
+	Node struct {
+		ID     ids.InstanceID
+		Rack   ids.RackID
+		Labels labels.Set
+		Total  ids.Resources
+		// Leaving nodes take no new work.
+		Leaving bool
+	}
+
+	node struct {
+		Node
+		rack *rack
+		// down nodes are taken as lost.
+		down bool
+		// used is held by jobs, by jobs that are being stopped, and promised to jobs that wait for these.
+		used ids.Resources
+		// reserved is the sum of the guaranteed shapes that have their place here.
+		reserved ids.Resources
+		// owed is held by jobs under guarantees; it is part of reserved.
+		owed ids.Resources
+		// fixed is held by borrowers that can't be stopped.
+		fixed ids.Resources
+		jobs  map[ids.JobID]*Job
+
+		blame            map[ids.JobID]bool
+		quarantinedUntil time.Time
+		probation        bool
+	}
+
+	rack struct {
+		id    ids.RackID
+		nodes []*node
+	}
+)
+
+// SetNodes replaces the list of workers. Workers that left the list are lost once RemoveNode says so.
+func (s *State) SetNodes(list []Node) {
+	s.init()
+	changed := false
+	for _, n := range list {
+		known := s.nodes[n.ID]
+		if known == nil {
+			s.nodes[n.ID] = &node{Node: n, jobs: make(map[ids.JobID]*Job)}
+			changed = true
+			continue
+		}
+		if known.Total != n.Total || known.Leaving != n.Leaving || known.Rack != n.Rack || !labels.Equals(known.Labels, n.Labels) {
+			known.Node = n
+			changed = true
+		}
+	}
+	if changed {
+		s.rebuildRacks()
+		s.rebuildEntries()
+		s.grow()
+	}
+}
+
+// RemoveNode forgets a worker that is no longer listed, as soon as it holds no job.
+func (s *State) RemoveNode(id ids.InstanceID) {
+	n := s.nodes[id]
+	if n == nil || len(n.jobs) > 0 {
+		return
+	}
+	delete(s.nodes, id)
+	s.rebuildRacks()
+	s.rebuildEntries()
+}
+
+func (s *State) rebuildRacks() {
+	byID := make(map[ids.RackID]*rack)
+	s.racks = nil
+	for _, n := range s.sortedNodes() {
+		r := byID[n.Rack]
+		if r == nil {
+			r = &rack{id: n.Rack}
+			byID[n.Rack] = r
+			s.racks = append(s.racks, r)
+		}
+		n.rack = r
+		r.nodes = append(r.nodes, n)
+	}
+}
+
+func (s *State) sortedNodes() []*node {
+	all := make([]*node, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		all = append(all, n)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].Rack != all[j].Rack {
+			return all[i].Rack < all[j].Rack
+		}
+		return all[i].ID < all[j].ID
+	})
+	return all
+}
+
+// NodeDown takes a worker as lost: its tasks no longer run, or won't before its lease lapsed.
+func (s *State) NodeDown(id ids.InstanceID, now time.Time, cause string) {
+	n := s.nodes[id]
+	if n == nil || n.down {
+		return
+	}
+	n.down = true
+	s.notice(Notice{Kind: NoticeLost, Instance: id, Cause: cause})
+	for _, j := range sortedJobs(n.jobs) {
+		s.memberLost(j, now, "instance "+string(id)+" was lost")
+	}
+	s.repairEntries()
+}
+
+// NodeUp takes a worker as live again.
+func (s *State) NodeUp(id ids.InstanceID) {
+	n := s.nodes[id]
+	if n == nil || !n.down {
+		return
+	}
+	n.down = false
+	s.repairEntries()
+	s.grow()
+}
+
+// Live reports whether a worker is known and not lost.
+func (s *State) Live(id ids.InstanceID) bool {
+	n := s.nodes[id]
+	return n != nil && !n.down
+}
+
+// open reports whether new work may be placed on the node.
+func (n *node) open() bool {
+	return !n.down && !n.Leaving && !n.quarantined()
+}
+
+func (n *node) quarantined() bool {
+	return !n.quarantinedUntil.IsZero()
+}
+
+func (n *node) free() ids.Resources {
+	return n.Total.Minus(n.used)
+}
+
+// guaranteed returns what is left for guaranteed shapes and for work that can't be stopped.
+func (n *node) guaranteed() ids.Resources {
+	return n.Total.Minus(n.reserved).Minus(n.fixed)
+}
+
+func sortedJobs(jobs map[ids.JobID]*Job) []*Job {
+	all := make([]*Job, 0, len(jobs))
+	for _, j := range jobs {
+		all = append(all, j)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+// RunningOn calls visit for each task on a worker that has not ended and whose job ran before a time.
+func (s *State) RunningOn(id ids.InstanceID, before time.Time, visit func(job ids.JobID, attempt ids.Attempt, index int)) {
+	n := s.nodes[id]
+	if n == nil {
+		return
+	}
+	for _, j := range sortedJobs(n.jobs) {
+		if j.phase != running || !j.Started.Before(before) {
+			continue
+		}
+		for i, place := range j.Place {
+			if place == id && !j.ended[i] {
+				visit(j.ID, j.Attempt, i)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/placement/report.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+	"github.com/jujubegrade/jujubegrade/pkg/operator"
+)
+
+// Status returns what is known of a job, for its caller.
+func (s *State) Status(j *Job) caller.JobStatus {
+	status := caller.JobStatus{
+		ID: j.ID, Account: j.Account, DataCentre: s.DataCentre, State: j.StateOf(), Reason: j.Reason, Attempt: j.Attempt,
+		Owed: j.WasOwed, Instances: j.Place, Submitted: j.Submitted, Finished: j.Finished, Due: j.Due, Forecast: j.Forecast,
+	}
+	if j.phase == running || j.phase == over {
+		status.Started = j.Started
+	}
+	return status
+}
+
+// Report tells the operators how the data centre stands.
+func (s *State) Report() operator.Report {
+	r := operator.Report{DataCentre: s.DataCentre, Queued: s.Queued()}
+	for _, l := range s.Lateness() {
+		r.Late = append(r.Late, operator.LateJob{
+			Job: l.Job, Account: l.Account, DataCentre: s.DataCentre, Due: l.Due, Forecast: l.Forecast,
+			Quantile: l.Quantile, Reason: l.Reason, Warned: l.Warned,
+		})
+	}
+	for _, e := range s.entries {
+		g := operator.GuaranteeStatus{
+			Guarantee: e.guarantee.Name, Number: e.number, Account: e.guarantee.Account, DataCentre: s.DataCentre,
+			Shape: e.guarantee.Shape, Held: s.intact(e), Instances: nodeIDs(e.place),
+		}
+		for i := range e.free {
+			g.Used += e.shape.Each.Accelerators - e.free[i].Accelerators
+		}
+		if !g.Held {
+			g.Missing = s.blocker(e)
+		}
+		r.Guarantees = append(r.Guarantees, g)
+	}
+	stranded := s.Stranded()
+	for _, rack := range s.racks {
+		status := operator.RackStatus{DataCentre: s.DataCentre, Rack: rack.id, Stranded: stranded[rack.id]}
+		for _, n := range rack.nodes {
+			status.Total += n.Total.Accelerators
+			if !n.down {
+				status.Free += n.free().Accelerators
+			}
+		}
+		r.Racks = append(r.Racks, status)
+	}
+	for _, n := range s.sortedNodes() {
+		r.Instances = append(r.Instances, operator.InstanceStatus{
+			ID: n.ID, DataCentre: s.DataCentre, Rack: n.Rack, State: n.state(), Total: n.Total, Used: n.used, Jobs: len(n.jobs),
+		})
+	}
+	return r
+}
+
+func (n *node) state() string {
+	switch {
+	case n.down:
+		return "Lost"
+	case n.quarantined():
+		return "Quarantined"
+	case n.Leaving:
+		return "Leaving"
+	}
+	return "Live"
+}
+
+// Stranded returns, by rack, the free accelerators that can't serve the largest guaranteed shape.
+func (s *State) Stranded() map[ids.RackID]ids.Accelerators {
+	stranded := make(map[ids.RackID]ids.Accelerators)
+	largest, found := s.largestShape()
+	if !found {
+		return stranded
+	}
+	for _, r := range s.racks {
+		free, copies := ids.Accelerators(0), 0
+		for _, n := range r.nodes {
+			if n.down {
+				continue
+			}
+			free += n.free().Accelerators
+			copies += int(n.free().Accelerators / max(1, largest.Each.Accelerators))
+		}
+		usable := ids.Accelerators(copies/largest.Tasks) * largest.Total().Accelerators
+		if largest.Adjacent == ids.AnyRack {
+			usable = ids.Accelerators(copies) * largest.Each.Accelerators
+		}
+		stranded[r.id] = free - usable
+	}
+	return stranded
+}
+
+// FreeAccelerators returns the free accelerators of live nodes.
+func (s *State) FreeAccelerators() ids.Accelerators {
+	free := ids.Accelerators(0)
+	for _, n := range s.nodes {
+		if !n.down {
+			free += n.free().Accelerators
+		}
+	}
+	return free
+}
+
+func (s *State) largestShape() (ids.Shape, bool) {
+	var largest ids.Shape
+	found := false
+	for _, g := range s.config.Guarantees {
+		if g.DataCentre == s.DataCentre && (!found || larger(g.Shape, largest)) {
+			largest, found = g.Shape, true
+		}
+	}
+	return largest, found
+}
--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,116 @@
+package settings
+
+import (
+	"net"
+	"time"
+
+	"github.com/jujubegrade/jujubegrade/internal/version/inifile"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+type (
+	// Settings are the settings of one entry instance.
+	Settings struct {
+		Name       ids.InstanceID
+		DataCentre ids.DataCentreID
+
+		Callers, Operators, Peers string
+		MaxConnections            int
+		MaxHeader, MaxBody        int
+
+		PeerAddresses      []string
+		Heartbeat, Silence time.Duration
+
+		StoreAddress  string
+		StoreTimeout  time.Duration
+		StoreRate     float64
+		StoreBurst    int
+		ListAddress   string
+		ListPoll      time.Duration
+		Fencing       bool
+		WorkerLease   time.Duration
+		WorkerRenew   time.Duration
+		WorkerHold    time.Duration
+		WorkerTimeout time.Duration
+		OwnerLease    time.Duration
+		ConfigWatch   time.Duration
+		ConfigPoll    time.Duration
+		ConfigBound   time.Duration
+		BalancerLag   time.Duration
+		Grace         time.Duration
+		LogLevel      string
+		Events        int
+		Tokens        []Token
+	}
+
+	// Token is a bearer token.
+	Token struct {
+		Name, Secret string
+		Operator     bool
+		Account      ids.AccountID
+	}
+)
+
+// Parse reads settings. Its error is an inifile.Faults with every fault found.
+func Parse(file string, text []byte) (*Settings, error) {
+	d, faults := inifile.Read(file, text, Sections)
+	one := func(name string) inifile.Part { return d.One(name, Sections) }
+	instance, listen, peers, store, list := one("Instance"), one("Listen"), one("Peers"), one("Store"), one("InstanceList")
+	workers, ownership, configuration := one("Workers"), one("Ownership"), one("Configuration")
+	shutdown, log := one("Shutdown"), one("Log")
+	s := &Settings{
+		Name: ids.InstanceID(instance.Text("Name")), DataCentre: ids.DataCentreID(instance.Text("DataCentre")),
+		Callers: listen.Text("Callers"), Operators: listen.Text("Operators"), Peers: listen.Text("Peers"),
+		MaxConnections: listen.Int("MaxConnections"), MaxHeader: listen.Int("MaxHeader"), MaxBody: listen.Int("MaxBody"),
+		PeerAddresses: peers.List("Addresses"), Heartbeat: peers.Duration("Heartbeat"), Silence: peers.Duration("Silence"),
+		StoreAddress: store.Text("Address"), StoreTimeout: store.Duration("Timeout"),
+		StoreRate: store.Number("CallRate"), StoreBurst: store.Int("CallBurst"),
+		ListAddress: list.Text("Address"), ListPoll: list.Duration("Poll"),
+		Fencing: workers.Bool("Fencing"), WorkerLease: workers.Duration("Lease"), WorkerRenew: workers.Duration("Renew"),
+		WorkerHold: workers.Duration("Hold"), WorkerTimeout: workers.Duration("Timeout"),
+		OwnerLease:  ownership.Duration("Lease"),
+		ConfigWatch: configuration.Duration("Watch"), ConfigPoll: configuration.Duration("Poll"), ConfigBound: configuration.Duration("Bound"),
+		BalancerLag: shutdown.Duration("BalancerLag"), Grace: shutdown.Duration("Grace"),
+		LogLevel: log.Text("Level"), Events: log.Int("Events"),
+	}
+	for _, name := range []string{"Instance", "Listen", "Store", "InstanceList"} {
+		if len(d.Of(name)) == 0 {
+			faults = append(faults, inifile.Fault{File: file, Line: 1, Section: name, Message: "the section is missing"})
+		}
+	}
+	faults = append(faults, checkAddresses(file, &listen, "Callers", "Operators", "Peers")...)
+	faults = append(faults, checkAddresses(file, &store, "Address")...)
+	faults = append(faults, checkAddresses(file, &list, "Address")...)
+	if s.WorkerRenew*3 > s.WorkerLease {
+		faults = append(faults, workers.Fault(file, "Lease", "%v is less than three times Renew, which is %v", s.WorkerLease, s.WorkerRenew))
+	}
+	if s.ConfigWatch*2 > s.ConfigBound {
+		faults = append(faults, configuration.Fault(file, "Bound", "%v is less than twice Watch, which is %v", s.ConfigBound, s.ConfigWatch))
+	}
+	for _, p := range d.Of("Token") {
+		token := Token{Name: p.Title, Secret: p.Text("Secret"), Operator: p.Text("Role") == "Operator", Account: ids.AccountID(p.Text("Account"))}
+		if !token.Operator && token.Account == "" {
+			faults = append(faults, p.Fault(file, "Account", "a caller's token needs an account"))
+		}
+		s.Tokens = append(s.Tokens, token)
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func checkAddresses(file string, p *inifile.Part, keys ...string) inifile.Faults {
+	var faults inifile.Faults
+	for _, key := range keys {
+		value := p.Text(key)
+		if value == "" {
+			continue
+		}
+		host, _, err := net.SplitHostPort(value)
+		if err != nil || net.ParseIP(host) == nil {
+			faults = append(faults, p.Fault(file, key, "%q is no address, write IP:port", value))
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/request/service/service.go
@@ -0,0 +1,230 @@
+// Package service sends callers' requests to the runners of a service.
+package service
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/runner"
+	"github.com/jujubegrade/jujubegrade/internal/request/admission"
+	"github.com/jujubegrade/jujubegrade/internal/version/config"
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+type (
+	// Service forwards the requests of one service. ID must be set; runners come by SetRunners.
+	Service struct {
+		ID ids.ServiceID
+
+		gate admission.Gate
+		// runners is replaced as a whole, so that requests read it without a lock.
+		runners atomic.Pointer[[]*runner.Runner]
+		budget  budget
+
+		// Counts count what happened, for the metrics.
+		Counts Counts
+	}
+
+	// Counts count requests by what became of them.
+	Counts struct {
+		Requests, Attempts, Refused, Unknown, Answered atomic.Int64
+	}
+
+	// Request is one request on its way to a runner.
+	Request struct {
+		ID         ids.RequestID
+		Account    *config.Account
+		Idempotent bool
+		Deadline   time.Time
+		// Policy and Settings are those of the configuration under which the request was accepted.
+		Policy   *config.Policy
+		Settings config.Service
+		HTTP     *fasthttp.Request
+	}
+
+	// Result is what became of a request.
+	Result struct {
+		Outcome caller.Outcome
+		// Reason says why a request was refused or its outcome is unknown.
+		Reason     string
+		RetryAfter time.Duration
+		// Status is the HTTP status if there is no answer of a runner.
+		Status int
+		Runner ids.InstanceID
+	}
+)
+
+// maxAttempts bounds the runners that one request is sent to.
+const maxAttempts = 4
+
+// SetRunners replaces the runners, which the instances serving now share among them. Those that remain keep
+// their connections.
+func (s *Service) SetRunners(list []*runner.Runner, instances int) {
+	known := make(map[ids.InstanceID]*runner.Runner)
+	for _, r := range s.list() {
+		known[r.ID] = r
+	}
+	next := make([]*runner.Runner, 0, len(list))
+	slots := 0
+	for _, r := range list {
+		slots += r.Slots
+		if old := known[r.ID]; old != nil && old.Address == r.Address && old.Slots == r.Slots {
+			r = old
+			delete(known, r.ID)
+		}
+		next = append(next, r)
+	}
+	s.runners.Store(&next)
+	for _, gone := range known {
+		gone.Close()
+	}
+	s.gate.SetCapacity((slots + instances - 1) / max(1, instances))
+}
+
+func (s *Service) list() []*runner.Runner {
+	if list := s.runners.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+// Gate returns the service's admission, for reports.
+func (s *Service) Gate() *admission.Gate { return &s.gate }
+
+// Serve admits a request and sends it to a runner. The answer is in resp if the outcome is Answered.
+func (s *Service) Serve(req *Request, resp *fasthttp.Response) Result {
+	s.Counts.Requests.Add(1)
+	if len(s.list()) == 0 {
+		s.Counts.Refused.Add(1)
+		return Result{Outcome: caller.NotRun, Status: fasthttp.StatusServiceUnavailable, Reason: "no runner of " + string(s.ID) + " is known", RetryAfter: time.Second}
+	}
+	share := admission.Share{Guaranteed: req.Account.RequestShare, Queue: req.Account.QueuedRequests}
+	leave, refusal := s.gate.Enter(req.Account.ID, share, req.Deadline)
+	if refusal != nil {
+		s.Counts.Refused.Add(1)
+		status := fasthttp.StatusServiceUnavailable
+		if refusal.Full {
+			status = fasthttp.StatusTooManyRequests
+		}
+		return Result{Outcome: caller.NotRun, Status: status, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
+	}
+	defer leave()
+	s.budget.earn(req.Policy.RetryBudget)
+	result := s.send(req, resp)
+	switch result.Outcome {
+	case caller.Answered:
+		s.Counts.Answered.Add(1)
+	case caller.NotRun:
+		s.Counts.Refused.Add(1)
+	case caller.OutcomeUnknown:
+		s.Counts.Unknown.Add(1)
+	}
+	return result
+}
+
+// send tries runners until one answers. A request that may have run is sent again only if it is idempotent.
+func (s *Service) send(req *Request, resp *fasthttp.Response) Result {
+	var last *runner.Runner
+	mayHaveRun := false
+	reason := "no runner of " + string(s.ID) + " takes requests now"
+	for attempt := range maxAttempts {
+		if time.Now().After(req.Deadline) || (attempt > 0 && !s.budget.spend()) {
+			break
+		}
+		r := s.choose(last)
+		if r == nil {
+			break
+		}
+		last = r
+		s.Counts.Attempts.Add(1)
+		resp.Reset()
+		err := r.Do(req.HTTP, resp, req.ID, s.attemptDeadline(req), req.Settings.MaxBody)
+		if err == nil {
+			return Result{Outcome: caller.Answered, Runner: r.ID}
+		}
+		reason = err.Error()
+		if errors.Is(err, runner.ErrNotSent) || errors.Is(err, runner.ErrNotRun) {
+			continue
+		}
+		mayHaveRun = true
+		if !req.Idempotent || errors.Is(err, runner.ErrTooLarge) {
+			break
+		}
+	}
+	return s.givenUp(mayHaveRun, reason)
+}
+
+func (s *Service) givenUp(mayHaveRun bool, reason string) Result {
+	const retryAfter = 500 * time.Millisecond
+	if mayHaveRun {
+		return Result{Outcome: caller.OutcomeUnknown, Status: fasthttp.StatusBadGateway, Reason: reason, RetryAfter: retryAfter}
+	}
+	return Result{Outcome: caller.NotRun, Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter}
+}
+
+// attemptDeadline leaves an idempotent request time for another runner.
+func (s *Service) attemptDeadline(req *Request) time.Time {
+	if !req.Idempotent {
+		return req.Deadline
+	}
+	if attempt := time.Now().Add(req.Settings.AttemptTimeout); attempt.Before(req.Deadline) {
+		return attempt
+	}
+	return req.Deadline
+}
+
+// choose takes the less loaded of two random runners, passing over the one that failed last and those to avoid.
+func (s *Service) choose(last *runner.Runner) *runner.Runner {
+	list := s.list()
+	now := time.Now()
+	var first *runner.Runner
+	offset := rand.IntN(max(1, len(list)))
+	step := stepFor(len(list))
+	for i := range list {
+		r := list[(offset+i*step)%len(list)]
+		if r.Avoided(now) || (r == last && len(list) > 1) {
+			continue
+		}
+		if first == nil {
+			first = r
+			continue
+		}
+		if r.Load()*int64(first.Slots) < first.Load()*int64(r.Slots) {
+			return r
+		}
+		return first
+	}
+	return first
+}
+
+// stepFor returns a random step that visits every one of n places.
+func stepFor(n int) int {
+	if n < 3 {
+		return 1
+	}
+	for {
+		step := 1 + rand.IntN(n-1)
+		if gcd(step, n) == 1 {
+			return step
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// NewRequestID returns an id that no other request has.
+func NewRequestID() ids.RequestID {
+	const base = 36
+	return ids.RequestID(strconv.FormatUint(rand.Uint64(), base) + strconv.FormatUint(rand.Uint64(), base))
+}
--- /dev/null
+++ b/internal/version/config/config.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/jujubegrade/jujubegrade/internal/version/inifile"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+type (
+	// Config is one compiled configuration. It is never changed once compiled.
+	Config struct {
+		Version     ids.Version
+		Policy      Policy
+		Accounts    map[ids.AccountID]*Account
+		Guarantees  []Guarantee
+		DataCentres map[ids.DataCentreID]DataCentre
+		Instances   map[ids.InstanceID]Instance
+		Services    map[ids.ServiceID]Service
+	}
+
+	// Policy is the section of that name.
+	Policy struct {
+		CompletionWeight    float64
+		FragmentationWeight float64
+		CheckpointGrace     time.Duration
+		AgeingAfter         time.Duration
+		QuarantineAfter     int
+		QuarantineTime      time.Duration
+		QuarantineShare     float64
+		JobAttempts         int
+		RackReserve         ids.Accelerators
+		WarnQuantile        float64
+		RetryBudget         float64
+		Retention           time.Duration
+	}
+
+	// DataCentre is one data centre as the operators plan it.
+	DataCentre struct {
+		Region       string
+		Accelerators ids.Accelerators
+	}
+
+	// Account is one client account.
+	Account struct {
+		ID             ids.AccountID
+		Labels         labels.Set
+		Selector       labels.Selector
+		Weight         float64
+		Quota          ids.Accelerators
+		QueuedJobs     int
+		RequestShare   float64
+		QueuedRequests int
+	}
+
+	// Guarantee is a number of equal shapes owed to an account in one data centre.
+	Guarantee struct {
+		Name       string
+		Account    ids.AccountID
+		DataCentre ids.DataCentreID
+		Shape      ids.Shape
+		Count      int
+	}
+
+	// Instance is what operators set on one instance.
+	Instance struct {
+		Labels labels.Set
+		Drain  bool
+	}
+
+	// Service is one service that runners offer.
+	Service struct {
+		Timeout        time.Duration
+		AttemptTimeout time.Duration
+		MaxBody        int
+	}
+)
+
+// Parse compiles a document. Its error is an inifile.Faults with every fault found.
+func Parse(file string, text []byte) (*Config, error) {
+	document, faults := inifile.Read(file, text, Sections)
+	c := &Config{
+		Policy:      parsePolicy(document.One("Policy", Sections)),
+		Accounts:    make(map[ids.AccountID]*Account),
+		DataCentres: make(map[ids.DataCentreID]DataCentre),
+		Instances:   make(map[ids.InstanceID]Instance),
+		Services:    make(map[ids.ServiceID]Service),
+	}
+	for _, p := range document.Of("DataCentre") {
+		c.DataCentres[ids.DataCentreID(p.Title)] = DataCentre{Region: p.Text("Region"), Accelerators: ids.Accelerators(p.Int("Accelerators"))}
+	}
+	share := 0.0
+	for _, p := range document.Of("ClientAccount") {
+		account := parseAccount(p)
+		c.Accounts[account.ID] = account
+		share += account.RequestShare
+		if share > 1+1e-9 {
+			faults = append(faults, p.Fault(file, "RequestShare", "the accounts' shares add up to %.2f, allowed is 1 at most", share))
+		}
+	}
+	for _, p := range document.Of("Instance") {
+		c.Instances[ids.InstanceID(p.Title)] = Instance{Labels: p.Labels("Labels"), Drain: p.Bool("Drain")}
+	}
+	for _, p := range document.Of("Service") {
+		c.Services[ids.ServiceID(p.Title)] = Service{Timeout: p.Duration("Timeout"), AttemptTimeout: p.Duration("AttemptTimeout"), MaxBody: p.Int("MaxBody")}
+	}
+	faults = append(faults, c.parseGuarantees(file, document.Of("Guarantee"))...)
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func parsePolicy(p inifile.Part) Policy {
+	return Policy{
+		CompletionWeight:    p.Number("CompletionWeight"),
+		FragmentationWeight: p.Number("FragmentationWeight"),
+		CheckpointGrace:     p.Duration("CheckpointGrace"),
+		AgeingAfter:         p.Duration("AgeingAfter"),
+		QuarantineAfter:     p.Int("QuarantineAfter"),
+		QuarantineTime:      p.Duration("QuarantineTime"),
+		QuarantineShare:     p.Number("QuarantineShare"),
+		JobAttempts:         p.Int("JobAttempts"),
+		RackReserve:         ids.Accelerators(p.Int("RackReserve")),
+		WarnQuantile:        p.Number("WarnQuantile"),
+		RetryBudget:         p.Number("RetryBudget"),
+		Retention:           p.Duration("Retention"),
+	}
+}
+
+func parseAccount(p inifile.Part) *Account {
+	return &Account{
+		ID:             ids.AccountID(p.Title),
+		Labels:         p.Labels("Labels"),
+		Selector:       p.Selector("Selector"),
+		Weight:         p.Number("Weight"),
+		Quota:          ids.Accelerators(p.Int("Quota")),
+		QueuedJobs:     p.Int("QueuedJobs"),
+		RequestShare:   p.Number("RequestShare"),
+		QueuedRequests: p.Int("QueuedRequests"),
+	}
+}
+
+func (c *Config) parseGuarantees(file string, parts []inifile.Part) inifile.Faults {
+	var faults inifile.Faults
+	sums := make(map[ids.DataCentreID]ids.Accelerators)
+	for _, p := range parts {
+		shape, err := ids.ParseShape(p.Text("Shape"))
+		if err != nil && p.Text("Shape") != "" {
+			faults = append(faults, p.Fault(file, "Shape", "%v", err))
+			continue
+		}
+		shape.Each.Cores = ids.MilliCores(p.Int("Cores"))
+		shape.Each.Memory = ids.MebiBytes(p.Int("Memory"))
+		g := Guarantee{
+			Name: p.Title, Account: ids.AccountID(p.Text("Account")),
+			DataCentre: ids.DataCentreID(p.Text("DataCentre")), Shape: shape, Count: p.Int("Count"),
+		}
+		if _, found := c.Accounts[g.Account]; !found && g.Account != "" {
+			faults = append(faults, p.Fault(file, "Account", "%q is no client account of this document", g.Account))
+		}
+		planned, found := c.DataCentres[g.DataCentre]
+		if !found && g.DataCentre != "" {
+			faults = append(faults, p.Fault(file, "DataCentre", "%q is no data centre of this document", g.DataCentre))
+		}
+		sums[g.DataCentre] += shape.Total().Accelerators * ids.Accelerators(g.Count)
+		if sum := sums[g.DataCentre]; planned.Accelerators > 0 && sum > planned.Accelerators {
+			faults = append(faults, p.Fault(file, "Count", "the guarantees in %s add up to %d accelerators, planned are %d", g.DataCentre, sum, planned.Accelerators))
+		}
+		c.Guarantees = append(c.Guarantees, g)
+	}
+	return faults
+}
+
+// Service returns a service's settings; a service that the document doesn't name has the defaults.
+func (c *Config) Service(id ids.ServiceID) Service {
+	if s, found := c.Services[id]; found {
+		return s
+	}
+	return defaultService
+}
+
+var defaultService = Service{Timeout: 10 * time.Second, AttemptTimeout: 2 * time.Second, MaxBody: 4 << 20}
--- /dev/null
+++ b/internal/version/inifile/position.go
@@ -0,0 +1,64 @@
+package inifile
+
+import (
+	"fmt"
+	"strings"
+)
+
+// positions holds where sections and keys stand in a document, since the parser doesn't tell.
+type positions struct {
+	sections map[string][]int
+	keys     map[[2]string][]int
+}
+
+func locate(text []byte) positions {
+	found := positions{sections: make(map[string][]int), keys: make(map[[2]string][]int)}
+	section := ""
+	number := 0
+	for line := range strings.Lines(string(text)) {
+		number++
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "" || line[0] == ';' || line[0] == '#':
+		case line[0] == '[':
+			section = strings.TrimSpace(strings.Trim(line, "[]"))
+			found.sections[section] = append(found.sections[section], number)
+		default:
+			key, _, _ := strings.Cut(line, "=")
+			place := [2]string{section, strings.TrimSpace(key)}
+			found.keys[place] = append(found.keys[place], number)
+		}
+	}
+	return found
+}
+
+func (p positions) section(name string) int {
+	if lines := p.sections[name]; len(lines) > 0 {
+		return lines[0]
+	}
+	return 1
+}
+
+func (p positions) key(section, key string) int {
+	if lines := p.keys[[2]string{section, key}]; len(lines) > 0 {
+		return lines[0]
+	}
+	return p.section(section)
+}
+
+func (p positions) duplicates(file string) Faults {
+	var faults Faults
+	for name, lines := range p.sections {
+		for _, line := range lines[1:] {
+			message := fmt.Sprintf("duplicate section, first at line %d", lines[0])
+			faults = append(faults, Fault{File: file, Line: line, Section: name, Message: message})
+		}
+	}
+	for place, lines := range p.keys {
+		for _, line := range lines[1:] {
+			message := fmt.Sprintf("duplicate key, first at line %d", lines[0])
+			faults = append(faults, Fault{File: file, Line: line, Section: place[0], Key: place[1], Message: message})
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/pkg/ids/shape.go
@@ -0,0 +1,79 @@
+package ids
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Adjacency says how close the tasks of a gang have to be.
+type Adjacency string
+
+// Shape is what a gang needs: Tasks times the resources of one task, placed with an adjacency.
+type Shape struct {
+	Tasks    int
+	Each     Resources
+	Adjacent Adjacency `json:",omitempty"`
+}
+
+const (
+	// AnyRack lets the tasks of a gang stand anywhere in one data centre.
+	AnyRack Adjacency = ""
+	// SameRack keeps all tasks of a gang in one rack.
+	SameRack Adjacency = "Rack"
+	// SameInstance keeps all tasks of a gang on one instance.
+	SameInstance Adjacency = "Instance"
+
+	// MaxTasks bounds the tasks of one gang.
+	MaxTasks = 256
+)
+
+// Total returns the resources of all tasks together.
+func (s Shape) Total() Resources {
+	return s.Each.Times(s.Tasks)
+}
+
+// String writes the shape as ParseShape reads it, without cores and memory.
+func (s Shape) String() string {
+	text := fmt.Sprintf("%dx%d", s.Tasks, s.Each.Accelerators)
+	if s.Adjacent != AnyRack {
+		text += "/" + string(s.Adjacent)
+	}
+	return text
+}
+
+// Validate returns an error if no instance could ever hold the shape for a formal reason.
+func (s Shape) Validate() error {
+	if s.Tasks < 1 || s.Tasks > MaxTasks {
+		return errors.Newf("Tasks is %d, allowed are 1 to %d", s.Tasks, MaxTasks)
+	}
+	if s.Each.Accelerators < 0 || s.Each.Cores < 0 || s.Each.Memory < 0 {
+		return errors.New("a task's Accelerators, Cores and Memory must not be negative")
+	}
+	if s.Each == (Resources{}) {
+		return errors.New("a task must need some Accelerators, Cores or Memory")
+	}
+	switch s.Adjacent {
+	case AnyRack, SameRack, SameInstance:
+		return nil
+	}
+	return errors.Newf("Adjacent is %q, allowed are Rack, Instance or nothing", s.Adjacent)
+}
+
+// ParseShape reads TASKSxACCELERATORS with an optional /Rack or /Instance, such as 2x8/Rack.
+func ParseShape(text string) (Shape, error) {
+	size, adjacent, _ := strings.Cut(text, "/")
+	left, right, found := strings.Cut(size, "x")
+	tasks, err := strconv.Atoi(strings.TrimSpace(left))
+	if !found || err != nil {
+		return Shape{}, errors.Newf("%q is no shape, write TASKSxACCELERATORS such as 2x8 or 2x8/Rack", text)
+	}
+	each, err := strconv.Atoi(strings.TrimSpace(right))
+	if err != nil {
+		return Shape{}, errors.Newf("%q is no shape, write TASKSxACCELERATORS such as 2x8 or 2x8/Rack", text)
+	}
+	s := Shape{Tasks: tasks, Each: Resources{Accelerators: Accelerators(each)}, Adjacent: Adjacency(strings.TrimSpace(adjacent))}
+	return s, s.Validate()
+}
