Drive the decisions with random events and mend what that found

Cause: two faults showed in random runs. Ruled out: lost stop answers (the runs failed with all stops answered) and the order of the events within one decision.

--- a/internal/process/placement/decide.go
+++ b/internal/process/placement/decide.go
@@ -328,7 +328,11 @@
 			delete(j.waitFor, id)
 		}
 	}
-	if len(j.waitFor) > 0 {
+	if len(j.waitFor) > 0 && !s.Policy.NoWait {
+		return
+	}
+	if place := s.tasksByNode(j); !fits(j, place) && !s.Policy.NoWait {
+		s.reclaim(j, place, now)
 		return
 	}
 	j.phase = starting
@@ -340,6 +344,32 @@
 	s.notice(Notice{Kind: NoticePlaced, Job: j.ID, Account: j.Account, Cause: placedCause(j)})
 }
 
+// fits reports whether the job's nodes have room for it beside all that has been started there.
+func fits(j *Job, place map[*node]int) bool {
+	for n, tasks := range place {
+		held := j.Each.Times(tasks)
+		for _, other := range n.jobs {
+			if other.phase != allocated {
+				held = held.Plus(other.Each.Times(other.tasksOn(n.ID)))
+			}
+		}
+		if !n.Total.Fits(held) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) tasksByNode(j *Job) map[*node]int {
+	count := make(map[*node]int)
+	for _, id := range j.Place {
+		if n := s.nodes[id]; n != nil {
+			count[n]++
+		}
+	}
+	return count
+}
+
 func placedCause(j *Job) string {
 	if j.entry != nil {
 		return "guarantee " + j.entry.guarantee.Name
--- a/internal/process/placement/entry.go
+++ b/internal/process/placement/entry.go
@@ -70,13 +70,20 @@
 	return all
 }
 
-// dropEntry turns the jobs of a guarantee that is no more into borrowers.
+// dropEntry turns the jobs of a guarantee that is no more into borrowers. Those that still wait for their place
+// lose it.
 func (s *State) dropEntry(e *entry) {
-	for _, j := range s.jobs {
-		if j.entry == e {
-			j.entry = nil
-			j.slots = nil
+	for _, j := range sortedJobs(s.jobs) {
+		if j.entry != e {
+			continue
 		}
+		if j.phase == allocated {
+			s.release(j)
+			s.requeue(j, "its guarantee "+e.guarantee.Name+" was taken away")
+			continue
+		}
+		j.entry = nil
+		j.slots = nil
 	}
 }
 
@@ -184,9 +191,13 @@
 		if e.place != nil && e.users == 0 && !s.intact(e) {
 			e.clear()
 		}
-		if e.users > 0 {
+		switch {
+		case e.users > 0:
 			s.repairTasks(e)
-		} else if e.place == nil && !s.placeEntry(e, nil) {
+		case e.place != nil:
+		case s.placeEntry(e, nil):
+			s.grow()
+		default:
 			missing = true
 		}
 	}
@@ -267,6 +278,7 @@
 		}
 	}
 	if after < before {
+		s.grow()
 		return
 	}
 	for _, e := range unused {
--- /dev/null
+++ b/internal/process/placement/placement_test.go
@@ -0,0 +1,217 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/internal/version/config"
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// world is a State whose actions succeed at once, but for the stops that a test keeps back.
+type world struct {
+	t         *testing.T
+	state     *State
+	now       time.Time
+	keepStops bool
+	stops     []Action
+	notices   []Notice
+}
+
+func newWorld(t *testing.T, text string, racks, perRack int) *world {
+	w := &world{t: t, state: &State{DataCentre: "d"}, now: time.Unix(1000, 0)}
+	w.state.SetNodes(testNodes(racks, perRack))
+	w.configure(text)
+	return w
+}
+
+func (w *world) configure(text string) {
+	c, err := config.Parse("test", []byte(text))
+	require.NoError(w.t, err)
+	w.state.Configure(c)
+}
+
+func (w *world) submit(key string, account ids.AccountID, shape string, adjust func(j *caller.Job)) *Job {
+	s, err := ids.ParseShape(shape)
+	require.NoError(w.t, err)
+	job := caller.Job{Key: key, Shape: s, Idempotent: true, RunTime: time.Hour}
+	if adjust != nil {
+		adjust(&job)
+	}
+	j := &Job{Job: job, ID: ids.JobID(key), Account: account, Submitted: w.now}
+	require.NoError(w.t, w.state.Submit(j))
+	w.decide()
+	return j
+}
+
+func (w *world) decide() {
+	for {
+		actions, notices := w.state.Decide(w.now)
+		w.notices = append(w.notices, notices...)
+		if len(actions) == 0 {
+			return
+		}
+		for _, a := range actions {
+			switch {
+			case a.Kind == Start:
+				w.state.Started(a.Job.ID, a.Attempt, w.now)
+			case a.Kind == Stop && w.keepStops:
+				w.stops = append(w.stops, a)
+			case a.Kind == Stop:
+				w.state.StopDone(a.Job.ID, a.Attempt, 0.5, w.now)
+			}
+		}
+	}
+}
+
+func (w *world) end(j *Job) {
+	for i := range j.Shape.Tasks {
+		w.state.TaskEnded(j.ID, j.Attempt, i, false, w.now)
+	}
+	w.decide()
+}
+
+const oneGang = `
+[DataCentre "d"]
+[ClientAccount "owed"]
+[ClientAccount "borrower"]
+[Guarantee "gang"]
+Account = owed
+DataCentre = d
+Shape = 4x8/Rack
+`
+
+const noGuarantee = `
+[DataCentre "d"]
+[ClientAccount "owed"]
+[ClientAccount "borrower"]
+`
+
+func once(j *caller.Job) { j.Idempotent = false }
+
+func TestReclaimStopsBorrowersOfFullRacks(t *testing.T) {
+	w := newWorld(t, oneGang, 2, 4)
+	var borrowers []*Job
+	for i := range 8 {
+		borrowers = append(borrowers, w.submit(fmt.Sprintf("b%d", i), "borrower", "1x8", nil))
+	}
+	owed := w.submit("owed", "owed", "4x8/Rack", nil)
+	require.Equal(t, caller.Running, owed.StateOf())
+	require.True(t, owed.Owed())
+	stopped := 0
+	for _, b := range borrowers {
+		if b.StateOf() == caller.Queued {
+			stopped++
+			require.InDelta(t, 0.5, b.Progress, 0.001, "a reclaimed job keeps its checkpoint")
+		}
+	}
+	require.Equal(t, 4, stopped, "only as many borrowers are stopped as the gang needs")
+}
+
+func TestWorkThatCantBeStoppedLeavesTheGuarantee(t *testing.T) {
+	w := newWorld(t, oneGang, 1, 5)
+	first := w.submit("b1", "borrower", "1x8", once)
+	second := w.submit("b2", "borrower", "1x8", once)
+	require.Equal(t, caller.Running, first.StateOf())
+	require.Equal(t, caller.Queued, second.StateOf(), "the rest is kept for the guarantee")
+	never := &Job{Job: caller.Job{Key: "n", Shape: ids.Shape{Tasks: 2, Each: ids.Resources{Accelerators: 8}}}, ID: "n", Account: "borrower"}
+	require.ErrorContains(t, w.state.Submit(never), "beside the guarantees")
+}
+
+func TestGangThatLosesAMemberIsStoppedWhole(t *testing.T) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "once": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, oneGang, 2, 4)
+			w.keepStops = true
+			j := w.submit("j", "owed", "4x8/Rack", func(job *caller.Job) { job.Idempotent = idempotent })
+			w.state.NodeDown(j.Place[2], w.now, "test")
+			w.decide()
+			require.Len(t, w.stops, 1)
+			require.Equal(t, caller.Stopping, j.StateOf())
+			w.state.StopDone(j.ID, 1, 0, w.now)
+			w.decide()
+			if idempotent {
+				require.Equal(t, caller.Running, j.StateOf())
+				require.Equal(t, ids.Attempt(2), j.Attempt)
+				return
+			}
+			require.Equal(t, caller.Unknown, j.StateOf())
+			require.Equal(t, ids.Attempt(1), j.Attempt)
+		})
+	}
+}
+
+// A shape that regained its place did not wake the jobs that waited for it.
+func TestWaitingJobTakesAShapeThatRegainsItsPlace(t *testing.T) {
+	w := newWorld(t, oneGang, 1, 4)
+	w.state.NodeDown("n0-0", w.now, "test")
+	w.decide()
+	require.Equal(t, NoticeGuaranteeAtRisk, w.notices[len(w.notices)-1].Kind)
+	j := w.submit("j", "owed", "4x8/Rack", nil)
+	require.Equal(t, caller.Queued, j.StateOf())
+	w.state.nodes["n0-0"].down = false // as a repair within another event does
+	w.decide()
+	require.Equal(t, caller.Running, j.StateOf())
+}
+
+// A job that waited for borrowers to stop kept its place although its guarantee was taken away, and overcommitted it.
+func TestTakenGuaranteeReleasesTheJobThatWaitsForItsPlace(t *testing.T) {
+	w := newWorld(t, oneGang, 1, 4)
+	w.keepStops = true
+	w.submit("b", "borrower", "4x8", nil)
+	j := w.submit("j", "owed", "4x8/Rack", nil)
+	require.Equal(t, allocated, j.phase)
+	w.configure(noGuarantee)
+	w.decide()
+	require.Equal(t, queued, j.phase)
+	require.Empty(t, j.Place)
+}
+
+func TestBadWorkerIsToldFromBadJob(t *testing.T) {
+	text := noGuarantee + "[Policy]\nQuarantineAfter = 3\nJobAttempts = 20\n"
+	t.Run("bad worker", func(t *testing.T) {
+		w := newWorld(t, text, 2, 6)
+		for i := range 3 {
+			j := w.submit(fmt.Sprintf("j%d", i), "borrower", "1x8", func(job *caller.Job) { job.Selector = "" })
+			w.state.blame(j, "n0-0", w.now)
+		}
+		require.True(t, w.state.nodes["n0-0"].quarantined())
+		w.now = w.now.Add(w.state.config.Policy.QuarantineTime)
+		w.decide()
+		require.False(t, w.state.nodes["n0-0"].quarantined())
+		require.True(t, w.state.nodes["n0-0"].probation)
+	})
+	t.Run("bad job", func(t *testing.T) {
+		w := newWorld(t, text, 2, 6)
+		j := w.submit("bad", "borrower", "1x8", nil)
+		for range 15 {
+			w.state.TaskEnded(j.ID, j.Attempt, 0, true, w.now)
+			w.decide()
+		}
+		require.Zero(t, w.state.quarantinedCount())
+	})
+}
+
+func TestBackfillDoesNotDelayTheHead(t *testing.T) {
+	w := newWorld(t, noGuarantee, 1, 2)
+	w.submit("running", "borrower", "1x8", nil)
+	head := w.submit("head", "borrower", "2x8", nil)
+	long := w.submit("long", "borrower", "1x8", func(j *caller.Job) { j.RunTime = 10 * time.Hour })
+	short := w.submit("short", "borrower", "1x8", func(j *caller.Job) { j.RunTime = 10 * time.Minute })
+	require.Equal(t, caller.Queued, head.StateOf())
+	require.Equal(t, caller.Queued, long.StateOf(), "it would delay the head")
+	require.Equal(t, caller.Running, short.StateOf(), "it ends before the head can start")
+}
+
+func TestLateJobIsWarnedOfBeforeItIsDue(t *testing.T) {
+	w := newWorld(t, noGuarantee, 1, 1)
+	j := w.submit("late", "borrower", "1x8", func(job *caller.Job) { job.Due = w.now.Add(90 * time.Minute) })
+	w.now = w.now.Add(time.Minute)
+	w.state.UpdateForecasts(w.now)
+	require.False(t, j.Warned.IsZero(), "declared run times are far off, so a forecast at a high quantile passes the due time")
+	require.Len(t, w.state.Lateness(), 1)
+}
--- a/internal/process/placement/reclaim.go
+++ b/internal/process/placement/reclaim.go
@@ -131,8 +131,8 @@
 		n.jobs[j.ID] = j
 	}
 	j.waitFor = make(map[ids.JobID]bool)
-	s.reclaim(j, tasksByNode(g.place), now)
 	j.phase = allocated
+	s.reclaim(j, tasksByNode(g.place), now)
 	s.startIfFree(j, now)
 }
 
@@ -155,7 +155,7 @@
 	}
 	for _, victim := range s.victims(short, now) {
 		j.waitFor[victim.ID] = true
-		s.notice(Notice{Kind: NoticeReclaimed, Job: victim.ID, Account: victim.Account, Cause: "for job " + string(j.ID) + " of " + string(j.Account) + " under guarantee " + j.entry.guarantee.Name})
+		s.notice(Notice{Kind: NoticeReclaimed, Job: victim.ID, Account: victim.Account, Cause: "for job " + string(j.ID) + " of " + string(j.Account) + " under " + placedCause(j)})
 		s.stop(victim, caller.Queued, "reclaimed for "+string(j.Account), s.config.Policy.CheckpointGrace, now)
 	}
 }
--- /dev/null
+++ b/internal/process/placement/soak_test.go
@@ -0,0 +1,338 @@
+package placement
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jujubegrade/jujubegrade/internal/version/config"
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+const soakConfig = `
+[Policy]
+QuarantineTime = 1m
+[DataCentre "d"]
+[ClientAccount "large"]
+Weight = 3
+[ClientAccount "small"]
+[ClientAccount "other"]
+[Guarantee "gang"]
+Account = large
+DataCentre = d
+Shape = 4x8/Rack
+[Guarantee "pair"]
+Account = large
+DataCentre = d
+Shape = 2x8
+[Guarantee "half"]
+Account = small
+DataCentre = d
+Shape = 1x4
+Count = 3
+`
+
+// soak drives one State as an owner does, with every event that an owner may see in any order.
+type soak struct {
+	t      *rapid.T
+	state  *State
+	now    time.Time
+	config *config.Config
+	next   int
+	// starts and stops are actions that the owner has not finished yet.
+	starts, stops []Action
+	startedOnce   map[ids.JobID]int
+	broken        error
+}
+
+func newSoak(t *rapid.T, policy Policy) *soak {
+	s := &soak{t: t, now: time.Unix(0, 0), startedOnce: make(map[ids.JobID]int)}
+	s.state = &State{DataCentre: "d", Policy: policy, Violated: func(err error) { s.broken = err }}
+	s.state.SetNodes(testNodes(3, 6))
+	c, err := config.Parse("soak", []byte(soakConfig))
+	require.NoError(t, err)
+	s.config = c
+	s.state.Configure(c)
+	return s
+}
+
+func testNodes(racks, perRack int) []Node {
+	var nodes []Node
+	for r := range racks {
+		for i := range perRack {
+			nodes = append(nodes, Node{
+				ID: ids.InstanceID(fmt.Sprintf("n%d-%d", r, i)), Rack: ids.RackID(fmt.Sprintf("r%d", r)),
+				Total: ids.Resources{Accelerators: 8, Cores: 64000, Memory: 256000},
+			})
+		}
+	}
+	return nodes
+}
+
+func (s *soak) decide() {
+	actions, _ := s.state.Decide(s.now)
+	for _, a := range actions {
+		switch a.Kind {
+		case Start:
+			if !a.Job.Idempotent {
+				s.startedOnce[a.Job.ID]++
+			}
+			s.starts = append(s.starts, a)
+		case Stop:
+			s.stops = append(s.stops, a)
+		}
+	}
+	s.check()
+}
+
+// check asserts what the state's own invariants don't: nothing that can't be stopped was stopped for others, and
+// owed work whose shape is at hand does not wait.
+func (s *soak) check() {
+	if s.broken != nil {
+		s.t.Fatalf("%v", s.broken)
+	}
+	for _, j := range s.jobs(func(j *Job) bool { return j.phase == stopping && !j.Idempotent }) {
+		require.NotContains(s.t, j.Reason, "reclaimed", "a job that can't be stopped was reclaimed")
+	}
+	for _, j := range s.jobs(func(j *Job) bool { return j.phase == queued && len(j.avoid) == 0 }) {
+		for _, e := range s.state.entries {
+			if e.users == 0 && e.guarantee.Account == j.Account && s.state.intact(e) && s.state.mayHold(e, j) {
+				s.t.Fatalf("job %s of %s with shape %s %+v waits although shape %s %+v at %v is unused", j.ID, j.Account, j.Shape, j.Shape.Each, e.key(), e.shape, nodeIDs(e.place))
+			}
+		}
+	}
+}
+
+func (s *soak) jobs(choose func(j *Job) bool) []*Job {
+	var list []*Job
+	s.state.Jobs(func(j *Job) {
+		if choose(j) {
+			list = append(list, j)
+		}
+	})
+	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
+	return list
+}
+
+func (s *soak) oneJob(label string, choose func(j *Job) bool) *Job {
+	list := s.jobs(choose)
+	if len(list) == 0 {
+		s.t.Skip("no such job")
+	}
+	return rapid.SampledFrom(list).Draw(s.t, label)
+}
+
+func (s *soak) submit() {
+	t := s.t
+	s.next++
+	shape := ids.Shape{
+		Tasks: rapid.SampledFrom([]int{1, 1, 2, 4, 6}).Draw(t, "tasks"),
+		Each: ids.Resources{
+			Accelerators: rapid.SampledFrom([]ids.Accelerators{0, 1, 2, 4, 8}).Draw(t, "accelerators"),
+			Cores:        rapid.SampledFrom([]ids.MilliCores{1000, 8000, 30000}).Draw(t, "cores"),
+		},
+		Adjacent: rapid.SampledFrom([]ids.Adjacency{ids.AnyRack, ids.AnyRack, ids.SameRack, ids.SameInstance}).Draw(t, "adjacent"),
+	}
+	account := rapid.SampledFrom([]ids.AccountID{"large", "small", "other"}).Draw(t, "account")
+	job := caller.Job{
+		Key: fmt.Sprint(s.next), Shape: shape, Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		Urgent: rapid.Bool().Draw(t, "urgent"), RunTime: time.Hour,
+	}
+	j := &Job{Job: job, ID: ids.JobID(fmt.Sprintf("j%04d", s.next)), Account: account, Submitted: s.now}
+	if err := s.state.Submit(j); err != nil {
+		var never *Never
+		require.ErrorAs(t, err, &never)
+	}
+}
+
+func (s *soak) finishStart() {
+	if len(s.starts) == 0 {
+		s.t.Skip("no start under way")
+	}
+	i := rapid.IntRange(0, len(s.starts)-1).Draw(s.t, "start")
+	a := s.starts[i]
+	s.starts = append(s.starts[:i], s.starts[i+1:]...)
+	switch rapid.SampledFrom([]string{"started", "started", "started", "failed", "unknown"}).Draw(s.t, "answer") {
+	case "failed":
+		if !a.Job.Idempotent {
+			s.startedOnce[a.Job.ID]-- // it was told that nothing ran
+		}
+		s.state.StartFailed(a.Job.ID, a.Attempt, a.Job.Place[:1], s.now)
+	case "unknown":
+		s.state.StartUnknown(a.Job.ID, a.Attempt, s.now)
+	default:
+		s.state.Started(a.Job.ID, a.Attempt, s.now)
+	}
+}
+
+func (s *soak) finishStop() {
+	for i, a := range s.stops {
+		if s.startUnderWay(a.Job.ID) {
+			continue // the owner finishes the start first
+		}
+		s.stops = append(s.stops[:i], s.stops[i+1:]...)
+		s.state.StopDone(a.Job.ID, a.Attempt, rapid.Float64Range(0, 1).Draw(s.t, "progress"), s.now)
+		return
+	}
+	s.t.Skip("no stop under way")
+}
+
+func (s *soak) startUnderWay(id ids.JobID) bool {
+	for _, a := range s.starts {
+		if a.Job.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *soak) node() ids.InstanceID {
+	return rapid.SampledFrom(s.state.sortedNodes()).Draw(s.t, "node").ID
+}
+
+// reconfigure changes the count of a guarantee, down to none.
+func (s *soak) reconfigure() {
+	c := *s.config
+	c.Guarantees = append([]config.Guarantee(nil), s.config.Guarantees...)
+	i := rapid.IntRange(0, len(c.Guarantees)-1).Draw(s.t, "guarantee")
+	c.Guarantees[i].Count = rapid.IntRange(0, 2).Draw(s.t, "count")
+	s.state.Configure(&c)
+}
+
+func (s *soak) actions() map[string]func(*rapid.T) {
+	step := func(run func()) func(*rapid.T) {
+		return func(t *rapid.T) {
+			s.t = t
+			run()
+			s.decide()
+		}
+	}
+	isRunning := func(j *Job) bool { return j.phase == running }
+	return map[string]func(*rapid.T){
+		"submit": step(s.submit),
+		"burst": step(func() {
+			for range 6 {
+				s.submit()
+			}
+		}),
+		"finishAllStarts": step(func() {
+			for len(s.starts) > 0 {
+				a := s.starts[0]
+				s.starts = s.starts[1:]
+				s.state.Started(a.Job.ID, a.Attempt, s.now)
+			}
+		}),
+		"finishStart": step(s.finishStart),
+		"startAgain":  step(s.finishStart),
+		"finishStop":  step(s.finishStop),
+		"stopAgain":   step(s.finishStop),
+		"end": step(func() {
+			j := s.oneJob("ended", isRunning)
+			for i := range j.Shape.Tasks {
+				s.state.TaskEnded(j.ID, j.Attempt, i, false, s.now)
+			}
+		}),
+		"fail":   step(func() { j := s.oneJob("failed", isRunning); s.state.TaskEnded(j.ID, j.Attempt, 0, true, s.now) }),
+		"cancel": step(func() { s.state.Cancel(s.oneJob("cancelled", func(*Job) bool { return true }).ID, s.now) }),
+		"down":   step(func() { s.state.NodeDown(s.node(), s.now, "test") }),
+		"up":     step(func() { s.state.NodeUp(s.node()) }),
+		"rackDown": step(func() {
+			for _, n := range rapid.SampledFrom(s.state.racks).Draw(s.t, "rack").nodes {
+				s.state.NodeDown(n.ID, s.now, "rack")
+			}
+		}),
+		"allUp": step(func() {
+			for _, n := range s.state.sortedNodes() {
+				s.state.NodeUp(n.ID)
+			}
+		}),
+		"reconfigure": step(s.reconfigure),
+		"wait": step(func() {
+			s.now = s.now.Add(rapid.SampledFrom([]time.Duration{time.Second, time.Minute, time.Hour}).Draw(s.t, "time"))
+		}),
+	}
+}
+
+// TestSoak drives the decisions with random events; the state asserts its invariants after each decision.
+func TestSoak(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		newSoak(t, Policy{}).run()
+	})
+}
+
+func (s *soak) run() {
+	t := s.t
+	t.Repeat(s.actions())
+	s.settle()
+	for id, n := range s.startedOnce {
+		require.LessOrEqual(t, n, 1, "job %s may be started once at most", id)
+	}
+}
+
+// settle ends all faults and finishes what is under way: then no job may wait for a place that it was given.
+func (s *soak) settle() {
+	for _, n := range s.state.sortedNodes() {
+		s.state.NodeUp(n.ID)
+	}
+	s.decide()
+	const rounds = 200
+	for range rounds {
+		if len(s.starts)+len(s.stops) == 0 {
+			break
+		}
+		starts, stops := s.starts, s.stops
+		s.starts, s.stops = nil, nil
+		for _, a := range starts {
+			s.state.Started(a.Job.ID, a.Attempt, s.now)
+		}
+		for _, a := range stops {
+			s.state.StopDone(a.Job.ID, a.Attempt, 0, s.now)
+		}
+		s.decide()
+	}
+	require.Empty(s.t, s.jobs(func(j *Job) bool { return j.phase == allocated || j.phase == stopping || j.phase == starting }))
+}
+
+// TestSoakFindsFaults takes mechanisms away; the same run must then break the invariant that they keep.
+func TestSoakFindsFaults(t *testing.T) {
+	faults := map[string]struct {
+		policy Policy
+		breaks error
+	}{
+		"work that can't be stopped takes guaranteed places": {Policy{NoWitness: true}, ErrReclaimWitness},
+		"gangs start before their place is free":             {Policy{NoWait: true}, ErrOvercommit},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			const seeds = 30
+			for seed := range seeds {
+				if err := brokenBy(fault.policy, seed); err != nil {
+					require.ErrorIs(t, err, fault.breaks)
+					return
+				}
+			}
+			t.Fatal("no run found the fault")
+		})
+	}
+}
+
+// brokenBy returns the first invariant that a run under a policy breaks, or nil.
+func brokenBy(policy Policy, seed int) (broken error) {
+	defer func() { _ = recover() }() // the run stops at the broken invariant
+	rapid.Custom(func(t *rapid.T) int {
+		s := newSoak(t, policy)
+		defer func() {
+			if broken == nil {
+				broken = s.broken
+			}
+		}()
+		s.run()
+		return 0
+	}).Example(seed)
+	return broken
+}
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -50,6 +50,8 @@
 		NoReservation bool
 		// NoWitness lets work that can't be stopped take what guarantees need; for tests of the invariant.
 		NoWitness bool
+		// NoWait starts gangs before the jobs in their place have been stopped; for tests of the invariant.
+		NoWait bool
 	}
 )
 
