--- a/internal/process/owner/execute.go
+++ b/internal/process/owner/execute.go
@@ -108,7 +108,7 @@
 		t.notStarted(g, held)
 		return
 	}
-	if !g.idempotent {
+	if !g.idempotent && !t.owner.without.mark {
 		if err := t.mark(x, g); err != nil {
 			t.event("StartMarkFailed", g, err.Error())
 			t.notStarted(g, &outcome{})
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -46,12 +46,18 @@
 		// Changed is signalled when nodes or configuration change; nil relies on the tick.
 		Changed <-chan struct{}
 
+		without   mechanisms
 		term      atomic.Pointer[term]
 		handOver  atomic.Bool
 		abandoned atomic.Bool
 		queued    atomic.Int64
 	}
 
+	// mechanisms are taken away by tests, to show that the promises break without them.
+	mechanisms struct {
+		mark, audit, maybeRan bool
+	}
+
 	// Times are the owner's intervals. Zero fields have defaults.
 	Times struct {
 		// Lease is how long ownership lasts without renewal.
--- a/internal/process/owner/recover.go
+++ b/internal/process/owner/recover.go
@@ -156,7 +156,7 @@
 func (t *term) restore(r *Record, v *survey, now time.Time) {
 	j := &placement.Job{Job: r.Job, ID: r.ID, Account: r.Account, Submitted: r.Submitted, Attempt: r.Attempt, Progress: r.Progress, Reason: r.Reason}
 	// An idempotent job may have been started by an owner that did not come to record it.
-	j.MaybeRan = r.Attempt > 0 || r.Job.Idempotent
+	j.MaybeRan = r.Attempt > 0 || (r.Job.Idempotent && !t.owner.without.maybeRan)
 	attempt, tasks := latest(v.tasks[r.ID])
 	sort.Slice(tasks, func(i, k int) bool { return tasks[i].Index < tasks[k].Index })
 	recorded := r.State != caller.Queued && len(r.Place) > 0
@@ -272,7 +272,7 @@
 func (t *term) audit() {
 	for i := 0; ; i++ {
 		sleep(t.ctx, audits[min(i, len(audits)-1)])
-		if t.ctx.Err() != nil {
+		if t.ctx.Err() != nil || t.owner.without.audit {
 			return
 		}
 		entries, err := t.listRecords()
--- a/internal/process/owner/soak_test.go
+++ b/internal/process/owner/soak_test.go
@@ -43,27 +43,36 @@
 // TestSoak runs competing owners through random faults in virtual time; the workers' ledger checks the promises.
 func TestSoak(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		steps := drawSteps(r)
-		failed := ""
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, 3)
-			w.owners[0].wanted = true
-			for i, s := range steps {
-				w.perform(i, s)
-				time.Sleep(s.after)
-				w.ledger.sweep(time.Now())
-			}
-			w.finish()
-			if w.broken != nil {
-				failed = w.broken.Error()
-			}
-		})
-		if failed != "" || t.Failed() {
-			r.Fatalf("%s", failed)
+		if err := brokenBy(t, drawSteps(r), mechanisms{}); err != nil {
+			r.Fatalf("%v", err)
 		}
 	})
 }
 
+// brokenBy returns the first promise that a random run breaks, or nil.
+func brokenBy(t *testing.T, steps []step, without mechanisms) error {
+	return play(t, without, func(w *world) {
+		for i, s := range steps {
+			w.perform(i, s)
+			time.Sleep(s.after)
+			w.ledger.sweep(time.Now())
+		}
+	})
+}
+
+// play runs a script in virtual time and returns the first promise that it breaks, or nil.
+func play(t *testing.T, without mechanisms, script func(w *world)) error {
+	var broken error
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, without)
+		w.owners[0].wanted.Store(true)
+		script(w)
+		w.finish()
+		broken = w.broken
+	})
+	return broken
+}
+
 func (w *world) perform(i int, s step) {
 	c := w.owners[s.number%len(w.owners)]
 	service := w.workers[w.nodes[s.number%len(w.nodes)].ID]
@@ -87,9 +96,9 @@
 		}
 	case "takeOver":
 		for _, other := range w.owners {
-			other.wanted = false
+			other.wanted.Store(false)
 		}
-		c.wanted = true
+		c.wanted.Store(true)
 	case "heal":
 		w.heal()
 	case "storeOut":
@@ -145,12 +154,13 @@
 	if c == nil || len(w.jobs) == 0 {
 		return
 	}
+	o := c.Owner
 	w.calls.Go(func() {
-		list, err := c.List(w.t.Context(), "")
+		list, err := o.List(w.t.Context(), "")
 		if err != nil || len(list) == 0 {
 			return
 		}
 		// The answer may be lost with the owner; the job's record tells in the end.
-		_, _ = c.Cancel(w.t.Context(), list[s.number%len(list)].ID)
+		_, _ = o.Cancel(w.t.Context(), list[s.number%len(list)].ID)
 	})
 }
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -36,7 +36,10 @@
 		writers atomic.Uint64
 		// storeOut tells that the lease could not be renewed in time, so that nothing can be accepted.
 		storeOut atomic.Bool
-		tasks    sync.WaitGroup
+		// spawnLock keeps tasks from being added once the term waits for them.
+		spawnLock sync.Mutex
+		closed    bool
+		tasks     sync.WaitGroup
 	}
 
 	// execution is what the term does for one job, one step after the other.
@@ -73,7 +76,7 @@
 	}
 	o.term.Store(nil)
 	cancel(nil)
-	t.tasks.Wait()
+	t.join()
 	o.event("OwnershipEnded", l.epoch, context.Cause(ctx).Error())
 	if !o.abandoned.Load() {
 		o.dropLease(l)
@@ -184,12 +187,21 @@
 	}
 }
 
+// spawn runs a function beside the term's goroutine, unless the term is over.
 func (t *term) spawn(run func()) {
-	t.tasks.Add(1)
-	go func() {
-		defer t.tasks.Done()
-		run()
-	}()
+	t.spawnLock.Lock()
+	defer t.spawnLock.Unlock()
+	if !t.closed {
+		t.tasks.Go(run)
+	}
+}
+
+// join waits for all that was spawned.
+func (t *term) join() {
+	t.spawnLock.Lock()
+	t.closed = true
+	t.spawnLock.Unlock()
+	t.tasks.Wait()
 }
 
 func (t *term) nextWriter() string {
--- a/internal/process/owner/world_test.go
+++ b/internal/process/owner/world_test.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +52,7 @@
 		ledger  ledger
 		jobs    map[ids.JobID]caller.Job
 		calls   sync.WaitGroup
+		without mechanisms
 
 		mu       sync.Mutex
 		events   []operator.Event
@@ -62,7 +64,7 @@
 	// contender is one entry instance's competitor, which can be killed, paused and cut off.
 	contender struct {
 		*Owner
-		wanted  bool
+		wanted  atomic.Bool
 		cancel  context.CancelFunc
 		done    chan struct{}
 		blocked chan struct{} // calls wait until it is closed
@@ -70,9 +72,9 @@
 	}
 )
 
-func newWorld(t *testing.T, contenders int) *world {
+func newWorld(t *testing.T, contenders int, without mechanisms) *world {
 	w := &world{
-		t: t, workers: make(map[ids.InstanceID]*workerservice.Service), accepted: make(map[ids.JobID]bool),
+		t: t, without: without, workers: make(map[ids.InstanceID]*workerservice.Service), accepted: make(map[ids.JobID]bool),
 		refused: make(map[ids.JobID]string), jobs: make(map[ids.JobID]caller.Job),
 	}
 	w.ledger.world = w
@@ -107,6 +109,7 @@
 		Worker: func(id ids.InstanceID) worker.Client { return c.gateWorker(w.workers[id].Client()) },
 		Event:  w.event, Jitter: func(d time.Duration) time.Duration { return d },
 		Violated: func(err error) { w.fail(err) },
+		without:  w.without,
 		Times:    Times{WorkerLease: 6 * time.Second, WorkerRenew: time.Second},
 	}
 	go func() {
@@ -115,14 +118,14 @@
 	}()
 }
 
-// wanted lets the first contender that is not kept away own the data centre, and any that owns it already.
+// wanted lets the first of the contenders that may own the data centre do so.
 func (w *world) wanted(i int) bool {
 	for k := range i {
-		if w.owners[k].wanted {
-			return w.owners[i].wanted && w.owners[k].Owner == nil
+		if w.owners[k].wanted.Load() {
+			return false
 		}
 	}
-	return w.owners[i].wanted
+	return w.owners[i].wanted.Load()
 }
 
 func (w *world) event(e operator.Event) {
@@ -228,11 +231,12 @@
 		w.told(id, ErrNotOwner)
 		return id
 	}
+	o := c.Owner
 	// The call runs beside the script, since a paused owner doesn't answer.
 	w.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		_, err := c.Submit(ctx, account, job)
+		_, err := o.Submit(ctx, account, job)
 		w.told(id, err)
 	})
 	return id
@@ -280,7 +284,7 @@
 	for _, c := range w.owners {
 		c.resume()
 	}
-	w.owners[0].wanted = true
+	w.owners[0].wanted.Store(true)
 }
 
 // finish heals everything, waits until all accepted jobs are over, checks the promises and ends the bubble.
@@ -308,14 +312,11 @@
 	left := open()
 	if len(left) > 0 {
 		id, _, _ := strings.Cut(left[0], " ")
-		w.t.Errorf("accepted jobs did not end: %v\n%s", left, w.story(ids.JobID(id)))
+		w.fail(errors.Newf("accepted jobs did not end: %v\n%s", left, w.story(ids.JobID(id))))
 	}
 	w.ledger.sweep(time.Now())
 	w.checkRecords()
 	w.stopAll()
-	if w.broken != nil {
-		w.t.Fatal(w.broken)
-	}
 }
 
 func (w *world) stopAll() {
--- a/internal/process/placement/reservation.go
+++ b/internal/process/placement/reservation.go
@@ -26,13 +26,13 @@
 	return now.Add(s.estimates.runTime(j, cautiousQuantile)).After(r.at)
 }
 
-// refreshReservation drops a reservation whose job no longer waits, and renews one that is out of date.
+// refreshReservation drops a reservation whose job no longer waits or may not start now, and renews one that is out of date.
 func (s *State) refreshReservation(now time.Time) {
 	r := s.reservation
 	if r == nil {
 		return
 	}
-	if r.job.phase != queued {
+	if r.job.phase != queued || (s.holdOnce && !r.job.Idempotent) {
 		s.reservation = nil
 		s.grow()
 		return
--- a/internal/standin/storeservice/storeservice.go
+++ b/internal/standin/storeservice/storeservice.go
@@ -56,7 +56,9 @@
 		case <-time.After(f.Delay):
 		}
 	}
-	if f.Outage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Outage || s.faults.Outage {
 		return store.ErrUnknown
 	}
 	return nil
--- a/internal/standin/workerservice/workerservice.go
+++ b/internal/standin/workerservice/workerservice.go
@@ -27,6 +27,7 @@
 		faults   Faults
 		epoch    ids.Epoch
 		lapse    *time.Timer
+		renewals uint64
 		tasks    map[worker.TaskRef]*task
 		stopped  map[jobAttempt]ids.Epoch
 		sequence uint64
@@ -293,7 +294,9 @@
 	if s.lapse != nil {
 		s.lapse.Stop()
 	}
-	s.lapse = time.AfterFunc(r.TTL, s.lapsed)
+	s.renewals++
+	renewal := s.renewals
+	s.lapse = time.AfterFunc(r.TTL, func() { s.lapsed(renewal) })
 	incarnation := s.Boot + s.restarts
 	report := worker.Report{Sequence: s.sequence, Incarnation: incarnation, Full: r.Since == 0 || r.Incarnation != incarnation}
 	for _, t := range s.sorted() {
@@ -307,9 +310,12 @@
 }
 
 // lapsed stops all tasks, since nobody renewed the lease under which they ran.
-func (s *Service) lapsed() {
+func (s *Service) lapsed(renewal uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if renewal != s.renewals {
+		return // a renewal came while this call waited
+	}
 	s.lapse = nil
 	for _, t := range s.sorted() {
 		if !t.report.State.Over() {
