--- a/internal/process/configuration/accept.go
+++ b/internal/process/configuration/accept.go
@@ -26,6 +26,8 @@
 	ErrInvalid = errors.New("the configuration is not valid")
 	// ErrStore tells that the store refused the change; nothing was changed.
 	ErrStore = errors.New("the store does not answer, so nothing can be accepted")
+	// ErrMinority tells that too few instances are heard for a change to get in force everywhere; nothing was changed.
+	ErrMinority = errors.New("this instance hears less than half of the known instances, so the change could not get in force everywhere")
 	// ErrUnknown tells that the change may have been accepted.
 	ErrUnknown = errors.New("the store gave no answer; the change may have been accepted")
 )
@@ -53,6 +55,9 @@
 	if change.DryRun {
 		return operator.Acceptance{Version: current.Version, Effects: effects}, nil
 	}
+	if !c.Quorum() {
+		return operator.Acceptance{Version: current.Version}, ErrMinority
+	}
 	return c.keep(ctx, change, current)
 }
 
@@ -125,6 +130,24 @@
 		// A write that still travels may yet take effect.
 		return 0, errors.Mark(failure, ErrUnknown)
 	}
+	return c.resolveInHistory(ctx, next, stored)
+}
+
+// resolveInHistory looks for the change among the versions before a later one that was accepted on top of it.
+func (c *Configuration) resolveInHistory(ctx context.Context, next, stored head) (store.Revision, error) {
+	for key := stored.Key; key != ""; {
+		if key == next.Key {
+			return stored.revision, nil
+		}
+		d, err := c.readDocument(ctx, key)
+		if err != nil {
+			return 0, errors.Mark(err, ErrUnknown)
+		}
+		if d.Version <= next.Version {
+			break
+		}
+		key = d.Previous
+	}
 	return 0, errors.Wrapf(ErrConflict, "accepted is version %d", stored.Version)
 }
 
--- a/internal/process/configuration/configuration.go
+++ b/internal/process/configuration/configuration.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,10 @@
 		// Event is told of each event.
 		Event func(e operator.Event)
 		Times Times
+		// Quorum reports whether this instance hears more than half of the known ones. Those that do go on during an
+		// outage of the store, and only they accept changes: so any two such groups share an instance that tells
+		// of the newer version.
+		Quorum func() bool
 		// Feasible returns what speaks against a configuration beyond its text; nil finds nothing.
 		Feasible func(c *config.Config) []string
 		// AcceptLower applies versions lower than the one in force; for tests of the invariant.
@@ -139,7 +144,7 @@
 	switch age := c.ConfirmedAge(); {
 	case c.applied.Load() == nil:
 		return "no configuration is known yet", false
-	case age > c.Times.Bound:
+	case age > c.Times.Bound && !c.Quorum():
 		return "neither the store nor a peer confirmed the configuration for " + age.Round(time.Second).String(), false
 	}
 	return "", true
@@ -147,7 +152,9 @@
 
 // Run keeps the configuration up to date until ctx ends.
 func (c *Configuration) Run(ctx context.Context) {
-	go c.fetchFromPeers(ctx)
+	var fetching sync.WaitGroup
+	fetching.Go(func() { c.fetchFromPeers(ctx) })
+	defer fetching.Wait()
 	pause := c.Times.StoreCall
 	for ctx.Err() == nil {
 		started := time.Now()
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -118,6 +118,7 @@
 		Instance: s.Name, Store: *e.Store, Event: e.log.Add, Feasible: e.feasible,
 		Times:   configuration.Times{Watch: s.ConfigWatch, Poll: s.ConfigPoll, StoreCall: s.StoreTimeout, Bound: s.ConfigBound},
 		Serving: func() []ids.InstanceID { return e.members.Serving() },
+		Quorum:  func() bool { return e.members.Quorum() },
 	}
 	callers := make(map[string]membership.Caller)
 	for _, address := range s.PeerAddresses {
--- a/internal/process/entry/fault.go
+++ b/internal/process/entry/fault.go
@@ -47,6 +47,7 @@
 		{owner.ErrNotOwner, fasthttp.StatusServiceUnavailable, codeNoOwner, 2},
 		{owner.ErrStore, fasthttp.StatusServiceUnavailable, codeStoreOut, 5},
 		{configuration.ErrStore, fasthttp.StatusServiceUnavailable, codeStoreOut, 5},
+		{configuration.ErrMinority, fasthttp.StatusServiceUnavailable, codeNotReady, 5},
 		{owner.ErrOutcomeUnknown, fasthttp.StatusGatewayTimeout, codeOutcomeUnknown, 2},
 		{configuration.ErrUnknown, fasthttp.StatusGatewayTimeout, codeOutcomeUnknown, 2},
 		{peer.ErrUnreachable, fasthttp.StatusServiceUnavailable, codeNoOwner, 2},
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -141,6 +141,26 @@
 	return all
 }
 
+// memory is how long a silent peer counts as one that may be on the other side of a partition.
+const memory = 30 * time.Minute
+
+// Quorum reports whether this instance hears more than half of the instances known of late, itself included.
+func (m *Membership) Quorum() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard, known := 1, 1
+	for _, member := range m.members {
+		age := time.Since(member.At)
+		if age <= memory && !member.Leaving {
+			known++
+		}
+		if age <= m.Silence && !member.Leaving {
+			heard++
+		}
+	}
+	return 2*heard > known
+}
+
 // Settled reports whether the membership has run long enough to have heard of every live peer.
 func (m *Membership) Settled() bool {
 	m.mu.Lock()
