--- /dev/null
+++ b/cmd/jujubegrade/command_measure.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jujubegrade/jujubegrade/examples"
+	"github.com/jujubegrade/jujubegrade/internal/experiment"
+	"github.com/jujubegrade/jujubegrade/internal/process/placement"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// policies are the decisions that are measured side by side, in the order of their columns.
+var policies = []struct {
+	name   string
+	policy placement.Policy
+}{
+	{"Jujubegrade", placement.Policy{}},
+	{"FirstFit", placement.Policy{NoGuarantees: true, FirstFit: true, ArrivalOrder: true, NoReservation: true}},
+	{"BestFitBackfill", placement.Policy{NoGuarantees: true}},
+}
+
+// measureCommand measures the decisions beside plain baselines.
+func (c console) measureCommand() *ffcli.Command {
+	set := c.flagSet("measure")
+	seed := set.Uint64("seed", 1, "seed of the generated workloads")
+	only := set.String("scenario", "", "only the scenario of that name")
+	return &ffcli.Command{
+		Name: "measure", ShortUsage: "jujubegrade measure [flags]", ShortHelp: "Measure the decisions beside plain baselines", FlagSet: set, Options: options(),
+		LongHelp: "Plays generated workloads in virtual time under three policies and prints one figure a line: Name Value Unit.\n\nExample:\n  jujubegrade measure -seed 7",
+		Exec: func(ctx context.Context, _ []string) error {
+			for _, s := range scenarios() {
+				if *only != "" && *only != s.Name {
+					continue
+				}
+				if err := c.measure(ctx, s, *seed); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func scenarios() []experiment.Scenario {
+	render := ids.Shape{Tasks: 4, Each: ids.Resources{Accelerators: 8}, Adjacent: ids.SameRack}
+	reconciliation := ids.Shape{Tasks: 6, Each: ids.Resources{Accelerators: 8}, Adjacent: ids.SameRack}
+	var list []experiment.Scenario
+	for _, faults := range []bool{false, true} {
+		suffix := "Calm"
+		if faults {
+			suffix = "Faults"
+		}
+		target := experiment.Target(faults)
+		target.Name = "Target" + suffix
+		list = append(
+			list,
+			experiment.Today("Kerotechni"+suffix, "attica-1", examples.Kerotechni, 60000, render, faults),
+			experiment.Today("DarlingDowns"+suffix, "queensland-1", examples.DarlingDowns, 130000, reconciliation, faults),
+			target,
+		)
+	}
+	return list
+}
+
+func (c console) measure(ctx context.Context, s experiment.Scenario, seed uint64) error {
+	for _, p := range policies {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		figures, err := experiment.Run(s, p.policy, seed)
+		if err != nil {
+			return err
+		}
+		writeFigures(c.out, s.Name+"/"+p.name, figures.List())
+	}
+	return nil
+}
+
+func writeFigures(w io.Writer, prefix string, list []experiment.Figure) {
+	for _, f := range list {
+		line(w, "%s/%s %.4g %s", prefix, f.Name, f.Value, f.Unit)
+	}
+}
--- a/internal/process/placement/report.go
+++ b/internal/process/placement/report.go
@@ -117,3 +117,14 @@
 	}
 	return largest, found
 }
+
+// HasUnused reports whether a guaranteed shape of an account that holds the shape asked for is unused and has a place.
+func (s *State) HasUnused(account ids.AccountID, shape ids.Shape) bool {
+	j := &Job{Job: caller.Job{Shape: shape}, Account: account}
+	for _, e := range s.entries {
+		if e.guarantee.Account == account && e.users == 0 && s.intact(e) && s.mayHold(e, j) {
+			return true
+		}
+	}
+	return false
+}
