Rate a place by the accelerators that it strands in its rack

Cause: the cost of a place charged for breaking a wholly free rack only, so gangs of whole instances filled up racks to where the largest guaranteed shape no longer fits.

--- a/internal/process/placement/cost.go
+++ b/internal/process/placement/cost.go
@@ -5,8 +5,6 @@
 const (
 	// brokenNodeCost is the cost of taking the first accelerators of an instance that was free as a whole.
 	brokenNodeCost = 0.5
-	// brokenRackCost is the cost of the same for a rack, spread over its instances.
-	brokenRackCost = 1.0
 	// wrongNodeCost is the cost of work without accelerators on an instance that has them.
 	wrongNodeCost = 2.0
 	// failureCost is the cost of each job that failed on the instance of late.
@@ -44,17 +42,31 @@
 	return cost
 }
 
-// rackCost rates breaking a rack that is free as a whole.
+// rackCost rates by how much work raises the free accelerators of a rack that can't serve the largest guaranteed
+// shape, relative to what it takes. It is -1 where the work fills up what was stranded already.
 func (s *State) rackCost(n *node, need ids.Resources) float64 {
-	if need.Accelerators == 0 || n.rack == nil {
+	each := s.largest.Each.Accelerators
+	if need.Accelerators == 0 || each == 0 || n.rack == nil {
 		return 0
 	}
+	copies := 0
 	for _, other := range n.rack.nodes {
-		if other.used.Accelerators > 0 {
-			return 0
+		if !other.down {
+			copies += int(other.free().Accelerators / each)
 		}
 	}
-	return brokenRackCost * float64(need.Accelerators) / float64(max(1, n.Total.Accelerators))
+	free := n.free().Accelerators
+	after := copies - int(free/each) + int((free-need.Accelerators)/each)
+	lost := s.usable(copies) - s.usable(after)
+	return float64(lost-need.Accelerators) / float64(need.Accelerators)
+}
+
+// usable returns the accelerators of a rack that serve the largest guaranteed shape, of which it holds a number of tasks.
+func (s *State) usable(copies int) ids.Accelerators {
+	if s.largest.Adjacent == ids.AnyRack {
+		return ids.Accelerators(copies) * s.largest.Each.Accelerators
+	}
+	return ids.Accelerators(copies/s.largest.Tasks) * s.largest.Total().Accelerators
 }
 
 func (n *node) blameCost() float64 {
--- a/internal/process/placement/report.go
+++ b/internal/process/placement/report.go
@@ -74,8 +74,7 @@
 // Stranded returns, by rack, the free accelerators that can't serve the largest guaranteed shape.
 func (s *State) Stranded() map[ids.RackID]ids.Accelerators {
 	stranded := make(map[ids.RackID]ids.Accelerators)
-	largest, found := s.largestShape()
-	if !found {
+	if s.largest.Tasks == 0 {
 		return stranded
 	}
 	for _, r := range s.racks {
@@ -85,13 +84,9 @@
 				continue
 			}
 			free += n.free().Accelerators
-			copies += int(n.free().Accelerators / max(1, largest.Each.Accelerators))
+			copies += int(n.free().Accelerators / max(1, s.largest.Each.Accelerators))
 		}
-		usable := ids.Accelerators(copies/largest.Tasks) * largest.Total().Accelerators
-		if largest.Adjacent == ids.AnyRack {
-			usable = ids.Accelerators(copies) * largest.Each.Accelerators
-		}
-		stranded[r.id] = free - usable
+		stranded[r.id] = free - s.usable(copies)
 	}
 	return stranded
 }
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -21,12 +21,14 @@
 		// Violated is told of a broken invariant; nil panics.
 		Violated func(err error)
 
-		config    *config.Config
-		nodes     map[ids.InstanceID]*node
-		racks     []*rack
-		jobs      map[ids.JobID]*Job
-		queues    map[ids.AccountID]*queue
-		entries   []*entry
+		config  *config.Config
+		nodes   map[ids.InstanceID]*node
+		racks   []*rack
+		jobs    map[ids.JobID]*Job
+		queues  map[ids.AccountID]*queue
+		entries []*entry
+		// largest is the largest guaranteed shape.
+		largest   ids.Shape
 		estimates estimates
 		notices   []Notice
 		actions   []Action
@@ -65,6 +67,7 @@
 func (s *State) Configure(c *config.Config) {
 	s.init()
 	s.config = c
+	s.largest, _ = s.largestShape()
 	s.rebuildEntries()
 	for _, j := range s.jobs {
 		if j.phase == queued && j.class != nil {
