Send requests only to runners with a free slot, and warn at the quantile that is worth it

Cause: the choice of two runners looked at loads but not at slots, so at 0.8 of the capacity requests met full runners, were refused and used up the retry budget. Ruled out: the admission gate (its queue was empty while 14% were refused).

--- a/cmd/jujubegrade/command_measure.go
+++ b/cmd/jujubegrade/command_measure.go
@@ -39,6 +39,16 @@
 					return err
 				}
 			}
+			for _, load := range experiment.RequestLoads {
+				if *only != "" && *only != load.Name {
+					continue
+				}
+				figures, err := experiment.RunRequests(load)
+				if err != nil {
+					return err
+				}
+				writeFigures(c.out, "Requests/"+load.Name, figures)
+			}
 			return nil
 		},
 	}
--- a/internal/connection/runner/runner.go
+++ b/internal/connection/runner/runner.go
@@ -26,13 +26,14 @@
 
 		// InFlight counts the requests sent from here.
 		InFlight atomic.Int64
-		// told is the load that the runner told last, in slots used by anybody.
-		told atomic.Int64
+		// told is the load that the runner told last, in slots used by anybody, and toldAt when, in Unix nanoseconds.
+		told, toldAt atomic.Int64
 		// avoidUntil is when a runner that announced its leaving, or refused, may be used again, in Unix nanoseconds.
 		avoidUntil atomic.Int64
 		// generation counts the times that idle connections were found silent; older ones aren't used again.
 		generation atomic.Int64
 		failures   atomic.Int64
+		refusals   atomic.Int64
 		idle       atomic.Pointer[idle]
 	}
 
@@ -70,8 +71,12 @@
 	maxIdle = 15 * time.Second
 	// leavingTime is how long a runner that announced its leaving is avoided, unless the instance list drops it.
 	leavingTime = time.Minute
-	// refusedTime is how long a runner that refused a request is avoided.
+	// toldTime is how long a told load counts.
+	toldTime = 50 * time.Millisecond
+	// refusedTime is how long a runner that refused a request is avoided; each refusal in a row doubles it.
 	refusedTime = 20 * time.Millisecond
+	// maxRefusals bounds the doublings.
+	maxRefusals = 7
 	// failedTime is how long a runner is avoided after failures in a row, times their number.
 	failedTime = 100 * time.Millisecond
 	// maxFailures bounds that multiple.
@@ -91,11 +96,25 @@
 	ErrTooLarge = errors.New("the answer's body is too large")
 )
 
+// Take takes one of the runner's slots for a request, unless all are known to be in use. Give gives it back.
+func (r *Runner) Take() bool {
+	for {
+		n := r.InFlight.Load()
+		if n >= int64(r.Slots) || r.toldLoad() >= int64(r.Slots) {
+			return false
+		}
+		if r.InFlight.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// Give gives a slot back.
+func (r *Runner) Give() { r.InFlight.Add(-1) }
+
 // Do sends a request and reads its answer until a deadline. A connection is used again only after a whole answer
 // with the request's own id.
 func (r *Runner) Do(req *fasthttp.Request, resp *fasthttp.Response, id ids.RequestID, deadline time.Time, maxBody int) error {
-	r.InFlight.Add(1)
-	defer r.InFlight.Add(-1)
 	c, err := r.connect()
 	if err != nil {
 		r.failed()
@@ -126,9 +145,10 @@
 	}
 	r.answered(c, resp)
 	if len(resp.Header.Peek(HeaderNotRun)) > 0 {
-		r.avoid(refusedTime)
+		r.avoid(refusedTime << min(r.refusals.Add(1)-1, maxRefusals))
 		return ErrNotRun
 	}
+	r.refusals.Store(0)
 	return nil
 }
 
@@ -149,7 +169,9 @@
 func (r *Runner) answered(c *conn, resp *fasthttp.Response) {
 	r.failures.Store(0)
 	if load, err := strconv.ParseInt(string(resp.Header.Peek(HeaderLoad)), 10, 64); err == nil {
-		r.told.Store(load)
+		// The answer's own slot is free by now.
+		r.told.Store(load - 1)
+		r.toldAt.Store(time.Now().UnixNano())
 	}
 	if len(resp.Header.Peek(HeaderLeaving)) > 0 {
 		r.avoid(leavingTime)
@@ -181,7 +203,15 @@
 
 // Load returns the runner's load: what it told, but at least what is in flight from here.
 func (r *Runner) Load() int64 {
-	return max(r.InFlight.Load(), r.told.Load())
+	return max(r.InFlight.Load(), r.toldLoad())
+}
+
+// toldLoad returns the load that the runner told of late; an older word tells nothing.
+func (r *Runner) toldLoad() int64 {
+	if time.Now().UnixNano()-r.toldAt.Load() > int64(toldTime) {
+		return 0
+	}
+	return r.told.Load()
 }
 
 func (r *Runner) connect() (*conn, error) {
--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -16,8 +16,12 @@
 		decisions *hdrhistogram.Histogram
 		stranded  float64
 		samples   int
-		outcomes  []*outcome
-		end       time.Time
+		// withFree counts the samples with free accelerators.
+		withFree int
+		// blocked counts the samples at which the largest guaranteed shape could not be had.
+		blocked  int
+		outcomes []*outcome
+		end      time.Time
 	}
 
 	// Figure is one measured value.
@@ -46,6 +50,10 @@
 
 // sample adds the share of free accelerators that can't serve the largest guaranteed shape.
 func (f *Figures) sample(s *placement.State) {
+	f.samples++
+	if !s.LargestAtHand() {
+		f.blocked++
+	}
 	free := s.FreeAccelerators()
 	if free == 0 {
 		return
@@ -55,7 +63,7 @@
 		sum += float64(stranded)
 	}
 	f.stranded += sum / float64(free)
-	f.samples++
+	f.withFree++
 }
 
 func (f *Figures) finish(r *run) {
@@ -72,13 +80,10 @@
 	list = append(list, f.owed()...)
 	list = append(list, f.work()...)
 	list = append(list, f.lateness()...)
-	share := 0.0
-	if f.samples > 0 {
-		share = f.stranded / float64(f.samples)
-	}
 	return append(
 		list,
-		Figure{"FragmentationShare", share, "ratio"},
+		Figure{"FragmentationShare", f.stranded / float64(max(1, f.withFree)), "ratio"},
+		Figure{"LargestShapeBlocked", ratio(f.blocked, f.samples), "ratio"},
 		Figure{"DecisionP50", float64(f.decisions.ValueAtQuantile(50)) / 1e3, "us"},
 		Figure{"DecisionP99", float64(f.decisions.ValueAtQuantile(99)) / 1e3, "us"},
 	)
--- a/internal/process/placement/reclaim.go
+++ b/internal/process/placement/reclaim.go
@@ -59,7 +59,7 @@
 	w := s.entrySearch(e, allowed)
 	w.cost = func(n *node, tasks int) float64 {
 		need := e.shape.Each.Times(tasks)
-		return reclaimCost*deficitOf(n, need) + leftoverCost(n.free(), n.Total, need) + n.blameCost()
+		return reclaimCost*deficitOf(n, need) + leftoverCost(n.free(), n.Total, need) + s.rackCost(n, need) + n.blameCost()
 	}
 	return w
 }
--- a/internal/process/placement/report.go
+++ b/internal/process/placement/report.go
@@ -123,3 +123,25 @@
 	}
 	return false
 }
+
+// LargestAtHand reports whether the largest guaranteed shape is in use by its accounts, or could be had now: in free
+// accelerators, or by stopping borrowers.
+func (s *State) LargestAtHand() bool {
+	for _, e := range s.entries {
+		if e.guarantee.Shape == s.largest && (e.users > 0 || s.intact(e)) {
+			return true
+		}
+	}
+	for _, r := range s.racks {
+		copies := 0
+		for _, n := range r.nodes {
+			if !n.down {
+				copies += int(n.free().Accelerators / max(1, s.largest.Each.Accelerators))
+			}
+		}
+		if s.largest.Tasks > 0 && copies >= s.largest.Tasks {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/request/service/service.go
+++ b/internal/request/service/service.go
@@ -145,6 +145,7 @@
 		s.Counts.Attempts.Add(1)
 		resp.Reset()
 		err := r.Do(req.HTTP, resp, req.ID, s.attemptDeadline(req), req.Settings.MaxBody)
+		r.Give()
 		if err == nil {
 			return Result{Outcome: caller.Answered, Runner: r.ID}
 		}
@@ -179,7 +180,8 @@
 	return req.Deadline
 }
 
-// choose takes the less loaded of two random runners, passing over the one that failed last and those to avoid.
+// choose takes a slot of the less loaded of two random runners that have one, passing over the one that failed last
+// and those to avoid. If all slots are known to be in use, it returns nil.
 func (s *Service) choose(last *runner.Runner) *runner.Runner {
 	list := s.list()
 	now := time.Now()
@@ -188,7 +190,7 @@
 	step := stepFor(len(list))
 	for i := range list {
 		r := list[(offset+i*step)%len(list)]
-		if r.Avoided(now) || (r == last && len(list) > 1) {
+		if r.Avoided(now) || (r == last && len(list) > 1) || !r.Take() {
 			continue
 		}
 		if first == nil {
@@ -196,8 +198,9 @@
 			continue
 		}
 		if r.Load()*int64(first.Slots) < first.Load()*int64(r.Slots) {
-			return r
+			first, r = r, first
 		}
+		r.Give()
 		return first
 	}
 	return first
--- a/internal/version/config/table.go
+++ b/internal/version/config/table.go
@@ -15,7 +15,7 @@
 		{Name: "QuarantineShare", Kind: inifile.Number, Default: "0.1", Min: 0, Max: 0.5, Doc: "Largest share of a data centre's workers in quarantine."},
 		{Name: "JobAttempts", Kind: inifile.Integer, Default: "5", Min: 1, Max: 100, Unit: "starts", Doc: "Starts of an idempotent job whose tasks fail before it is given up as failed."},
 		{Name: "RackReserve", Kind: inifile.Integer, Default: "0", Min: 0, Max: 1024, Unit: "accelerators", Doc: "Accelerators of each rack that borrowers leave free."},
-		{Name: "WarnQuantile", Kind: inifile.Number, Default: "0.9", Min: 0.05, Max: 0.99, Doc: "Quantile of the forecast end that is compared with a job's due time."},
+		{Name: "WarnQuantile", Kind: inifile.Number, Default: "0.3", Min: 0.05, Max: 0.99, Doc: "Quantile of the forecast end that is compared with a job's due time; a lower one warns later, and less often in vain."},
 		{Name: "RetryBudget", Kind: inifile.Number, Default: "0.1", Min: 0, Max: 1, Doc: "Retried requests as a share of all requests."},
 		{Name: "Retention", Kind: inifile.Duration, Default: "24h", Min: 60, Max: 2592000, Doc: "Time that the record of an ended job is kept."},
 	}},
