Keep the cost of a decision flat in the length of the queue

Cause: several steps of a decision walked over all jobs, queued ones included, and each class of waiting jobs was searched for on all nodes after every end of a job.

--- /dev/null
+++ b/internal/process/entry/bench_test.go
@@ -0,0 +1,126 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/jujubegrade/jujubegrade/internal/process/entry"
+	"github.com/jujubegrade/jujubegrade/internal/standin/platform"
+	"github.com/jujubegrade/jujubegrade/internal/standin/runnerservice"
+	"github.com/jujubegrade/jujubegrade/internal/standin/workerservice"
+	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+	"github.com/jujubegrade/jujubegrade/pkg/operator"
+)
+
+const benchConfig = `
+[DataCentre "d"]
+[ClientAccount "a"]
+RequestShare = 1
+[Service "catalogue"]
+`
+
+// startFleet starts entry instances over a platform with workers and one runner, and waits until they serve.
+func startFleet(b testing.TB, instances, workers int) (*platform.Platform, []*entry.Entry) {
+	p := &platform.Platform{}
+	for i := range workers {
+		p.AddWorker("d", i, ids.Resources{Accelerators: 8, Cores: 64000, Memory: 250000})
+	}
+	_, err := p.AddRunner("d", "catalogue", 0, &runnerservice.Service{Slots: 1024})
+	require.NoError(b, err)
+	entries, err := p.Entries(instances, nil)
+	require.NoError(b, err)
+	b.Cleanup(func() {
+		for _, e := range entries {
+			e.Kill()
+		}
+		p.Close()
+	})
+	c := operator.NewClient(entries[0].Settings.Operators, platform.OperatorToken)
+	require.Eventually(b, func() bool {
+		_, err := c.Apply(context.Background(), operator.Change{Author: "bench", Text: benchConfig})
+		return err == nil
+	}, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(b, func() bool {
+		reports, err := c.Reports(context.Background())
+		return err == nil && len(reports.Reports) == 1
+	}, 20*time.Second, 10*time.Millisecond)
+	return p, entries
+}
+
+// BenchmarkProxiedRequest compares a request over an entry instance with one straight to the runner.
+func BenchmarkProxiedRequest(b *testing.B) {
+	_, entries := startFleet(b, 1, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	direct := &fasthttp.Server{Handler: (&runnerservice.Service{Slots: 1024}).Handler()}
+	go func() { _ = direct.Serve(listener) }()
+	b.Cleanup(func() { _ = listener.Close() })
+	targets := []struct{ name, address, path string }{
+		{"direct", listener.Addr().String(), "/x"},
+		{"proxied", entries[0].Settings.Callers, "/service/catalogue/x?Account=a"},
+	}
+	for _, target := range targets {
+		b.Run(target.name, func(b *testing.B) {
+			client := &fasthttp.HostClient{Addr: target.address}
+			b.ReportAllocs()
+			for range b.N {
+				req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+				req.SetRequestURI("http://" + target.address + target.path)
+				req.Header.Set("Authorization", "Bearer "+platform.OperatorToken)
+				req.Header.Set(caller.HeaderIdempotent, "true")
+				if err := client.Do(req, resp); err != nil || resp.StatusCode() != 200 {
+					b.Fatalf("%v, status %d: %s", err, resp.StatusCode(), resp.Body())
+				}
+				fasthttp.ReleaseRequest(req)
+				fasthttp.ReleaseResponse(resp)
+			}
+		})
+	}
+}
+
+// BenchmarkGangStart measures from the submission of a gang to the start of its last task, and the store calls of its life.
+func BenchmarkGangStart(b *testing.B) {
+	for _, tasks := range []int{1, 8, 64, 256} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			p, entries := startFleet(b, 1, 64)
+			c := caller.NewClient(entries[0].Settings.Callers, platform.OperatorToken)
+			payload, err := json.Marshal(workerservice.Payload{RunTime: time.Millisecond})
+			require.NoError(b, err)
+			running := make(chan struct{}, tasks)
+			p.Workers(func(_ ids.InstanceID, w *workerservice.Service) {
+				w.Watch(func(started bool) {
+					if started {
+						running <- struct{}{}
+					}
+				})
+			})
+			calls := 0.0
+			for i := range b.N {
+				before := entries[0].Metrics()
+				job := caller.Job{Key: fmt.Sprint(i), Shape: ids.Shape{Tasks: tasks, Each: ids.Resources{Accelerators: 2}}, RunTime: time.Second, Payload: payload}
+				status, err := c.Submit(context.Background(), "a", job)
+				require.NoError(b, err)
+				for range tasks {
+					<-running
+				}
+				b.StopTimer()
+				require.Eventually(b, func() bool {
+					status, err = c.Status(context.Background(), status.ID, status.DataCentre)
+					return err == nil && status.State == caller.Done
+				}, 10*time.Second, 5*time.Millisecond)
+				after := entries[0].Metrics()
+				calls += float64(after.StoreWrites - before.StoreWrites + after.StoreReads - before.StoreReads)
+				b.StartTimer()
+			}
+			b.ReportMetric(calls/float64(b.N), "store-calls/job")
+		})
+	}
+}
--- a/internal/process/placement/adopt.go
+++ b/internal/process/placement/adopt.go
@@ -29,6 +29,8 @@
 		j.selector = parseSelector(j.Selector)
 	}
 	s.jobs[j.ID] = j
+	s.placed[j.ID] = j
+	s.room.forget()
 	j.Attempt, j.Place, j.Each, j.Started = a.Attempt, a.Place, a.Each, a.Started
 	j.MaybeRan = true
 	j.phase = running
--- a/internal/process/placement/check.go
+++ b/internal/process/placement/check.go
@@ -35,10 +35,7 @@
 }
 
 func (s *State) checkJobs() error {
-	for _, j := range s.jobs {
-		if len(j.Place) == 0 {
-			continue
-		}
+	for _, j := range s.placed {
 		if len(j.Place) != j.Shape.Tasks && !j.partial {
 			return errors.Wrapf(ErrWholeGang, "job %s has %d places for %d tasks", j.ID, len(j.Place), j.Shape.Tasks)
 		}
--- a/internal/process/placement/decide.go
+++ b/internal/process/placement/decide.go
@@ -154,8 +154,8 @@
 // borrowed sums what each account holds beyond its guarantees.
 func (s *State) borrowed() map[ids.AccountID]float64 {
 	held := make(map[ids.AccountID]float64)
-	for _, j := range s.jobs {
-		if len(j.Place) > 0 && j.entry == nil {
+	for _, j := range s.placed {
+		if j.entry == nil {
 			held[j.Account] += dominant(j.Each.Times(len(j.Place)))
 		}
 	}
@@ -205,7 +205,7 @@
 		return false
 	}
 	sum := j.Shape.Total().Accelerators
-	for _, other := range s.jobs {
+	for _, other := range s.placed {
 		if other.Account == j.Account {
 			sum += other.Each.Accelerators * ids.Accelerators(len(other.Place))
 		}
@@ -216,6 +216,9 @@
 // findForBorrower returns free nodes for a job outside the guarantees.
 func (s *State) findForBorrower(j *Job, now time.Time) []*node {
 	each := s.estimates.size(j)
+	if s.room.copies(s.nodes, each.Accelerators) < j.Shape.Tasks {
+		return nil
+	}
 	w := search{
 		tasks: j.Shape.Tasks, each: each, adjacent: j.Shape.Adjacent, first: s.Policy.FirstFit,
 		room: func(n *node) ids.Resources { return s.borrowerRoom(j, n, now) },
@@ -269,6 +272,8 @@
 // allocate gives a job its place as a borrower.
 func (s *State) allocate(j *Job, place []*node, now time.Time) {
 	j.Place = nodeIDs(place)
+	s.placed[j.ID] = j
+	s.room.forget()
 	for _, n := range place {
 		n.used = n.used.Plus(j.Each)
 		n.jobs[j.ID] = j
@@ -282,6 +287,8 @@
 
 // release takes a job's place away.
 func (s *State) release(j *Job) {
+	delete(s.placed, j.ID)
+	s.room.forget()
 	for i, id := range j.Place {
 		n := s.nodes[id]
 		if n == nil {
@@ -309,7 +316,7 @@
 // startAllocated starts the jobs whose place has become free.
 func (s *State) startAllocated(now time.Time) {
 	var waiting []*Job
-	for _, j := range s.jobs {
+	for _, j := range s.placed {
 		if j.phase == allocated {
 			waiting = append(waiting, j)
 		}
--- a/internal/process/placement/entry.go
+++ b/internal/process/placement/entry.go
@@ -73,7 +73,7 @@
 // dropEntry turns the jobs of a guarantee that is no more into borrowers. Those that still wait for their place
 // lose it.
 func (s *State) dropEntry(e *entry) {
-	for _, j := range sortedJobs(s.jobs) {
+	for _, j := range sortedJobs(s.placed) {
 		if j.entry != e {
 			continue
 		}
@@ -129,7 +129,7 @@
 			n.reserved = n.reserved.Plus(e.shape.Each)
 		}
 	}
-	for _, j := range s.jobs {
+	for _, j := range s.placed {
 		for _, id := range j.Place {
 			switch n := s.nodes[id]; {
 			case n == nil:
--- a/internal/process/placement/reclaim.go
+++ b/internal/process/placement/reclaim.go
@@ -123,6 +123,8 @@
 	j.slots = g.slots
 	j.Each = j.Shape.Each
 	j.Place = nodeIDs(g.place)
+	s.placed[j.ID] = j
+	s.room.forget()
 	for i, slot := range g.slots {
 		g.entry.free[slot] = g.entry.free[slot].Minus(j.Each)
 		n := g.place[i]
--- a/internal/process/placement/reservation.go
+++ b/internal/process/placement/reservation.go
@@ -70,10 +70,7 @@
 func (s *State) earliest(j *Job, now time.Time) ([]*node, time.Time) {
 	ends := make(map[*Job]time.Time)
 	var times []time.Time
-	for _, other := range s.jobs {
-		if len(other.Place) == 0 {
-			continue
-		}
+	for _, other := range s.placed {
 		end := now.Add(s.estimates.remaining(other, cautiousQuantile, now))
 		ends[other] = end
 		times = append(times, end)
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -21,10 +21,13 @@
 		// Violated is told of a broken invariant; nil panics.
 		Violated func(err error)
 
-		config  *config.Config
-		nodes   map[ids.InstanceID]*node
-		racks   []*rack
-		jobs    map[ids.JobID]*Job
+		config *config.Config
+		nodes  map[ids.InstanceID]*node
+		racks  []*rack
+		jobs   map[ids.JobID]*Job
+		// placed are the jobs that have a place.
+		placed  map[ids.JobID]*Job
+		room    roomBound
 		queues  map[ids.AccountID]*queue
 		entries []*entry
 		// largest is the largest guaranteed shape.
@@ -84,6 +87,7 @@
 	}
 	s.nodes = make(map[ids.InstanceID]*node)
 	s.jobs = make(map[ids.JobID]*Job)
+	s.placed = make(map[ids.JobID]*Job)
 	s.queues = make(map[ids.AccountID]*queue)
 	if s.config == nil {
 		s.config = &config.Config{}
@@ -92,6 +96,7 @@
 
 func (s *State) grow() {
 	s.growth++
+	s.room.forget()
 }
 
 func (s *State) account(id ids.AccountID) *config.Account {
--- a/internal/standin/workerservice/workerservice.go
+++ b/internal/standin/workerservice/workerservice.go
@@ -86,6 +86,13 @@
 	s.faults = f
 }
 
+// Watch replaces Observe by a function that is told whether a task was started, or changed otherwise.
+func (s *Service) Watch(observe func(started bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Observe = func(_ worker.TaskRef, state worker.State) { observe(state == worker.Running) }
+}
+
 // Crash loses all tasks at once, as a restart of the instance does.
 func (s *Service) Crash() {
 	s.mu.Lock()
