Measure capacity slopes and bound the renewals of an owner

Cause: renewing 190 workers every 2 s at 303 bytes each costs an owner 29 KB/s, against 6 KB/s; heartbeats of 8 instances every 500 ms cost 5.9 KB/s by themselves. Ruled out: full reports per renewal (1816 bytes with 20 tasks a worker).

--- a/cmd/jujubegrade/command.go
+++ b/cmd/jujubegrade/command.go
@@ -61,7 +61,7 @@
 		LongHelp:  "Every flag can be set by the environment as JUJUBEGRADE_FLAG and by a file named with -flags, one flag a line.\n\nExample:\n  jujubegrade demo",
 		FlagSet:   c.flagSet("jujubegrade"),
 		Subcommands: []*ffcli.Command{
-			c.accountCommand(), c.checkCommand(), c.configCommand(), c.demoCommand(), c.instanceCommand(), c.jobCommand(),
+			c.accountCommand(), c.capacityCommand(), c.checkCommand(), c.configCommand(), c.demoCommand(), c.instanceCommand(), c.jobCommand(),
 			c.measureCommand(),
 			c.reportCommand(), c.serveCommand(), c.timelineCommand(), c.versionCommand(),
 		},
--- /dev/null
+++ b/cmd/jujubegrade/command_capacity.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jujubegrade/jujubegrade/internal/experiment"
+)
+
+// capacityCommand measures the slopes that docs/CAPACITY.md is worked out from.
+func (c console) capacityCommand() *ffcli.Command {
+	set := c.flagSet("capacity")
+	return &ffcli.Command{
+		Name: "capacity", ShortUsage: "jujubegrade capacity", ShortHelp: "Measure state, bytes and processor time at several sizes", FlagSet: set,
+		LongHelp: "Prints one figure a line: Name Value Unit. The figures are worked out to the size aimed at in docs/CAPACITY.md.",
+		Exec: func(context.Context, []string) error {
+			figures, err := experiment.Capacity()
+			if err != nil {
+				return err
+			}
+			writeFigures(c.out, "Capacity", figures)
+			return nil
+		},
+	}
+}
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -71,7 +71,7 @@
 	const workers = 17
 	s := Scenario{Name: name, DataCentre: dataCentre, Config: text, Length: 48 * time.Hour, Load: 0.9, Large: large, Faults: faults}
 	for i := range workers {
-		s.Nodes = append(s.Nodes, worker(dataCentre, i, ids.Resources{Accelerators: 8, Cores: cores, Memory: 250000}))
+		s.Nodes = append(s.Nodes, workerNode(dataCentre, i, ids.Resources{Accelerators: 8, Cores: cores, Memory: 250000}))
 	}
 	return s
 }
@@ -100,12 +100,12 @@
 		if i < withAccelerators {
 			total.Accelerators = 8
 		}
-		s.Nodes = append(s.Nodes, worker(id, i, total))
+		s.Nodes = append(s.Nodes, workerNode(id, i, total))
 	}
 	return s
 }
 
-func worker(dataCentre ids.DataCentreID, i int, total ids.Resources) placement.Node {
+func workerNode(dataCentre ids.DataCentreID, i int, total ids.Resources) placement.Node {
 	return placement.Node{
 		ID:   ids.InstanceID(fmt.Sprintf("%s-w%03d", dataCentre, i)),
 		Rack: ids.RackID(fmt.Sprintf("%s-r%02d", dataCentre, i/rackSize)), Total: total,
--- a/internal/process/configuration/configuration_test.go
+++ b/internal/process/configuration/configuration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,6 +34,7 @@
 		messages  atomic.Int64
 		reverted  atomic.Bool
 		lower     bool
+		spread    spread
 	}
 
 	instance struct {
@@ -57,7 +59,11 @@
 )
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t}
+	return newFleetWith(t, n, spread{linked: func(int, int, int) bool { return true }})
+}
+
+func newFleetWith(t *testing.T, n int, s spread) *fleet {
+	f := &fleet{t: t, spread: s}
 	for i := range n {
 		f.instances = append(f.instances, &instance{fleet: f, id: ids.InstanceID(fmt.Sprintf("entry-%03d", i))})
 	}
@@ -94,8 +100,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.highest.Store(0)
 	peers := make(map[string]membership.Caller)
-	for _, other := range f.instances {
-		if other != i {
+	self := slices.Index(f.instances, i)
+	for at, other := range f.instances {
+		if other != i && f.spread.linked(self, at, len(f.instances)) {
 			peers[string(other.id)] = link{from: i, to: other}
 		}
 	}
@@ -109,9 +116,14 @@
 	}
 	p.config = &Configuration{
 		Instance: i.id, Store: i.gate(store.Pace(f.store.Client(), nil, &f.calls)), AcceptLower: f.lower,
-		Serving: func() []ids.InstanceID { return p.members.Serving() },
-		Quorum:  func() bool { return p.members.Quorum() },
-		Event:   i.event,
+		Serving: func() []ids.InstanceID {
+			if f.spread.watchAll {
+				return []ids.InstanceID{i.id}
+			}
+			return p.members.Serving()
+		},
+		Quorum: func() bool { return p.members.Quorum() },
+		Event:  i.event,
 	}
 	p.config.Init()
 	i.process.Store(p)
--- a/internal/process/entry/bench_test.go
+++ b/internal/process/entry/bench_test.go
@@ -103,6 +103,7 @@
 				})
 			})
 			calls := 0.0
+			b.ResetTimer()
 			for i := range b.N {
 				before := entries[0].Metrics()
 				job := caller.Job{Key: fmt.Sprint(i), Shape: ids.Shape{Tasks: tasks, Each: ids.Resources{Accelerators: 2}}, RunTime: time.Second, Payload: payload}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -214,7 +214,7 @@
 		Nodes:  func() ([]placementNode, bool) { return e.directory.nodes(id, e.compiled()) },
 		Worker: e.directory.worker,
 		Times: owner.Times{
-			Lease: s.OwnerLease, WorkerLease: s.WorkerLease, WorkerRenew: s.WorkerRenew,
+			Lease: s.OwnerLease, WorkerLease: s.WorkerLease, WorkerRenew: s.WorkerRenew, RenewRate: s.RenewRate,
 			Hold: s.WorkerHold, WorkerCall: s.WorkerTimeout, StoreCall: s.StoreTimeout,
 		},
 		Violated: func(err error) {
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -88,18 +89,26 @@
 		known = &Member{Since: time.Now()}
 		m.members[b.Instance] = known
 	}
+	changed := known.At.IsZero() || known.differs(b) || (from != nil && known.Caller == nil)
 	known.Beat = b
 	known.At = time.Now()
 	if from != nil {
 		known.Caller = from
 	}
-	m.publish()
+	if changed {
+		m.publish()
+	}
 	m.mu.Unlock()
 	if m.Heard != nil {
 		m.Heard(b, from, took)
 	}
 }
 
+// differs reports whether a heartbeat tells more than that the peer is still live.
+func (m *Member) differs(b peer.Beat) bool {
+	return m.Version != b.Version || m.Leaving != b.Leaving || !slices.Equal(m.Owned, b.Owned)
+}
+
 func (m *Membership) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, m.Interval)
--- a/internal/process/owner/link.go
+++ b/internal/process/owner/link.go
@@ -37,16 +37,31 @@
 func (t *term) newLink(id ids.InstanceID) *link {
 	ctx, cancel := context.WithCancel(t.ctx)
 	// An earlier owner may have renewed the lease just now.
-	lapse := time.Now().Add(t.owner.Times.WorkerLease)
+	lapse := time.Now().Add(t.workerLease())
 	l := &link{term: t, id: id, cancel: cancel, wake: make(chan struct{}, 1), lapse: lapse}
 	t.spawn(func() { l.run(ctx) })
 	return l
 }
 
+// renewInterval returns the time between two renewals of one worker.
+func (t *term) renewInterval() time.Duration {
+	interval := t.owner.Times.WorkerRenew
+	if rate := t.owner.Times.RenewRate; rate > 0 {
+		interval = max(interval, time.Duration(float64(t.workers.Load())/rate*float64(time.Second)))
+	}
+	return interval
+}
+
+// workerLease returns the lease of one worker, which outlasts three renewals.
+func (t *term) workerLease() time.Duration {
+	const renewals = 3
+	return max(t.owner.Times.WorkerLease, renewals*t.renewInterval())
+}
+
 func (l *link) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.renew(ctx)
-		timer := time.NewTimer(l.term.owner.jitter(l.term.owner.Times.WorkerRenew))
+		timer := time.NewTimer(l.term.owner.jitter(l.term.renewInterval()))
 		select {
 		case <-ctx.Done():
 		case <-l.wake:
@@ -65,7 +80,7 @@
 	since, incarnation := l.since, l.incarnation
 	l.mu.Unlock()
 	sent := time.Now()
-	report, err := o.Worker(l.id).Renew(ctx, worker.Renew{Epoch: l.term.lease.epoch, TTL: o.Times.WorkerLease, Since: since, Incarnation: incarnation})
+	report, err := o.Worker(l.id).Renew(ctx, worker.Renew{Epoch: l.term.lease.epoch, TTL: l.term.workerLease(), Since: since, Incarnation: incarnation})
 	if l.term.ctx.Err() != nil {
 		return
 	}
@@ -76,7 +91,7 @@
 	l.mu.Lock()
 	l.failures = 0
 	// The worker counts from the receipt of the call, which is before now.
-	l.lapse = time.Now().Add(o.Times.WorkerLease)
+	l.lapse = time.Now().Add(l.term.workerLease())
 	l.since, l.incarnation = report.Sequence, report.Incarnation
 	l.mu.Unlock()
 	l.term.post(func() { l.term.report(l, report, sent) })
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -68,6 +68,9 @@
 		WorkerLease time.Duration
 		// WorkerRenew is the interval of renewals of one worker.
 		WorkerRenew time.Duration
+		// RenewRate bounds the renewals of all workers together, per second: with many workers each is renewed less
+		// often, under a longer lease. Zero sets no bound.
+		RenewRate float64
 		// Hold is how long a hold lasts without a start.
 		Hold time.Duration
 		// WorkerCall bounds one call to a worker.
--- a/internal/process/owner/recover.go
+++ b/internal/process/owner/recover.go
@@ -129,7 +129,7 @@
 		wait.Go(func() {
 			ctx, cancel := context.WithTimeout(t.ctx, t.owner.Times.WorkerCall)
 			defer cancel()
-			report, err := t.owner.Worker(n.ID).Renew(ctx, worker.Renew{Epoch: t.lease.epoch, TTL: t.owner.Times.WorkerLease})
+			report, err := t.owner.Worker(n.ID).Renew(ctx, worker.Renew{Epoch: t.lease.epoch, TTL: t.workerLease()})
 			v.add(n.ID, report, err)
 		})
 	}
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -34,6 +34,8 @@
 		recovered bool
 
 		writers atomic.Uint64
+		// workers is the number of listed workers.
+		workers atomic.Int64
 		// storeOut tells that the lease could not be renewed in time, so that nothing can be accepted.
 		storeOut atomic.Bool
 		// spawnLock keeps tasks from being added once the term waits for them.
@@ -124,6 +126,7 @@
 	if !known {
 		return
 	}
+	t.workers.Store(int64(len(nodes)))
 	t.state.SetNodes(nodes)
 	if c := t.owner.Config(); c != nil && c != t.config {
 		t.config = c
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -30,6 +30,7 @@
 		Fencing       bool
 		WorkerLease   time.Duration
 		WorkerRenew   time.Duration
+		RenewRate     float64
 		WorkerHold    time.Duration
 		WorkerTimeout time.Duration
 		OwnerLease    time.Duration
@@ -67,7 +68,7 @@
 		StoreRate: store.Number("CallRate"), StoreBurst: store.Int("CallBurst"),
 		ListAddress: list.Text("Address"), ListPoll: list.Duration("Poll"),
 		Fencing: workers.Bool("Fencing"), WorkerLease: workers.Duration("Lease"), WorkerRenew: workers.Duration("Renew"),
-		WorkerHold: workers.Duration("Hold"), WorkerTimeout: workers.Duration("Timeout"),
+		RenewRate: workers.Number("RenewRate"), WorkerHold: workers.Duration("Hold"), WorkerTimeout: workers.Duration("Timeout"),
 		OwnerLease:  ownership.Duration("Lease"),
 		ConfigWatch: configuration.Duration("Watch"), ConfigPoll: configuration.Duration("Poll"), ConfigBound: configuration.Duration("Bound"),
 		BalancerLag: shutdown.Duration("BalancerLag"), Grace: shutdown.Duration("Grace"),
@@ -84,6 +85,9 @@
 	if s.WorkerRenew*3 > s.WorkerLease {
 		faults = append(faults, workers.Fault(file, "Lease", "%v is less than three times Renew, which is %v", s.WorkerLease, s.WorkerRenew))
 	}
+	if s.Heartbeat*2 > s.Silence {
+		faults = append(faults, peers.Fault(file, "Silence", "%v is less than twice Heartbeat, which is %v", s.Silence, s.Heartbeat))
+	}
 	if s.ConfigWatch*2 > s.ConfigBound {
 		faults = append(faults, configuration.Fault(file, "Bound", "%v is less than twice Watch, which is %v", s.ConfigBound, s.ConfigWatch))
 	}
