--- /dev/null
+++ b/internal/connection/peer/peer_test.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+)
+
+func newServer() *Server {
+	s := &Server{}
+	Offer(s, "Echo", func(_ context.Context, in string) (string, error) { return in, nil })
+	Offer(s, "Refuse", func(context.Context, string) (string, error) {
+		return "", &httpjson.Fault{Status: 429, Code: "QueueFull", Message: "full", RetryAfter: 3}
+	})
+	Offer(s, "Silence", func(ctx context.Context, _ string) (string, error) {
+		<-ctx.Done()
+		return "", ctx.Err()
+	})
+	return s
+}
+
+func serve(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go newServer().Serve(ctx, listener)
+	return listener.Addr().String()
+}
+
+func TestCalls(t *testing.T) {
+	c := &Client{Address: serve(t)}
+	defer c.Close()
+	var out string
+	require.NoError(t, c.Call(context.Background(), "Echo", "hello", &out))
+	require.Equal(t, "hello", out)
+	var fault *httpjson.Fault
+	require.ErrorAs(t, c.Call(context.Background(), "Refuse", "", &out), &fault)
+	require.Equal(t, httpjson.Fault{Status: 429, Code: "QueueFull", Message: "full", RetryAfter: 3}, *fault)
+	require.ErrorAs(t, c.Call(context.Background(), "Nothing", "", &out), &fault)
+	require.Equal(t, "NoMethod", fault.Code)
+	require.ErrorAs(t, c.Call(context.Background(), "Echo", 7, &out), &fault)
+	require.Equal(t, "Malformed", fault.Code)
+}
+
+// TestSilentPeer calls over a connection that gives no answer: the call ends at its deadline, and the next one opens
+// another connection.
+func TestSilentPeer(t *testing.T) {
+	dials := 0
+	c := &Client{Address: serve(t), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		dials++
+		return dialTCP(ctx, address)
+	}}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var out string
+	require.True(t, errors.Is(c.Call(ctx, "Silence", "", &out), ErrUnknown))
+	require.NoError(t, c.Call(context.Background(), "Echo", "again", &out))
+	require.Equal(t, 2, dials)
+	gone := &Client{Address: "127.0.0.1:1"}
+	require.True(t, errors.Is(gone.Call(context.Background(), "Echo", "", &out), ErrUnreachable))
+}
+
+// FuzzMessages sends arbitrary bytes to a server, which must go on answering others.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte(`{"method":"Echo","params":"x","id":1,"jsonrpc":"2.0"}`))
+	f.Add([]byte(`{"method":"Echo","params":{"a":[1,2,`))
+	f.Add([]byte(`[]`))
+	address := serve(f)
+	f.Fuzz(func(t *testing.T, message []byte) {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		framed := binary.AppendUvarint(nil, uint64(len(message)))
+		_, err = conn.Write(append(framed, message...))
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+		c := &Client{Address: address}
+		defer c.Close()
+		var out string
+		require.NoError(t, c.Call(context.Background(), "Echo", "still there", &out))
+		require.Equal(t, "still there", out)
+	})
+}
+
+func TestFaultKeepsItsStatus(t *testing.T) {
+	body, err := json.Marshal(carriedFault{Fault: httpjson.Fault{Code: "X", Message: "m"}, Status: 418})
+	require.NoError(t, err)
+	require.True(t, bytes.Contains(body, []byte(`"Status":418`)))
+}
--- a/internal/version/inifile/document.go
+++ b/internal/version/inifile/document.go
@@ -122,8 +122,8 @@
 		part.values[key.Name()] = key.Value()
 	}
 	for _, key := range part.section.Keys {
-		if key.Required && !read.HasKey(key.Name) {
-			faults = append(faults, fail(key.Name, "the key is missing: %s", key.Doc))
+		if key.Required && read.Key(key.Name).Value() == "" {
+			faults = append(faults, fail(key.Name, "the key is missing or empty: %s", key.Doc))
 		}
 	}
 	return part, faults
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -18,7 +18,8 @@
 	Fault = httpjson.Fault
 )
 
-// ErrNotSent tells that a call was never delivered, so that nothing was done.
+// ErrNotSent tells that a call was never delivered, so that nothing was done. It is a mark, which errors.Is of
+// cockroachdb/errors finds.
 var ErrNotSent = httpjson.ErrNotSent
 
 // NewClient returns a client of the instance at an address, as IP:port, with a bearer token.
