--- /dev/null
+++ b/cmd/jujubegrade/command_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/stretchr/testify/require"
+)
+
+// runCommand runs one command line and returns its exit code and what it wrote.
+func runCommand(t *testing.T, args ...string) (int, string) {
+	file, err := os.CreateTemp(t.TempDir(), "out")
+	require.NoError(t, err)
+	code := run(context.Background(), args, file, file)
+	out, err := os.ReadFile(file.Name())
+	require.NoError(t, err)
+	return code, string(out)
+}
+
+func TestExitCodes(t *testing.T) {
+	broken := filepath.Join(t.TempDir(), "broken.ini")
+	require.NoError(t, os.WriteFile(broken, []byte("[Policy]\nAgeingAfter = 3\n"), 0o600))
+	cases := map[string]struct {
+		args []string
+		code int
+		want string
+	}{
+		"version":              {[]string{"version"}, exitOK, "jujubegrade " + version},
+		"valid file":           {[]string{"check", "../../examples/kerotechni.ini"}, exitOK, "valid"},
+		"broken file":          {[]string{"check", broken}, exitUsage, "broken.ini:2: Policy.AgeingAfter"},
+		"missing file":         {[]string{"check", "no-such-file"}, exitFailed, "no-such-file"},
+		"no instance":          {[]string{"config", "get", "-operators", "127.0.0.1:1"}, exitFailed, "jujubegrade: "},
+		"unknown report":       {[]string{"report", "weather"}, exitFailed, "allowed are lateness"},
+		"bad shape":            {[]string{"job", "submit", "-shape", "many"}, exitFailed, "is no shape"},
+		"group without a name": {[]string{"config"}, exitUsage, "history"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			code, out := runCommand(t, c.args...)
+			require.Equal(t, c.code, code, out)
+			require.Contains(t, out, c.want)
+		})
+	}
+}
+
+// TestManualPages holds the pages in man against the command table. JUJUBEGRADE_WRITE_PAGES=1 writes them.
+func TestManualPages(t *testing.T) {
+	root := rootCommand(os.Stdout, os.Stderr)
+	pages := map[string]string{"jujubegrade.md": page(root)}
+	for _, c := range root.Subcommands {
+		text := page(c)
+		for _, sub := range c.Subcommands {
+			text += "\n" + page(sub)
+		}
+		pages["jujubegrade-"+c.Name+".md"] = text
+	}
+	for name, want := range pages {
+		file := filepath.Join("../../man", name)
+		if os.Getenv("JUJUBEGRADE_WRITE_PAGES") != "" {
+			require.NoError(t, os.WriteFile(file, []byte(want), 0o644))
+		}
+		got, err := os.ReadFile(file)
+		require.NoError(t, err)
+		require.Equal(t, want, string(got), name)
+	}
+}
+
+func page(c *ffcli.Command) string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "# %s\n\n%s.\n\n```\n%s\n```\n", strings.TrimPrefix(strings.Split(c.ShortUsage, " [")[0], ""), c.ShortHelp, strings.TrimSpace(ffcli.DefaultUsageFunc(c)))
+	return b.String()
+}
--- a/internal/process/entry/callers.go
+++ b/internal/process/entry/callers.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+	"github.com/jujubegrade/jujubegrade/internal/connection/runner"
 	"github.com/jujubegrade/jujubegrade/internal/process/settings"
 	"github.com/jujubegrade/jujubegrade/internal/request/service"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
@@ -216,6 +217,8 @@
 		httpjson.ReplyFault(ctx, &httpjson.Fault{Status: result.Status, Code: string(result.Outcome), Message: result.Reason, RetryAfter: result.RetryAfter.Seconds()})
 		ctx.Response.Header.Set(caller.HeaderReason, result.Reason)
 	}
+	ctx.Response.Header.Del(runner.HeaderLoad)
+	ctx.Response.Header.Del(runner.HeaderLeaving)
 	ctx.Response.Header.Set(caller.HeaderRequest, string(id))
 	ctx.Response.Header.Set(caller.HeaderOutcome, string(result.Outcome))
 }
