Give gangs that can't be stopped a reservation

Cause: the search for the earliest start counted what running work frees, but not that it ceases to hold back the guarantees, so a gang that can't be stopped found no start at all and got no reservation while others of its kind ran. Ruled out: the order among accounts (the gang was first by age in the trace).

--- a/internal/process/placement/placement_test.go
+++ b/internal/process/placement/placement_test.go
@@ -202,6 +202,20 @@
 	require.Equal(t, caller.Running, short.StateOf(), "it ends before the head can start")
 }
 
+// A gang that can't be stopped got no reservation while other work that can't be stopped held its place, and starved.
+func TestGangThatCantBeStoppedGetsAReservation(t *testing.T) {
+	w := newWorld(t, oneGang, 1, 6)
+	first := w.submit("first", "borrower", "1x8", once)
+	gang := w.submit("gang", "borrower", "2x8/Rack", once)
+	require.Equal(t, caller.Queued, gang.StateOf())
+	require.NotNil(t, w.state.reservation)
+	next := w.submit("next", "borrower", "1x8", func(j *caller.Job) { once(j); j.RunTime = 10 * time.Hour })
+	require.Equal(t, caller.Queued, next.StateOf(), "it would keep the gang from its place")
+	w.state.TaskEnded(first.ID, first.Attempt, 0, false, w.now)
+	w.decide()
+	require.Equal(t, caller.Running, gang.StateOf())
+}
+
 func TestLateJobIsWarnedOfBeforeItIsDue(t *testing.T) {
 	w := newWorld(t, noGuarantee+"[Policy]\nWarnQuantile = 0.9\n", 1, 1)
 	j := w.submit("late", "borrower", "1x8", func(job *caller.Job) { job.Due = w.now.Add(90 * time.Minute) })
--- a/internal/process/placement/reservation.go
+++ b/internal/process/placement/reservation.go
@@ -96,14 +96,19 @@
 	if !n.open() || j.avoids(n, t) || !s.matches(j, n) {
 		return ids.Resources{}
 	}
-	room := n.free()
+	room, unfixed := n.free(), n.guaranteed()
 	for _, other := range n.jobs {
-		if !ends[other].After(t) {
-			room = room.Plus(other.Each.Times(other.tasksOn(n.ID)))
+		if ends[other].After(t) {
+			continue
+		}
+		held := other.Each.Times(other.tasksOn(n.ID))
+		room = room.Plus(held)
+		if other.isFixed() {
+			unfixed = unfixed.Plus(held)
 		}
 	}
 	if !j.Idempotent {
-		room = atMost(room, n.guaranteed())
+		room = atMost(room, unfixed)
 	}
 	return room
 }
