Forget ended jobs after their retention

Cause: an owner kept every ended job in memory for as long as it owned the data centre; records went only at a change of owner. Ruled out: a removal at the end itself, since callers still ask for the state.

--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -4,15 +4,10 @@
 	"expvar"
 	"sync"
 
-	"github.com/jujubegrade/jujubegrade/internal/process/owner"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
-type dataCentreID = ids.DataCentreID
-
 var (
-	errNotOwner = owner.ErrNotOwner
-
 	metrics     = expvar.NewMap("jujubegrade")
 	metricsLock sync.Mutex
 )
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -10,7 +10,9 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
 	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
+	"github.com/jujubegrade/jujubegrade/internal/process/owner"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 	"github.com/jujubegrade/jujubegrade/pkg/operator"
 )
 
@@ -68,19 +70,19 @@
 		return operator.Config{}, configNone()
 	})
 	peer.Offer(s, peer.MethodSubmit, func(ctx context.Context, in peer.SubmitCall) (caller.JobStatus, error) {
-		return atOwner(ctx, e, in.DataCentre, func(o *ownership) (caller.JobStatus, error) { return o.Submit(ctx, in.Account, in.Job) })
+		return atOwner(e, in.DataCentre, func(o *ownership) (caller.JobStatus, error) { return o.Submit(ctx, in.Account, in.Job) })
 	})
 	peer.Offer(s, peer.MethodStatus, func(ctx context.Context, in peer.JobCall) (caller.JobStatus, error) {
-		return atOwner(ctx, e, in.DataCentre, func(o *ownership) (caller.JobStatus, error) { return o.Status(ctx, in.Job) })
+		return atOwner(e, in.DataCentre, func(o *ownership) (caller.JobStatus, error) { return o.Status(ctx, in.Job) })
 	})
 	peer.Offer(s, peer.MethodCancel, func(ctx context.Context, in peer.JobCall) (caller.JobStatus, error) {
-		return atOwner(ctx, e, in.DataCentre, func(o *ownership) (caller.JobStatus, error) { return o.Cancel(ctx, in.Job) })
+		return atOwner(e, in.DataCentre, func(o *ownership) (caller.JobStatus, error) { return o.Cancel(ctx, in.Job) })
 	})
 	peer.Offer(s, peer.MethodList, func(ctx context.Context, in peer.ListCall) ([]caller.JobStatus, error) {
-		return atOwner(ctx, e, in.DataCentre, func(o *ownership) ([]caller.JobStatus, error) { return o.List(ctx, in.Account) })
+		return atOwner(e, in.DataCentre, func(o *ownership) ([]caller.JobStatus, error) { return o.List(ctx, in.Account) })
 	})
 	peer.Offer(s, peer.MethodReport, func(ctx context.Context, in peer.ReportCall) (operator.Report, error) {
-		return atOwner(ctx, e, in.DataCentre, func(o *ownership) (operator.Report, error) { return o.Report(ctx) })
+		return atOwner(e, in.DataCentre, func(o *ownership) (operator.Report, error) { return o.Report(ctx) })
 	})
 	peer.Offer(s, peer.MethodTimeline, func(_ context.Context, f operator.Filter) (operator.Timeline, error) {
 		return e.log.Events(f), nil
@@ -99,11 +101,11 @@
 }
 
 // atOwner runs a peer's call if this instance owns the data centre, and never passes it on.
-func atOwner[Out any](_ context.Context, e *Entry, id dataCentreID, run func(o *ownership) (Out, error)) (Out, error) {
+func atOwner[Out any](e *Entry, id ids.DataCentreID, run func(o *ownership) (Out, error)) (Out, error) {
 	var none Out
 	o := e.owner(id)
 	if o == nil {
-		return none, faultOf(errNotOwner)
+		return none, faultOf(owner.ErrNotOwner)
 	}
 	out, err := run(o)
 	if err != nil {
--- a/internal/process/owner/promise_test.go
+++ b/internal/process/owner/promise_test.go
@@ -96,6 +96,25 @@
 	}
 }
 
+// TestRetention ends jobs and waits: memory and store keep them for the retention, and no longer.
+func TestRetention(t *testing.T) {
+	require.NoError(t, play(t, mechanisms{}, func(w *world) {
+		w.awaitOwner()
+		id := w.submit(caller.Job{Key: "short", Shape: oneAccelerator}, "borrower", time.Second)
+		time.Sleep(w.config.Policy.Retention / 2)
+		status, err := w.owner().Status(context.Background(), id)
+		require.NoError(t, err)
+		require.Equal(t, caller.Done, status.State)
+		time.Sleep(w.config.Policy.Retention)
+		_, err = w.owner().Status(context.Background(), id)
+		require.True(t, errors.Is(err, ErrNoJob))
+		list, err := w.owner().List(context.Background(), "")
+		require.NoError(t, err)
+		require.Empty(t, list)
+		w.forget(id)
+	}))
+}
+
 // TestTakeoverTime measures from the loss of an owner to the next one's first decision, in virtual time.
 func TestTakeoverTime(t *testing.T) {
 	require.NoError(t, play(t, mechanisms{}, func(w *world) {
@@ -127,7 +146,7 @@
 		time.Sleep(2 * time.Minute)
 		refused := w.submit(caller.Job{Key: "refused", Shape: oneAccelerator, Idempotent: true}, "borrower", time.Second)
 		time.Sleep(10 * time.Second)
-		require.Contains(t, w.refused[refused], "store does not answer")
+		require.Contains(t, w.refusal(refused), "store does not answer")
 		require.Equal(t, 1, w.ledger.runs(running))
 		require.Equal(t, 8, w.ledger.runs(waiting), "recorded idempotent work goes on during the outage")
 		require.Zero(t, w.ledger.runs(once), "its start can't be marked")
--- a/internal/process/owner/recover.go
+++ b/internal/process/owner/recover.go
@@ -113,12 +113,7 @@
 	if t.config == nil || time.Since(r.Finished) < t.config.Policy.Retention {
 		return
 	}
-	t.spawn(func() {
-		ctx, cancel := context.WithTimeout(t.ctx, t.owner.Times.StoreCall)
-		defer cancel()
-		// Without an answer the next owner removes the record.
-		_ = t.owner.Store.Delete(ctx, RecordKey(r.ID), revision)
-	})
+	t.remove(r.ID, revision)
 }
 
 // survey renews each worker's lease under the new epoch, which fences older owners, and takes its tasks.
--- a/internal/process/owner/submit.go
+++ b/internal/process/owner/submit.go
@@ -146,12 +146,7 @@
 // status returns what may be told of a job: an end only once it is in the store for good.
 func (t *term) status(j *placement.Job) caller.JobStatus {
 	status := t.state.Status(j)
-	if !status.State.Over() {
-		return status
-	}
-	select {
-	case <-t.execution(j.ID).saved:
-	default:
+	if status.State.Over() && !t.execution(j.ID).isSaved() {
 		status.State, status.Reason = caller.Stopping, "its end is being recorded"
 	}
 	return status
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -32,6 +32,8 @@
 		jobs      map[ids.JobID]*execution
 		unknown   []operator.UnknownJob
 		recovered bool
+		// retired is when ended jobs were last looked through.
+		retired time.Time
 
 		writers atomic.Uint64
 		// workers is the number of listed workers.
@@ -99,6 +101,7 @@
 		case <-t.owner.Changed:
 		case <-ticker.C:
 			t.state.UpdateForecasts(time.Now())
+			t.retire(time.Now())
 			if !t.owner.Wanted() {
 				t.end("another instance should own the data centre")
 			}
--- a/internal/process/owner/world_test.go
+++ b/internal/process/owner/world_test.go
@@ -31,6 +31,7 @@
 CheckpointGrace = 500ms
 QuarantineTime = 1m
 JobAttempts = 50
+Retention = 30m
 [DataCentre "d"]
 [ClientAccount "owed"]
 [ClientAccount "borrower"]
@@ -256,6 +257,20 @@
 	}
 }
 
+// refusal returns why a submission was refused.
+func (w *world) refusal(id ids.JobID) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.refused[id]
+}
+
+// forget drops an accepted job whose record is gone by intent.
+func (w *world) forget(id ids.JobID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.accepted, id)
+}
+
 // story is the time line of a job, or of everything.
 func (w *world) story(id ids.JobID) string {
 	w.mu.Lock()
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -5,6 +5,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
@@ -126,6 +127,18 @@
 	}
 }
 
+// OverSince lists the jobs that were over before a time, in order.
+func (s *State) OverSince(before time.Time) []ids.JobID {
+	var list []ids.JobID
+	for id, j := range s.jobs {
+		if j.phase == over && j.Finished.Before(before) {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Forget drops a job that is over.
 func (s *State) Forget(id ids.JobID) {
 	if j := s.jobs[id]; j != nil && j.phase == over {
