--- a/internal/process/entry/bench_test.go
+++ b/internal/process/entry/bench_test.go
@@ -8,53 +8,17 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"github.com/jujubegrade/jujubegrade/internal/process/entry"
 	"github.com/jujubegrade/jujubegrade/internal/standin/platform"
 	"github.com/jujubegrade/jujubegrade/internal/standin/runnerservice"
 	"github.com/jujubegrade/jujubegrade/internal/standin/workerservice"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
-	"github.com/jujubegrade/jujubegrade/pkg/operator"
 )
 
-const benchConfig = `
-[DataCentre "d"]
-[ClientAccount "a"]
-RequestShare = 1
-[Service "catalogue"]
-`
-
-// startFleet starts entry instances over a platform with workers and one runner, and waits until they serve.
-func startFleet(b testing.TB, instances, workers int) (*platform.Platform, []*entry.Entry) {
-	p := &platform.Platform{}
-	for i := range workers {
-		p.AddWorker("d", i, ids.Resources{Accelerators: 8, Cores: 64000, Memory: 250000})
-	}
-	_, err := p.AddRunner("d", "catalogue", 0, &runnerservice.Service{Slots: 1024})
-	require.NoError(b, err)
-	entries, err := p.Entries(instances, nil)
-	require.NoError(b, err)
-	b.Cleanup(func() {
-		for _, e := range entries {
-			e.Kill()
-		}
-		p.Close()
-	})
-	c := operator.NewClient(entries[0].Settings.Operators, platform.OperatorToken)
-	require.Eventually(b, func() bool {
-		_, err := c.Apply(context.Background(), operator.Change{Author: "bench", Text: benchConfig})
-		return err == nil
-	}, 10*time.Second, 10*time.Millisecond)
-	require.Eventually(b, func() bool {
-		reports, err := c.Reports(context.Background())
-		return err == nil && len(reports.Reports) == 1
-	}, 20*time.Second, 10*time.Millisecond)
-	return p, entries
-}
-
 // BenchmarkProxiedRequest compares a request over an entry instance with one straight to the runner.
 func BenchmarkProxiedRequest(b *testing.B) {
 	_, entries := startFleet(b, 1, 1)
@@ -70,8 +34,11 @@
 	for _, target := range targets {
 		b.Run(target.name, func(b *testing.B) {
 			client := &fasthttp.HostClient{Addr: target.address}
+			latency := hdrhistogram.New(1, int64(time.Minute), 3)
 			b.ReportAllocs()
+			b.ResetTimer()
 			for range b.N {
+				began := time.Now()
 				req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 				req.SetRequestURI("http://" + target.address + target.path)
 				req.Header.Set("Authorization", "Bearer "+platform.OperatorToken)
@@ -81,7 +48,10 @@
 				}
 				fasthttp.ReleaseRequest(req)
 				fasthttp.ReleaseResponse(resp)
+				require.NoError(b, latency.RecordValue(int64(time.Since(began))))
 			}
+			b.ReportMetric(float64(latency.ValueAtQuantile(50))/1e3, "p50-us")
+			b.ReportMetric(float64(latency.ValueAtQuantile(99))/1e3, "p99-us")
 		})
 	}
 }
