Write the time line as a self-contained page

Cause: issue of the users' operators: a time line of events over all processes was text and JSON only. After: timeline -html FILE writes lanes by process and a table; causes are escaped, which the test holds.

--- a/cmd/jujubegrade/command_test.go
+++ b/cmd/jujubegrade/command_test.go
@@ -8,9 +8,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/pkg/operator"
 )
 
 // runCommand runs one command line and returns its exit code and what it wrote.
@@ -49,6 +52,22 @@
 	}
 }
 
+func TestTimelineHTML(t *testing.T) {
+	at := time.Date(2026, 12, 3, 10, 0, 0, 0, time.UTC)
+	events := []operator.Event{
+		{Time: at, Instance: "entry-2", Kind: "JobPlaced", Cause: "<script>alert(1)</script>"},
+		{Time: at.Add(time.Second), Instance: "entry-1", Kind: "JobFinished"},
+	}
+	p := pictureOf(operator.Timeline{Events: events})
+	require.Equal(t, []timelineLane{{"entry-1", laneHeight}, {"entry-2", 2 * laneHeight}}, p.Lanes)
+	require.Equal(t, pictureMargin, p.Marks[0].X)
+	require.Equal(t, pictureMargin+pictureWidth, p.Marks[1].X)
+	var b bytes.Buffer
+	require.NoError(t, writeTimelineHTML(&b, operator.Timeline{Events: events}))
+	require.NotContains(t, b.String(), "<script>", "causes are escaped")
+	require.NoError(t, writeTimelineHTML(&b, operator.Timeline{}), "an empty time line is a page too")
+}
+
 // TestManualPages holds the pages in man against the command table. JUJUBEGRADE_WRITE_PAGES=1 writes them.
 func TestManualPages(t *testing.T) {
 	root := rootCommand(os.Stdout, os.Stderr)
--- a/cmd/jujubegrade/command_timeline.go
+++ b/cmd/jujubegrade/command_timeline.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -16,6 +17,7 @@
 	job := set.String("job", "", "only events of a job")
 	account := set.String("account", "", "only events of a client account")
 	request := set.String("request", "", "only events of a request")
+	html := set.String("html", "", "file to write a self-contained page to, with a lane for each process")
 	return &ffcli.Command{
 		Name: "timeline", ShortUsage: "jujubegrade timeline [flags]", ShortHelp: "Print the events of all entry instances in order", FlagSet: set, Options: options(),
 		LongHelp: "Example:\n  jujubegrade timeline -job 3f0c9d",
@@ -24,11 +26,26 @@
 			if err != nil {
 				return err
 			}
+			if *html != "" {
+				return writeHTMLFile(*html, t)
+			}
 			return r.show(t, func(w io.Writer) { writeTimeline(w, t) })
 		},
 	}
 }
 
+func writeHTMLFile(name string, t operator.Timeline) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	if err := writeTimelineHTML(file, t); err != nil {
+		_ = file.Close() // the first error tells more
+		return err
+	}
+	return file.Close()
+}
+
 func writeTimeline(w io.Writer, t operator.Timeline) {
 	for _, e := range t.Events {
 		line(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s", e.Time.Format("15:04:05.000"), e.Instance, e.Kind, e.DataCentre, e.Job, e.Account, e.Cause)
