--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -17,8 +17,6 @@
 )
 
 type (
-	placementNode = placement.Node
-
 	// directory follows the platform's instance list.
 	directory struct {
 		list instancelist.Client
@@ -97,27 +95,18 @@
 	return nodes, true
 }
 
-// runners returns the runners of each service that take new requests.
+// runners returns the runners of each service that take new requests; a service may have none.
 func (d *directory) runners(c *config.Config) map[ids.ServiceID][]*runner.Runner {
 	found := make(map[ids.ServiceID][]*runner.Runner)
 	for _, row := range d.all() {
 		if row.Role != instancelist.Runner {
 			continue
 		}
-		if row.Leaving || (c != nil && c.Instances[row.ID].Drain) {
-			found[row.Service] = append(found[row.Service], nil)
-			continue
-		}
-		found[row.Service] = append(found[row.Service], &runner.Runner{ID: row.ID, Address: row.Address, Slots: row.Slots})
-	}
-	for id, list := range found {
-		var open []*runner.Runner
-		for _, r := range list {
-			if r != nil {
-				open = append(open, r)
-			}
+		open := found[row.Service]
+		if !row.Leaving && (c == nil || !c.Instances[row.ID].Drain) {
+			open = append(open, &runner.Runner{ID: row.ID, Address: row.Address, Slots: row.Slots})
 		}
-		found[id] = open
+		found[row.Service] = open
 	}
 	return found
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/process/configuration"
 	"github.com/jujubegrade/jujubegrade/internal/process/membership"
 	"github.com/jujubegrade/jujubegrade/internal/process/owner"
+	"github.com/jujubegrade/jujubegrade/internal/process/placement"
 	"github.com/jujubegrade/jujubegrade/internal/process/settings"
 	"github.com/jujubegrade/jujubegrade/internal/process/timeline"
 	"github.com/jujubegrade/jujubegrade/internal/request/service"
@@ -211,7 +212,7 @@
 	o.Owner = &owner.Owner{
 		Instance: s.Name, DataCentre: id, Store: *e.Store, Event: e.log.Add, Changed: o.changed, Unfenced: !s.Fencing,
 		Config: e.compiled,
-		Nodes:  func() ([]placementNode, bool) { return e.directory.nodes(id, e.compiled()) },
+		Nodes:  func() ([]placement.Node, bool) { return e.directory.nodes(id, e.compiled()) },
 		Worker: e.directory.worker,
 		Times: owner.Times{
 			Lease: s.OwnerLease, WorkerLease: s.WorkerLease, WorkerRenew: s.WorkerRenew, RenewRate: s.RenewRate,
--- a/internal/process/owner/submit.go
+++ b/internal/process/owner/submit.go
@@ -90,12 +90,13 @@
 		}
 		status = t.status(t.state.Job(j.ID))
 	}); err != nil {
-		return record(j, t.owner.DataCentre)
+		return acceptedStatus(j, t.owner.DataCentre)
 	}
 	return status
 }
 
-func record(j *placement.Job, dataCentre ids.DataCentreID) caller.JobStatus {
+// acceptedStatus is what is told of an accepted job that this owner no longer decides for.
+func acceptedStatus(j *placement.Job, dataCentre ids.DataCentreID) caller.JobStatus {
 	return caller.JobStatus{ID: j.ID, Account: j.Account, DataCentre: dataCentre, State: caller.Queued, Submitted: j.Submitted, Due: j.Due}
 }
 
