Say once what stood twice in the decisions, the owner and its tests

Waiting for a context stood in three packages, default intervals in two, the copies that a rack's free accelerators hold in three places, the nodes of a job's place in two, retrying until the term ends in two, late jobs in two types that differed by a field, and a serving fleet in three tests. The survey carried a map that nothing filled.

--- a/internal/process/configuration/configuration.go
+++ b/internal/process/configuration/configuration.go
@@ -6,6 +6,7 @@
 package configuration
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/process/membership"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 	"github.com/jujubegrade/jujubegrade/pkg/operator"
@@ -102,15 +104,10 @@
 
 // Init prepares the configuration; it has to be called before any other method.
 func (c *Configuration) Init() {
-	set := func(d *time.Duration, value time.Duration) {
-		if *d == 0 {
-			*d = value
-		}
-	}
-	set(&c.Times.Watch, 2*time.Second)
-	set(&c.Times.Poll, 15*time.Second)
-	set(&c.Times.StoreCall, time.Second)
-	set(&c.Times.Bound, 6*time.Second)
+	c.Times.Watch = cmp.Or(c.Times.Watch, 2*time.Second)
+	c.Times.Poll = cmp.Or(c.Times.Poll, 15*time.Second)
+	c.Times.StoreCall = cmp.Or(c.Times.StoreCall, time.Second)
+	c.Times.Bound = cmp.Or(c.Times.Bound, 6*time.Second)
 	c.changed = make(chan struct{}, 1)
 	c.behind = make(chan behind, 1)
 }
@@ -155,22 +152,22 @@
 	var fetching sync.WaitGroup
 	fetching.Go(func() { c.fetchFromPeers(ctx) })
 	defer fetching.Wait()
-	pause := c.Times.StoreCall
+	delay := c.Times.StoreCall
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := c.follow(ctx)
 		if err == nil || errors.Is(err, ErrNone) {
-			pause = c.Times.StoreCall / 4
+			delay = c.Times.StoreCall / 4
 			if c.watching() {
 				// A watch that returns at once must not turn into a busy loop.
-				sleep(ctx, c.Times.StoreCall/4-time.Since(started))
+				pause.For(ctx, c.Times.StoreCall/4-time.Since(started))
 				continue
 			}
-			sleep(ctx, c.Times.Poll*3/4+rand.N(c.Times.Poll/2))
+			pause.For(ctx, c.Times.Poll*3/4+rand.N(c.Times.Poll/2))
 			continue
 		}
-		sleep(ctx, pause*3/4+rand.N(pause/2+1))
-		pause = min(2*pause, c.Times.Bound/2)
+		pause.For(ctx, delay*3/4+rand.N(delay/2+1))
+		delay = min(2*delay, c.Times.Bound/2)
 	}
 }
 
@@ -333,15 +330,3 @@
 		return // the event tells why
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/configuration/configuration_test.go
+++ b/internal/process/configuration/configuration_test.go
@@ -62,6 +62,16 @@
 	return newFleetWith(t, n, spread{linked: func(int, int, int) bool { return true }})
 }
 
+// newServingFleet returns eight instances that have version 1 in force.
+func newServingFleet(t *testing.T) *fleet {
+	f := newFleet(t, 8)
+	time.Sleep(5 * time.Second)
+	_, err := f.accept(0, 0)
+	require.NoError(t, err)
+	require.Less(t, f.awaitVersion(1), inForceBound)
+	return f
+}
+
 func newFleetWith(t *testing.T, n int, s spread) *fleet {
 	f := &fleet{t: t, spread: s}
 	for i := range n {
@@ -236,13 +246,9 @@
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t, 8)
+				f := newServingFleet(t)
 				defer f.stop()
-				time.Sleep(5 * time.Second)
-				_, err := f.accept(0, 0)
-				require.NoError(t, err)
-				require.Less(t, f.awaitVersion(1), inForceBound)
-				_, err = f.accept(0, 1)
+				_, err := f.accept(0, 1)
 				require.NoError(t, err)
 				fault(f)
 				require.Less(t, f.awaitVersion(2), inForceBound)
@@ -255,16 +261,12 @@
 // TestPartitionedInstanceTakesNoNewWork cuts one instance off from the store and the peers.
 func TestPartitionedInstanceTakesNoNewWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 8)
+		f := newServingFleet(t)
 		defer f.stop()
-		time.Sleep(5 * time.Second)
-		_, err := f.accept(0, 0)
-		require.NoError(t, err)
-		f.awaitVersion(1)
 		lone := f.instances[7]
 		lone.cutStore.Store(true)
 		lone.cutPeers.Store(true)
-		_, err = f.accept(0, 1)
+		_, err := f.accept(0, 1)
 		require.NoError(t, err)
 		time.Sleep(inForceBound)
 		reason, fresh := lone.config().Fresh()
@@ -281,12 +283,8 @@
 // TestStoreOutageKeepsServing lets instances that hear each other go on for minutes; a restarted one learns from its peers.
 func TestStoreOutageKeepsServing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 8)
+		f := newServingFleet(t)
 		defer f.stop()
-		time.Sleep(5 * time.Second)
-		_, err := f.accept(0, 0)
-		require.NoError(t, err)
-		f.awaitVersion(1)
 		f.store.SetFaults(storeservice.Faults{Outage: true})
 		time.Sleep(5 * time.Minute)
 		f.instances[3].stop()
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -74,7 +75,7 @@
 		if err == nil {
 			m.Hear(answer, c, time.Since(started))
 		}
-		sleep(ctx, m.Interval*3/4+rand.N(m.Interval/2+1))
+		pause.For(ctx, m.Interval*3/4+rand.N(m.Interval/2+1))
 	}
 }
 
@@ -111,7 +112,7 @@
 
 func (m *Membership) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, m.Interval)
+		pause.For(ctx, m.Interval)
 		m.mu.Lock()
 		m.publish()
 		m.mu.Unlock()
@@ -204,12 +205,3 @@
 	})
 	return ranked
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/owner/execute.go
+++ b/internal/process/owner/execute.go
@@ -10,6 +10,7 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/placement"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -35,12 +36,25 @@
 	}
 )
 
-// retryPause is the first pause between two tries of a step that must succeed in the end; maxRetryPause the longest.
+// retryPause is the first delay between two tries of a step that must succeed in the end; maxRetryPause the longest.
 const (
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 5 * time.Second
 )
 
+// retry tries until it has done with what it does, after growing delays. It returns false if the term ends before.
+func (t *term) retry(try func() (done bool)) bool {
+	delay := retryPause
+	for t.ctx.Err() == nil {
+		if try() {
+			return true
+		}
+		pause.For(t.ctx, t.owner.jitter(delay))
+		delay = min(2*delay, maxRetryPause)
+	}
+	return false
+}
+
 // perform carries out an action after the earlier ones of the same job.
 func (t *term) perform(a placement.Action) {
 	record := t.recordOf(a.Job)
@@ -197,7 +211,7 @@
 // stop stops the gang on all its nodes and tries on until each has stopped it or has lost its lease.
 func (t *term) stop(g *gang, grace time.Duration) {
 	id, attempt := g.record.ID, g.record.Attempt
-	pause := retryPause
+	delay := retryPause
 	progress := 1.0
 	rest := g
 	for {
@@ -212,8 +226,8 @@
 			break
 		}
 		grace = 0
-		sleep(t.ctx, pause)
-		pause = min(2*pause, maxRetryPause)
+		pause.For(t.ctx, delay)
+		delay = min(2*delay, maxRetryPause)
 	}
 	t.post(func() { t.state.StopDone(id, attempt, progress, time.Now()) })
 }
@@ -225,7 +239,7 @@
 		return
 	}
 	for !t.lease.valid() {
-		sleep(t.ctx, retryPause)
+		pause.For(t.ctx, retryPause)
 		if t.ctx.Err() != nil {
 			return
 		}
@@ -235,7 +249,7 @@
 
 // save writes a record until the store has taken it, or a newer owner's word stands there.
 func (t *term) save(x *execution, r *Record) bool {
-	pause := retryPause
+	delay := retryPause
 	for t.ctx.Err() == nil {
 		revision, err := t.write(t.ctx, r, x.revision)
 		if err == nil {
@@ -256,8 +270,8 @@
 				continue
 			}
 		}
-		sleep(t.ctx, t.owner.jitter(pause))
-		pause = min(2*pause, maxRetryPause)
+		pause.For(t.ctx, t.owner.jitter(delay))
+		delay = min(2*delay, maxRetryPause)
 	}
 	return false
 }
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -5,6 +5,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/placement"
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -94,18 +96,13 @@
 )
 
 func (t Times) withDefaults() Times {
-	set := func(d *time.Duration, value time.Duration) {
-		if *d == 0 {
-			*d = value
-		}
-	}
-	set(&t.Lease, 3*time.Second)
-	set(&t.Tick, 250*time.Millisecond)
-	set(&t.WorkerLease, 15*time.Second)
-	set(&t.WorkerRenew, 2*time.Second)
-	set(&t.Hold, 2*time.Second)
-	set(&t.WorkerCall, 500*time.Millisecond)
-	set(&t.StoreCall, time.Second)
+	t.Lease = cmp.Or(t.Lease, 3*time.Second)
+	t.Tick = cmp.Or(t.Tick, 250*time.Millisecond)
+	t.WorkerLease = cmp.Or(t.WorkerLease, 15*time.Second)
+	t.WorkerRenew = cmp.Or(t.WorkerRenew, 2*time.Second)
+	t.Hold = cmp.Or(t.Hold, 2*time.Second)
+	t.WorkerCall = cmp.Or(t.WorkerCall, 500*time.Millisecond)
+	t.StoreCall = cmp.Or(t.StoreCall, time.Second)
 	return t
 }
 
@@ -114,16 +111,16 @@
 	o.Times = o.Times.withDefaults()
 	for ctx.Err() == nil {
 		if o.handOver.Load() || !o.Wanted() || o.Config() == nil {
-			sleep(ctx, o.jitter(o.Times.Tick))
+			pause.For(ctx, o.jitter(o.Times.Tick))
 			continue
 		}
 		if _, known := o.Nodes(); !known {
-			sleep(ctx, o.jitter(o.Times.Tick))
+			pause.For(ctx, o.jitter(o.Times.Tick))
 			continue
 		}
 		l, err := o.claim(ctx)
 		if err != nil {
-			sleep(ctx, o.jitter(o.Times.Lease/4))
+			pause.For(ctx, o.jitter(o.Times.Lease/4))
 			continue
 		}
 		o.lead(ctx, l)
@@ -161,15 +158,6 @@
 	o.Event(operator.Event{Kind: kind, DataCentre: o.DataCentre, Epoch: epoch, Cause: cause})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // jitter returns a duration between three quarters and five quarters of d, unless a seam says otherwise.
 func (o *Owner) jitter(d time.Duration) time.Duration {
 	if o.Jitter != nil {
--- a/internal/process/owner/recover.go
+++ b/internal/process/owner/recover.go
@@ -11,6 +11,7 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/placement"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -20,8 +21,7 @@
 type (
 	// survey is what a new owner found on the workers.
 	survey struct {
-		mu       sync.Mutex
-		sequence map[ids.InstanceID]uint64
+		mu sync.Mutex
 		// tasks holds the tasks of each job, with the worker of each.
 		tasks  map[ids.JobID][]found
 		silent []ids.InstanceID
@@ -65,16 +65,16 @@
 
 // readRecords reads the records of the data centre's jobs, and tries on while the store gives no answer.
 func (t *term) readRecords() ([]*Record, bool) {
-	pause := retryPause
-	for t.ctx.Err() == nil {
+	var records []*Record
+	done := t.retry(func() bool {
 		entries, err := t.listRecords()
-		if err == nil {
-			return t.decodeAll(entries), true
+		if err != nil {
+			return false
 		}
-		sleep(t.ctx, t.owner.jitter(pause))
-		pause = min(2*pause, maxRetryPause)
-	}
-	return nil, false
+		records = t.decodeAll(entries)
+		return true
+	})
+	return records, done
 }
 
 func (t *term) listRecords() ([]store.Entry, error) {
@@ -118,7 +118,7 @@
 
 // survey renews each worker's lease under the new epoch, which fences older owners, and takes its tasks.
 func (t *term) survey(nodes []placement.Node) *survey {
-	v := &survey{sequence: make(map[ids.InstanceID]uint64), tasks: make(map[ids.JobID][]found)}
+	v := &survey{tasks: make(map[ids.JobID][]found)}
 	var wait sync.WaitGroup
 	for _, n := range nodes {
 		wait.Go(func() {
@@ -266,7 +266,7 @@
 // audit looks for accepted jobs that this owner doesn't know.
 func (t *term) audit() {
 	for i := 0; ; i++ {
-		sleep(t.ctx, audits[min(i, len(audits)-1)])
+		pause.For(t.ctx, audits[min(i, len(audits)-1)])
 		if t.ctx.Err() != nil || t.owner.without.audit {
 			return
 		}
--- a/internal/process/owner/submit.go
+++ b/internal/process/owner/submit.go
@@ -102,21 +102,13 @@
 
 // resolve finds out whether the record of a job was written although no answer came, and queues the job if so.
 func (t *term) resolve(j *placement.Job, writer string) {
-	pause := retryPause
-	for t.ctx.Err() == nil {
+	t.retry(func() bool {
 		stored, revision, err := t.read(t.ctx, j.ID)
-		if errors.Is(err, ErrNoJob) {
-			return
-		}
-		if err == nil {
-			if stored.Writer == writer {
-				t.accepted(j, revision)
-			}
-			return
+		if err == nil && stored.Writer == writer {
+			t.accepted(j, revision)
 		}
-		sleep(t.ctx, t.owner.jitter(pause))
-		pause = min(2*pause, maxRetryPause)
-	}
+		return err == nil || errors.Is(err, ErrNoJob)
+	})
 }
 
 // Status returns what is known of a job, from memory or from its record.
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/placement"
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -219,7 +220,7 @@
 func (t *term) keepLease() {
 	o := t.owner
 	for {
-		sleep(t.ctx, o.Times.Lease/4)
+		pause.For(t.ctx, o.Times.Lease/4)
 		if t.ctx.Err() != nil {
 			return
 		}
--- a/internal/process/placement/check.go
+++ b/internal/process/placement/check.go
@@ -39,13 +39,7 @@
 		if len(j.Place) != j.Shape.Tasks && !j.partial {
 			return errors.Wrapf(ErrWholeGang, "job %s has %d places for %d tasks", j.ID, len(j.Place), j.Shape.Tasks)
 		}
-		place := make([]*node, 0, len(j.Place))
-		for _, id := range j.Place {
-			if n := s.nodes[id]; n != nil {
-				place = append(place, n)
-			}
-		}
-		if !j.partial && !adjacent(place, j.Shape.Adjacent) {
+		if !j.partial && !adjacent(s.nodesOf(j), j.Shape.Adjacent) {
 			return errors.Wrapf(ErrWholeGang, "job %s is placed on %v, demanded is %s", j.ID, j.Place, j.Shape.Adjacent)
 		}
 		for i, slot := range j.slots {
--- a/internal/process/placement/cost.go
+++ b/internal/process/placement/cost.go
@@ -49,12 +49,7 @@
 	if need.Accelerators == 0 || each == 0 || n.rack == nil {
 		return 0
 	}
-	copies := 0
-	for _, other := range n.rack.nodes {
-		if !other.down {
-			copies += int(other.free().Accelerators / each)
-		}
-	}
+	copies := n.rack.copies(each)
 	free := n.free().Accelerators
 	after := copies - int(free/each) + int((free-need.Accelerators)/each)
 	lost := s.usable(copies) - s.usable(after)
--- a/internal/process/placement/decide.go
+++ b/internal/process/placement/decide.go
@@ -340,7 +340,7 @@
 	if len(j.waitFor) > 0 && !s.Policy.NoWait {
 		return
 	}
-	if place := s.tasksByNode(j); !fits(j, place) && !s.Policy.NoWait {
+	if place := tasksByNode(s.nodesOf(j)); !fits(j, place) && !s.Policy.NoWait {
 		s.reclaim(j, place, now)
 		return
 	}
@@ -369,14 +369,15 @@
 	return true
 }
 
-func (s *State) tasksByNode(j *Job) map[*node]int {
-	count := make(map[*node]int)
+// nodesOf returns the known nodes of a job's tasks.
+func (s *State) nodesOf(j *Job) []*node {
+	place := make([]*node, 0, len(j.Place))
 	for _, id := range j.Place {
 		if n := s.nodes[id]; n != nil {
-			count[n]++
+			place = append(place, n)
 		}
 	}
-	return count
+	return place
 }
 
 func placedCause(j *Job) string {
--- a/internal/process/placement/lateness.go
+++ b/internal/process/placement/lateness.go
@@ -4,24 +4,10 @@
 	"sort"
 	"time"
 
-	"github.com/jujubegrade/jujubegrade/pkg/ids"
+	"github.com/jujubegrade/jujubegrade/pkg/operator"
 )
 
 type (
-	// Late is a job that is forecast to end after its due time.
-	Late struct {
-		Job      ids.JobID
-		Account  ids.AccountID
-		Due      time.Time
-		Forecast time.Time
-		// Quantile is the quantile of the forecast.
-		Quantile float64
-		// Reason says what the job waits for.
-		Reason string
-		// Warned is when the operators were first told.
-		Warned time.Time
-	}
-
 	// waitHistory holds how long started jobs had waited.
 	waitHistory struct {
 		owed, borrowed samples
@@ -89,14 +75,14 @@
 }
 
 // Lateness lists the jobs that are forecast late, by due time.
-func (s *State) Lateness() []Late {
-	var list []Late
+func (s *State) Lateness() []operator.LateJob {
+	var list []operator.LateJob
 	for _, j := range s.jobs {
 		if j.phase == over || j.Due.IsZero() || !j.Forecast.After(j.Due) {
 			continue
 		}
-		list = append(list, Late{
-			Job: j.ID, Account: j.Account, Due: j.Due, Forecast: j.Forecast,
+		list = append(list, operator.LateJob{
+			Job: j.ID, Account: j.Account, DataCentre: s.DataCentre, Due: j.Due, Forecast: j.Forecast,
 			Quantile: s.config.Policy.WarnQuantile, Reason: s.lateReason(j), Warned: j.Warned,
 		})
 	}
--- a/internal/process/placement/node.go
+++ b/internal/process/placement/node.go
@@ -153,6 +153,28 @@
 	return n.Total.Minus(n.used)
 }
 
+// free returns the free accelerators of a rack's live nodes.
+func (r *rack) free() ids.Accelerators {
+	sum := ids.Accelerators(0)
+	for _, n := range r.nodes {
+		if !n.down {
+			sum += n.free().Accelerators
+		}
+	}
+	return sum
+}
+
+// copies returns how many tasks of a size the free accelerators of a rack's live nodes hold.
+func (r *rack) copies(each ids.Accelerators) int {
+	count := 0
+	for _, n := range r.nodes {
+		if !n.down {
+			count += int(n.free().Accelerators / max(1, each))
+		}
+	}
+	return count
+}
+
 // guaranteed returns what is left for guaranteed shapes and for work that can't be stopped.
 func (n *node) guaranteed() ids.Resources {
 	return n.Total.Minus(n.reserved).Minus(n.fixed)
--- a/internal/process/placement/reclaim.go
+++ b/internal/process/placement/reclaim.go
@@ -180,7 +180,7 @@
 			left = left.Plus(other.Each.Times(other.tasksOn(n.ID)))
 		}
 	}
-	return ids.Resources{Accelerators: max(0, -left.Accelerators), Cores: max(0, -left.Cores), Memory: max(0, -left.Memory)}
+	return ids.Resources{}.Minus(left).NotBelowZero()
 }
 
 func (j *Job) tasksOn(id ids.InstanceID) int {
@@ -242,8 +242,7 @@
 
 func relieve(short map[*node]ids.Resources, j *Job) {
 	for n, missing := range short {
-		left := missing.Minus(j.Each.Times(j.tasksOn(n.ID)))
-		left = ids.Resources{Accelerators: max(0, left.Accelerators), Cores: max(0, left.Cores), Memory: max(0, left.Memory)}
+		left := missing.Minus(j.Each.Times(j.tasksOn(n.ID))).NotBelowZero()
 		if left == (ids.Resources{}) {
 			delete(short, n)
 			continue
--- a/internal/process/placement/report.go
+++ b/internal/process/placement/report.go
@@ -20,13 +20,7 @@
 
 // Report tells the operators how the data centre stands.
 func (s *State) Report() operator.Report {
-	r := operator.Report{DataCentre: s.DataCentre, Queued: s.Queued()}
-	for _, l := range s.Lateness() {
-		r.Late = append(r.Late, operator.LateJob{
-			Job: l.Job, Account: l.Account, DataCentre: s.DataCentre, Due: l.Due, Forecast: l.Forecast,
-			Quantile: l.Quantile, Reason: l.Reason, Warned: l.Warned,
-		})
-	}
+	r := operator.Report{DataCentre: s.DataCentre, Queued: s.Queued(), Late: s.Lateness()}
 	for _, e := range s.entries {
 		g := operator.GuaranteeStatus{
 			Guarantee: e.guarantee.Name, Number: e.number, Account: e.guarantee.Account, DataCentre: s.DataCentre,
@@ -42,12 +36,9 @@
 	}
 	stranded := s.Stranded()
 	for _, rack := range s.racks {
-		status := operator.RackStatus{DataCentre: s.DataCentre, Rack: rack.id, Stranded: stranded[rack.id]}
+		status := operator.RackStatus{DataCentre: s.DataCentre, Rack: rack.id, Free: rack.free(), Stranded: stranded[rack.id]}
 		for _, n := range rack.nodes {
 			status.Total += n.Total.Accelerators
-			if !n.down {
-				status.Free += n.free().Accelerators
-			}
 		}
 		r.Racks = append(r.Racks, status)
 	}
@@ -78,15 +69,7 @@
 		return stranded
 	}
 	for _, r := range s.racks {
-		free, copies := ids.Accelerators(0), 0
-		for _, n := range r.nodes {
-			if n.down {
-				continue
-			}
-			free += n.free().Accelerators
-			copies += int(n.free().Accelerators / max(1, s.largest.Each.Accelerators))
-		}
-		stranded[r.id] = free - s.usable(copies)
+		stranded[r.id] = r.free() - s.usable(r.copies(s.largest.Each.Accelerators))
 	}
 	return stranded
 }
@@ -94,10 +77,8 @@
 // FreeAccelerators returns the free accelerators of live nodes.
 func (s *State) FreeAccelerators() ids.Accelerators {
 	free := ids.Accelerators(0)
-	for _, n := range s.nodes {
-		if !n.down {
-			free += n.free().Accelerators
-		}
+	for _, r := range s.racks {
+		free += r.free()
 	}
 	return free
 }
@@ -133,13 +114,7 @@
 		}
 	}
 	for _, r := range s.racks {
-		copies := 0
-		for _, n := range r.nodes {
-			if !n.down {
-				copies += int(n.free().Accelerators / max(1, s.largest.Each.Accelerators))
-			}
-		}
-		if s.largest.Tasks > 0 && copies >= s.largest.Tasks {
+		if s.largest.Tasks > 0 && r.copies(s.largest.Each.Accelerators) >= s.largest.Tasks {
 			return true
 		}
 	}
--- a/pkg/ids/resources.go
+++ b/pkg/ids/resources.go
@@ -17,6 +17,11 @@
 	return Resources{r.Accelerators - o.Accelerators, r.Cores - o.Cores, r.Memory - o.Memory}
 }
 
+// NotBelowZero returns r with its negative parts as zero.
+func (r Resources) NotBelowZero() Resources {
+	return Resources{max(0, r.Accelerators), max(0, r.Cores), max(0, r.Memory)}
+}
+
 // Fits reports whether r holds at least o in every part.
 func (r Resources) Fits(o Resources) bool {
 	return r.Accelerators >= o.Accelerators && r.Cores >= o.Cores && r.Memory >= o.Memory
