Take a gang as whole only if each task was found once

Cause: a new owner counted the tasks that run. A task found twice, which attempts numbered alike under two owners make possible, stood for a missing one, and a stray task beside a whole gang left the gang without a place. Such gangs are stopped whole, and started anew if they are idempotent, told as unknown if not.

--- a/internal/process/owner/recover.go
+++ b/internal/process/owner/recover.go
@@ -163,7 +163,7 @@
 	if recorded && r.Attempt >= attempt {
 		a.Guarantee, a.Number, a.Shape = r.Guarantee, r.Number, r.Shape
 	} else {
-		a.Place = placeOf(tasks, r.Job.Shape.Tasks)
+		a.Place = placeOf(tasks)
 		a.Each = r.Job.Shape.Each
 	}
 	if a.Each == (ids.Resources{}) {
@@ -220,15 +220,8 @@
 	return newest, chosen
 }
 
-// placeOf returns the worker of each task, or nil unless all tasks were found.
-func placeOf(tasks []found, count int) []ids.InstanceID {
-	if len(tasks) != count {
-		return nil
-	}
-	return partialPlace(tasks)
-}
-
-func partialPlace(tasks []found) []ids.InstanceID {
+// placeOf returns the worker of each task, in the order of the tasks.
+func placeOf(tasks []found) []ids.InstanceID {
 	place := make([]ids.InstanceID, 0, len(tasks))
 	for _, f := range tasks {
 		place = append(place, f.on)
@@ -241,16 +234,16 @@
 	if attempt < r.Attempt {
 		return "the recorded start left no trace on the workers that answer"
 	}
-	whole := 0
+	whole := make(map[int]bool)
 	for _, f := range tasks {
 		switch f.State {
 		case worker.Running, worker.Ended:
-			whole++
+			whole[f.Index] = true
 		case worker.Failed:
 			return "a task failed"
 		}
 	}
-	if whole == r.Job.Shape.Tasks {
+	if len(whole) == r.Job.Shape.Tasks && len(tasks) == r.Job.Shape.Tasks {
 		return ""
 	}
 	if len(silent) > 0 {
