--- a/cmd/jujubegrade/command.go
+++ b/cmd/jujubegrade/command.go
@@ -62,7 +62,7 @@
 		FlagSet:   c.flagSet("jujubegrade"),
 		Subcommands: []*ffcli.Command{
 			c.accountCommand(), c.capacityCommand(), c.checkCommand(), c.configCommand(), c.demoCommand(), c.instanceCommand(), c.jobCommand(),
-			c.measureCommand(),
+			c.measureCommand(), c.platformCommand(),
 			c.reportCommand(), c.serveCommand(), c.timelineCommand(), c.versionCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/internal/connection/httpjson/httpjson.go
+++ b/internal/connection/httpjson/httpjson.go
@@ -2,6 +2,7 @@
 package httpjson
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -36,6 +37,12 @@
 
 		client fasthttp.HostClient
 	}
+
+	// Answer is the answer to one exchange.
+	Answer struct {
+		Status int
+		Body   []byte
+	}
 )
 
 const (
@@ -81,6 +88,15 @@
 // Call sends in to a path and reads the answer into out; either may be nil.
 // An answer of status 400 and above is returned as a *Fault.
 func (p *Peer) Call(ctx context.Context, method, path string, in, out any) error {
+	answer, err := p.Exchange(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	return answer.decode(out)
+}
+
+// Exchange sends in to a path, with the header fields given as pairs of name and value, and returns the answer whatever its status.
+func (p *Peer) Exchange(ctx context.Context, method, path string, in any, header ...string) (Answer, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -90,23 +106,29 @@
 	if p.Token != "" {
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+p.Token)
 	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
 	if in != nil {
 		body, err := json.Marshal(in)
 		if err != nil {
-			return errors.Mark(err, ErrNotSent)
+			return Answer{}, errors.Mark(err, ErrNotSent)
 		}
 		req.SetBodyRaw(body)
 		req.Header.SetContentType("application/json")
 	}
 	if err := p.client.DoDeadline(req, resp, p.deadline(ctx)); err != nil {
 		if errors.Is(err, ErrNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) {
-			return errors.Mark(err, ErrNotSent)
+			return Answer{}, errors.Mark(err, ErrNotSent)
 		}
-		return errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrNoAnswer)
+		return Answer{}, errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrNoAnswer)
 	}
-	return decode(resp, out)
+	return Answer{Status: resp.StatusCode(), Body: bytes.Clone(resp.Body())}, nil
 }
 
+// Close closes idle connections.
+func (p *Peer) Close() { p.client.CloseIdleConnections() }
+
 func (p *Peer) deadline(ctx context.Context) time.Time {
 	if deadline, found := ctx.Deadline(); found {
 		return deadline
@@ -117,23 +139,27 @@
 	return time.Now().Add(defaultTimeout)
 }
 
-func decode(resp *fasthttp.Response, out any) error {
-	status := resp.StatusCode()
-	if status >= fasthttp.StatusBadRequest {
-		fault := &Fault{Status: status}
-		if err := json.Unmarshal(resp.Body(), fault); err != nil || fault.Code == "" {
+// Decode reads the answer's body into out, whatever its status.
+func (a Answer) Decode(out any) error {
+	if err := json.Unmarshal(a.Body, out); err != nil {
+		return errors.Mark(errors.Wrap(err, "malformed answer"), ErrNoAnswer)
+	}
+	return nil
+}
+
+func (a Answer) decode(out any) error {
+	if a.Status >= fasthttp.StatusBadRequest {
+		fault := &Fault{Status: a.Status}
+		if err := json.Unmarshal(a.Body, fault); err != nil || fault.Code == "" {
 			fault.Code = "Unexpected"
-			fault.Message = "unexpected answer with status " + strconv.Itoa(status)
+			fault.Message = "unexpected answer with status " + strconv.Itoa(a.Status)
 		}
 		return fault
 	}
-	if out == nil || len(resp.Body()) == 0 {
+	if out == nil || len(a.Body) == 0 {
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
-		return errors.Mark(errors.Wrap(err, "malformed answer"), ErrNoAnswer)
-	}
-	return nil
+	return a.Decode(out)
 }
 
 // Reply writes a value as the answer.
--- /dev/null
+++ b/internal/process/pool/admit.go
@@ -0,0 +1,146 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// Refusal says why a job is not accepted, and when it may come again.
+type Refusal struct {
+	Reason string
+	// After is when there will be room; zero says that there never will.
+	After time.Duration
+}
+
+const (
+	// leastRetryAfter is the shortest time after which a refused job may come again.
+	leastRetryAfter = time.Second
+	// waitShare is the part of the time between a job's own run time and its objective that it may spend waiting.
+	waitShare = 0.5
+)
+
+// Admit decides whether a job that is not known is accepted. A job that would end after its objective is refused at once.
+func (s *State) Admit(j *Job, now time.Time) *Refusal {
+	s.init()
+	if s.recovering {
+		return &Refusal{Reason: "the workers have not reported yet", After: leastRetryAfter}
+	}
+	if len(s.racks) == 0 {
+		return &Refusal{Reason: "no workers are known", After: leastRetryAfter}
+	}
+	if j.units == nil {
+		j.makeUnits()
+	}
+	for _, u := range j.units {
+		if !s.everFits(u) {
+			return &Refusal{Reason: "no set of workers could hold a step"}
+		}
+	}
+	s.judgeOwed()
+	j.owed = j.Priority == 0 && s.covered(j)
+	if j.owed {
+		return nil
+	}
+	slack := time.Duration(waitShare * float64(j.objective()-s.chainTime(j)))
+	if wait := s.expectedWait(j, now); wait > slack {
+		return &Refusal{
+			Reason: "it would wait " + wait.Round(time.Millisecond).String() + ", and may wait " + slack.Round(time.Millisecond).String(),
+			After:  max(leastRetryAfter, wait-slack),
+		}
+	}
+	return nil
+}
+
+// covered reports whether the account's guarantee covers the job beside the account's other jobs of priority 0.
+func (s *State) covered(j *Job) bool {
+	sum := j.accelerators()
+	for _, other := range s.live {
+		if other.Priority != 0 {
+			break
+		}
+		if other.Account == j.Account {
+			sum += other.accelerators()
+		}
+	}
+	return sum <= s.accounts[j.Account].Guaranteed
+}
+
+func (s *State) chainTime(j *Job) time.Duration {
+	chain := j.chain()
+	if len(j.units) == 0 {
+		return chain
+	}
+	if declared := j.units[0].spec().Estimate; declared > 0 {
+		return time.Duration(float64(chain) * float64(s.runTime(j.units[0])) / float64(declared))
+	}
+	return chain
+}
+
+// everFits reports whether the unit fits into the pool if nothing else runs.
+func (s *State) everFits(u *unit) bool {
+	count := 0
+	for _, n := range s.nodes {
+		if n.Service != u.job.Service || !n.has(u.spec().Label) {
+			continue
+		}
+		copies := n.Total.Copies(u.spec().Each, u.count)
+		if limit := u.spec().MaxPerWorker; limit > 0 {
+			copies = min(copies, limit)
+		}
+		if count += copies; count >= u.count {
+			return true
+		}
+	}
+	return false
+}
+
+// expectedWait returns how long a job's first units are expected to wait: for what stands before them, and for room.
+func (s *State) expectedWait(j *Job, now time.Time) time.Duration {
+	wait := s.backlog(j, now)
+	u := j.units[0]
+	if place := s.findPlace(u, now, func(n *node) ids.Resources { return n.free() }); place != nil {
+		return wait
+	}
+	if j.Priority == 0 {
+		if place, _ := s.reclaimPlan(u, now); place != nil {
+			return wait + s.Times.Stop
+		}
+	}
+	at, place := s.soonest(u, now, func(*node) bool { return true })
+	if place == nil {
+		return wait + j.objective()
+	}
+	return max(wait, at.Sub(now))
+}
+
+// backlog returns how long the pool works on the units that wait before a job, by their dominant share of the pool.
+func (s *State) backlog(j *Job, now time.Time) time.Duration {
+	var total ids.Resources
+	for _, n := range s.nodes {
+		if n.open(now) {
+			total = total.Plus(n.Total)
+		}
+	}
+	sum := 0.0
+	for _, other := range s.live {
+		if other.Priority > j.Priority {
+			break
+		}
+		for _, u := range other.units {
+			if u.phase == waiting || u.phase == allocated {
+				sum += share(u.spec().Each.Times(u.count), total) * s.runTime(u).Seconds()
+			}
+		}
+	}
+	return time.Duration(sum * float64(time.Second))
+}
+
+// share returns the dominant share that an amount takes of a total.
+func share(r, total ids.Resources) float64 {
+	return max(
+		float64(r.Accelerators)/float64(max(1, total.Accelerators)),
+		float64(r.Cores)/float64(max(1, total.Cores)),
+		float64(r.Memory)/float64(max(1, total.Memory)),
+	)
+}
--- /dev/null
+++ b/internal/process/pool/node.go
@@ -0,0 +1,214 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+type (
+	// Worker is what the instance list tells of a worker.
+	Worker struct {
+		ID         ids.InstanceID
+		Service    ids.ServiceID
+		DataCentre ids.DataCentreID
+		Rack       ids.RackID
+		Labels     []string
+		Total      ids.Resources
+		// Draining workers take no new runs.
+		Draining bool
+		// Incarnation tells the lives of a worker under one id apart; zero is not known.
+		Incarnation uint64
+	}
+
+	// node is a worker with what runs there.
+	node struct {
+		Worker
+		rack *rack
+		// listed tells that the instance list has the worker.
+		listed bool
+		// known tells that the worker has reported to this owner, so that no run there is unknown.
+		known bool
+		// silentSince is when the worker last began not to answer; zero if it answers.
+		silentSince time.Time
+		// lapses is when the last lease that was ordered has ended on the worker, whatever its clock does.
+		lapses time.Time
+		used   ids.Resources
+		// kept is what allocated units wait for here.
+		kept ids.Resources
+		runs map[*run]bool
+		// strikes counts the failures in a row, of different jobs.
+		strikes     int
+		struckBy    ids.JobID
+		quarantined time.Time
+		quarantine  time.Duration
+		// seen is the number of the last end that was handled, and ends those that wait for the store.
+		seen uint64
+		ends []pendingEnd
+		// acknowledged is the last end whose effect the store keeps.
+		acknowledged uint64
+	}
+
+	// pendingEnd is an end that may be acknowledged once the store keeps a version of its job.
+	pendingEnd struct {
+		number  uint64
+		job     *Job
+		version uint64
+	}
+
+	rack struct {
+		id    ids.RackID
+		nodes []*node
+	}
+)
+
+// free returns what may be given to new units.
+func (n *node) free() ids.Resources {
+	return n.Total.Minus(n.used).Minus(n.kept)
+}
+
+// open reports whether new runs may be placed on the worker.
+func (n *node) open(now time.Time) bool {
+	return n.listed && n.known && !n.Draining && n.silentSince.IsZero() && !now.Before(n.quarantined)
+}
+
+func (n *node) has(label string) bool {
+	return label == "" || slices.Contains(n.Labels, label)
+}
+
+// tasksOf counts the runs of a step of a job on the worker.
+func (n *node) tasksOf(j *Job, step int) int {
+	count := 0
+	for r := range n.runs {
+		if r.unit != nil && r.unit.job == j && r.unit.step == step {
+			count++
+		}
+	}
+	return count
+}
+
+// SetWorkers replaces the instance list. Workers that it no longer has keep their runs until these are known to be gone.
+func (s *State) SetWorkers(list []Worker, now time.Time) {
+	s.init()
+	listed := make(map[ids.InstanceID]bool, len(list))
+	for _, w := range list {
+		listed[w.ID] = true
+		n := s.nodes[w.ID]
+		if n == nil {
+			n = &node{runs: make(map[*run]bool)}
+			s.nodes[w.ID] = n
+		}
+		if w.Incarnation != 0 && n.Incarnation != 0 && w.Incarnation > n.Incarnation {
+			s.reborn(n, w.Incarnation, now)
+		}
+		w.Incarnation = max(w.Incarnation, n.Incarnation)
+		n.Worker = w
+		n.listed = true
+	}
+	for id, n := range s.nodes {
+		if !listed[id] {
+			n.listed = false
+		}
+	}
+	s.rebuildRacks()
+}
+
+func (s *State) rebuildRacks() {
+	byID := make(map[ids.RackID]*rack)
+	s.racks = nil
+	for _, n := range s.sortedNodes() {
+		r := byID[n.Rack]
+		if r == nil {
+			r = &rack{id: n.Rack}
+			byID[n.Rack] = r
+			s.racks = append(s.racks, r)
+		}
+		n.rack = r
+		r.nodes = append(r.nodes, n)
+	}
+	slices.SortFunc(s.racks, func(a, b *rack) int { return cmp.Compare(a.id, b.id) })
+}
+
+func (s *State) sortedNodes() []*node {
+	all := make([]*node, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		all = append(all, n)
+	}
+	slices.SortFunc(all, func(a, b *node) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// reborn takes note of a new life of a worker: nothing of the old one runs any more.
+func (s *State) reborn(n *node, incarnation uint64, now time.Time) {
+	n.Incarnation = incarnation
+	n.seen, n.acknowledged, n.ends = 0, 0, nil
+	for r := range n.runs {
+		if r.phase != runStarting {
+			s.runLost(r, "the worker was restarted", now)
+		}
+	}
+}
+
+// Dead takes note that nothing runs on a worker any more.
+func (s *State) Dead(id ids.InstanceID, cause string, now time.Time) {
+	if n := s.nodes[id]; n != nil {
+		n.known = false
+		for r := range n.runs {
+			s.runLost(r, cause, now)
+		}
+	}
+}
+
+// Silent takes note that a worker doesn't answer. Its units are given up after a while; their runs there are taken as
+// gone only once the worker's lease must have ended.
+func (s *State) Silent(id ids.InstanceID, now time.Time) {
+	if n := s.nodes[id]; n != nil && n.silentSince.IsZero() {
+		n.silentSince = now
+	}
+}
+
+// Ordered takes note that a lease may last on a worker until a time.
+func (s *State) Ordered(id ids.InstanceID, until time.Time) {
+	if n := s.nodes[id]; n != nil && until.After(n.lapses) {
+		n.lapses = until
+	}
+}
+
+// Acknowledged returns the last end of a worker whose effect the store keeps.
+func (s *State) Acknowledged(id ids.InstanceID) uint64 {
+	n := s.nodes[id]
+	if n == nil {
+		return 0
+	}
+	for len(n.ends) > 0 && (n.ends[0].job == nil || n.ends[0].job.storedVersion >= n.ends[0].version) {
+		n.acknowledged = n.ends[0].number
+		n.ends = n.ends[1:]
+	}
+	return n.acknowledged
+}
+
+// Busy reports whether something runs on a worker, or whether that is not known, so that it needs renewals.
+func (s *State) Busy(id ids.InstanceID) bool {
+	n := s.nodes[id]
+	return n != nil && (len(n.runs) > 0 || !n.known)
+}
+
+// Known reports whether a worker has reported to this owner.
+func (s *State) Known(id ids.InstanceID) bool {
+	n := s.nodes[id]
+	return n != nil && n.known
+}
+
+// Seen returns the number of the last end of a worker that was handled.
+func (s *State) Seen(id ids.InstanceID) uint64 {
+	if n := s.nodes[id]; n != nil {
+		return n.seen
+	}
+	return 0
+}
+
+// Has reports whether a run takes room on a worker.
+func (s *State) Has(id ids.InstanceID, ref worker.Run) bool { return s.find(id, ref) != nil }
--- /dev/null
+++ b/internal/process/pool/reclaim.go
@@ -0,0 +1,156 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// victim is a unit that may be stopped, with the work that would be lost.
+type victim struct {
+	unit *unit
+	lost float64
+}
+
+// reclaim stops units of lower standing to make room for a unit, those first that lose the least work, and keeps their
+// workers for it. It returns false if that would not suffice, and then stops nothing.
+func (s *State) reclaim(u *unit, now time.Time) bool {
+	place, victims := s.reclaimPlan(u, now)
+	if place == nil {
+		return false
+	}
+	for _, v := range victims {
+		s.abort(v.unit, "stopped for urgent job "+string(u.job.ID), now)
+	}
+	s.keep(u, place, now)
+	return true
+}
+
+// reclaimPlan returns the place that a unit can have and what has to be stopped for it.
+func (s *State) reclaimPlan(u *unit, now time.Time) ([]*node, []victim) {
+	if u.count == 1 || !u.spec().SameRack || !s.fitsOneRack(u, now) {
+		return s.reclaimFrom(u, s.allNodes(), now)
+	}
+	var best []*node
+	var bestVictims []victim
+	bestLost := 0.0
+	for _, r := range s.racks {
+		place, victims := s.reclaimFrom(u, r.nodes, now)
+		if place == nil {
+			continue
+		}
+		lost := 0.0
+		for _, v := range victims {
+			lost += v.lost
+		}
+		if best == nil || lost < bestLost {
+			best, bestVictims, bestLost = place, victims, lost
+		}
+	}
+	return best, bestVictims
+}
+
+// reclaimFrom looks for room on some workers: it takes victims, the cheapest first, until the unit fits, and then leaves
+// out those that it does without.
+func (s *State) reclaimFrom(u *unit, nodes []*node, now time.Time) ([]*node, []victim) {
+	freed := make(map[*node]ids.Resources)
+	// What is being stopped already will be free soon.
+	for _, n := range nodes {
+		for r := range n.runs {
+			if r.phase == runStopping || (r.unit != nil && r.unit.phase == done) {
+				freed[n] = freed[n].Plus(r.each)
+			}
+		}
+	}
+	room := func(n *node) ids.Resources { return n.free().Plus(freed[n]) }
+	fits := func() []*node { return s.fill(u, s.seats(u, nodes, now, room)) }
+	if place := fits(); place != nil {
+		return place, nil
+	}
+	var taken []victim
+	var place []*node
+	for _, v := range s.victims(u, nodes, now) {
+		free(freed, v.unit, 1)
+		taken = append(taken, v)
+		if place = fits(); place != nil {
+			break
+		}
+	}
+	if place == nil {
+		return nil, nil
+	}
+	var needed []victim
+	for _, v := range slices.Backward(taken) {
+		free(freed, v.unit, -1)
+		if smaller := fits(); smaller != nil {
+			place = smaller
+			continue
+		}
+		free(freed, v.unit, 1)
+		needed = append(needed, v)
+	}
+	return place, needed
+}
+
+// free counts the room of a unit's runs as free, or takes that back with sign -1.
+func free(freed map[*node]ids.Resources, u *unit, sign int) {
+	for _, r := range u.runs {
+		if r.phase != runGone {
+			freed[r.node] = freed[r.node].Plus(r.each.Times(sign))
+		}
+	}
+}
+
+// victims returns the units on some workers that may be stopped for a unit, those first that lose the least for the room
+// that they hold.
+func (s *State) victims(u *unit, nodes []*node, now time.Time) []victim {
+	found := make(map[*unit]bool)
+	for _, n := range nodes {
+		for r := range n.runs {
+			if r.unit != nil && s.yields(r.unit, u) {
+				found[r.unit] = true
+			}
+		}
+	}
+	list := make([]victim, 0, len(found))
+	for other := range found {
+		list = append(list, victim{unit: other, lost: s.workLost(other, now)})
+	}
+	slices.SortFunc(list, func(a, b victim) int {
+		return cmp.Or(
+			cmp.Compare(a.lost/s.size(a.unit), b.lost/s.size(b.unit)),
+			cmp.Compare(a.unit.job.ID, b.unit.job.ID), cmp.Compare(a.unit.step, b.unit.step), cmp.Compare(a.unit.first, b.unit.first),
+		)
+	})
+	return list
+}
+
+// yields reports whether a unit may be stopped for another one.
+func (s *State) yields(other, to *unit) bool {
+	if other.phase != starting && other.phase != running {
+		return false
+	}
+	if other.job.Priority == 0 {
+		return to.job.owed && !other.job.owed
+	}
+	return to.job.Priority == 0
+}
+
+// workLost returns the core-seconds that stopping a unit would lose. Checkpointed work goes on elsewhere.
+func (s *State) workLost(u *unit, now time.Time) float64 {
+	lost := now.Sub(u.startedAt)
+	if u.spec().Checkpoints {
+		lost = s.Times.Restore + s.Times.Stop
+	}
+	return max(lost, s.Times.Restore).Seconds() * s.size(u)
+}
+
+const coresPerAccelerator = 8
+
+// size returns the cores of a unit; an accelerator counts as several.
+func (s *State) size(u *unit) float64 {
+	each := u.spec().Each
+	return float64(u.count) * (float64(each.Cores)/1000 + coresPerAccelerator*float64(each.Accelerators) + 0.01)
+}
--- /dev/null
+++ b/internal/process/pool/report.go
@@ -0,0 +1,273 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// Reported takes a worker's report in. sent is when it was asked for: what was confirmed before and is not in the
+// report no longer runs.
+func (s *State) Reported(id ids.InstanceID, report worker.RunReport, sent, now time.Time) {
+	n := s.nodes[id]
+	if n == nil {
+		return
+	}
+	n.silentSince = time.Time{}
+	if report.Incarnation != 0 && report.Incarnation != n.Incarnation {
+		if n.Incarnation != 0 {
+			s.notice(Notice{Kind: "WorkerRestarted", Worker: id, Cause: "its report names another life"})
+			s.reborn(n, report.Incarnation, now)
+		}
+		n.Incarnation = report.Incarnation
+	}
+	for _, e := range report.Ended {
+		if e.Number > n.seen {
+			n.seen = e.Number
+			s.ended(n, e, now)
+		}
+	}
+	listed := make(map[worker.Run]bool, len(report.Active))
+	for _, a := range report.Active {
+		listed[a.Run] = true
+		s.atWork(n, a, now)
+	}
+	for r := range n.runs {
+		if listed[r.Run] || r.confirmed.IsZero() || !r.confirmed.Before(sent) {
+			continue
+		}
+		switch {
+		case r.phase == runStopping, r.unit == nil, r.unit.phase == done:
+			s.gone(r)
+			if r.unit != nil {
+				s.settle(r.unit, now)
+			}
+		default:
+			s.runLost(r, "the worker no longer lists the run", now)
+		}
+	}
+	n.known = true
+	delete(s.unknown, id)
+}
+
+// ended handles one end. The worker may forget it once the store keeps what follows from it.
+func (s *State) ended(n *node, e worker.End, now time.Time) {
+	j := s.jobs[e.Job]
+	u := j.unitOf(e.Task)
+	r := n.find(e.Run)
+	if r != nil {
+		s.gone(r)
+	}
+	if u != nil && (u.number == e.Run.Number || (u.number == 0 && j.restored)) {
+		s.unitEnded(u, n, e, now)
+	}
+	if r != nil && r.unit != nil {
+		s.settle(r.unit, now)
+	}
+	p := pendingEnd{number: e.Number}
+	if j != nil && j.version > j.storedVersion {
+		p.job, p.version = j, j.version
+	}
+	n.ends = append(n.ends, p)
+}
+
+func (s *State) unitEnded(u *unit, n *node, e worker.End, now time.Time) {
+	if u.phase == done || u.job.over() {
+		return
+	}
+	if e.Checkpoint != "" && e.Checkpoint != u.checkpoint {
+		u.checkpoint = e.Checkpoint
+		s.touch(u.job)
+	}
+	u.job.begun = true
+	switch e.How {
+	case worker.EndDone:
+		s.unitDone(u, n, now)
+	case worker.EndFailed:
+		s.strike(n, u.job.ID, now)
+		if !slices.Contains(u.failed, e.Run.Number) {
+			u.failed = append(u.failed, e.Run.Number)
+			s.touch(u.job)
+		}
+		u.avoidNode(n.ID)
+		s.interrupted(u, "a task failed on "+string(n.ID), now)
+	case worker.EndStopped, worker.EndLapsed, worker.EndBroken, worker.EndAlone:
+		if u.phase != stopping {
+			s.interrupted(u, "a run ended as "+string(e.How)+" on "+string(n.ID), now)
+		}
+	}
+}
+
+func (u *unit) avoidNode(id ids.InstanceID) {
+	if u.avoid == nil {
+		u.avoid = make(map[ids.InstanceID]bool)
+	}
+	u.avoid[id] = true
+}
+
+// interrupted stops what is left of a unit, or ends the job of a waiting one that has failed too often.
+func (s *State) interrupted(u *unit, cause string, now time.Time) {
+	if u.phase == starting || u.phase == running {
+		s.abort(u, cause, now)
+		return
+	}
+	if u.phase == waiting && len(u.failed) >= u.job.MaxAttempts && !u.job.over() {
+		s.end(u.job, Failed, "a task failed as often as its queue allows", now)
+	}
+}
+
+func (s *State) unitDone(u *unit, n *node, now time.Time) {
+	if u.phase == running || u.phase == starting {
+		s.learn(u, now)
+		for _, r := range u.runs {
+			r.node.cleared()
+		}
+	}
+	n.cleared()
+	if u.phase == allocated {
+		s.unkeep(u)
+	}
+	u.phase = done
+	s.touch(u.job)
+	for _, other := range u.job.units {
+		if other.phase != done {
+			return
+		}
+	}
+	s.end(u.job, Completed, "all tasks are done", now)
+}
+
+// unitOf returns the unit of a task, or nil.
+func (j *Job) unitOf(t worker.Task) *unit {
+	if j == nil {
+		return nil
+	}
+	for _, u := range j.units {
+		if u.step == t.Step && t.Index >= u.first && t.Index < u.first+u.count {
+			return u
+		}
+	}
+	return nil
+}
+
+// atWork takes note of a run that a worker lists. A run of an earlier owner is taken over; one that should not be is stopped.
+func (s *State) atWork(n *node, a worker.Active, now time.Time) {
+	r := n.find(a.Run)
+	if r == nil {
+		s.unexpected(n, a, now)
+		return
+	}
+	if r.phase == runStarting {
+		s.active(r, now)
+	}
+	r.percent = a.Percent
+	if u := r.unit; u != nil && u.number == r.Number {
+		if a.Checkpoint != "" {
+			u.checkpoint = a.Checkpoint
+		}
+		s.moved(u, now)
+	}
+}
+
+// moved takes note of the progress of a unit's slowest member.
+func (s *State) moved(u *unit, now time.Time) {
+	least := 100
+	for _, r := range u.runs {
+		least = min(least, r.percent)
+	}
+	if least != u.percent {
+		u.percent = least
+		u.movedAt = now
+	}
+}
+
+// unexpected handles a run that this owner did not order.
+func (s *State) unexpected(n *node, a worker.Active, now time.Time) {
+	j := s.jobs[a.Job]
+	u := j.unitOf(a.Task)
+	r := &run{Run: a.Run, node: n, phase: runActive, confirmed: now, percent: a.Percent}
+	if u != nil {
+		r.each = u.spec().Each
+	}
+	n.runs[r] = true
+	n.used = n.used.Plus(r.each)
+	if u != nil && j.restored && !j.over() && s.adopt(u, r, now) {
+		if a.Checkpoint != "" {
+			u.checkpoint = a.Checkpoint
+		}
+		return
+	}
+	s.notice(Notice{Kind: "UnknownRunStopped", Job: a.Job, Step: a.Step, Number: a.Number, Worker: n.ID, Cause: "this owner did not order it"})
+	s.stop(r, now)
+}
+
+// adopt takes a run of an earlier owner over.
+func (s *State) adopt(u *unit, r *run, now time.Time) bool {
+	switch {
+	case u.phase == waiting && u.number == 0:
+		u.number = r.Number
+		u.phase = starting
+		u.startedAt, u.movedAt = now, now
+		u.runs = u.runs[:0]
+	case u.phase != starting || u.number != r.Number:
+		return false
+	}
+	for _, other := range u.runs {
+		if other.Task == r.Task {
+			return false
+		}
+	}
+	u.job.begun = true
+	u.runs = append(u.runs, r)
+	r.unit = u
+	if len(u.runs) < u.count {
+		return true
+	}
+	u.phase = running
+	s.notice(Notice{Kind: "TakenOver", Job: u.job.ID, Step: u.step, Tasks: u.count, Number: u.number, Worker: r.node.ID, Cause: "found at work on its workers"})
+	return true
+}
+
+// Recover begins with the jobs of earlier owners. Nothing is started until EndRecovery.
+func (s *State) Recover(jobs []*Job) {
+	s.init()
+	s.recovering = true
+	for _, j := range jobs {
+		j.restored = true
+		j.stored = true
+		s.add(j)
+	}
+}
+
+// EndRecovery ends the time in which workers report what they run. Workers that have not reported, and those that an
+// earlier owner used and that are not listed, may run tasks until the time given; what may run there is not started before.
+func (s *State) EndRecovery(missing []ids.InstanceID, until, now time.Time) {
+	s.init()
+	s.recovering = false
+	for id, n := range s.nodes {
+		if n.listed && !n.known {
+			s.unknown[id] = until
+		}
+	}
+	for _, id := range missing {
+		if n := s.nodes[id]; n == nil || !n.known {
+			s.unknown[id] = until
+		}
+	}
+	for _, j := range slices.Clone(s.live) {
+		for _, u := range j.units {
+			if u.phase == starting && len(u.runs) < u.count {
+				s.abort(u, "only a part of the gang was found at work", now)
+			}
+		}
+	}
+}
+
+// Silent workers that are taken as gone free what they ran; see expire.
+
+// blocked reports whether a unit of an earlier owner may still run on a worker that can't be asked.
+func (s *State) blocked(u *unit) bool {
+	return u.job.restored && len(s.unknown) > 0
+}
--- /dev/null
+++ b/internal/process/poolowner/gate.go
@@ -0,0 +1,129 @@
+package poolowner
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
+)
+
+type (
+	// Gate takes callers' calls on any instance and brings them to the owner.
+	Gate struct {
+		Owner *Owner
+		Log   *zap.Logger
+
+		mu   sync.Mutex
+		link *ownerLink
+	}
+
+	// ownerLink is the connection to one owner.
+	ownerLink struct {
+		current *Current
+		client  *peer.Client
+	}
+)
+
+// MethodPool is the method by which instances hand calls to the owner.
+const MethodPool = "Pool"
+
+const (
+	// peerCall bounds one try at the owner: two writes to a slow store.
+	peerCall = time.Second
+	// ownerWait is how long a call waits for a new owner before it is refused as not run.
+	ownerWait = 300 * time.Millisecond
+	// ownerPause is the pause before the owner is looked up again.
+	ownerPause   = 20 * time.Millisecond
+	codeNotOwner = "NotOwner"
+	codeUnknown  = "OutcomeUnknown"
+)
+
+// Ask answers a call, here or at the owner. ErrUnknown tells that the outcome is not known. Calls may be brought to the
+// owner more than once: a job is known by its id.
+func (g *Gate) Ask(ctx context.Context, c Call) (Answer, error) {
+	maybe := false
+	ownerless := time.Now()
+	for ctx.Err() == nil {
+		answer, tried, err := g.try(ctx, c)
+		switch {
+		case err == nil:
+			return answer, nil
+		case tried:
+			maybe = maybe || !errors.Is(err, ErrNotOwner)
+		}
+		if !maybe && time.Since(ownerless) > ownerWait {
+			g.Log.Info("call: no owner", zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path))
+			return Answer{Result: NotNow, Reason: "no instance owns the pool at the moment", RetryAfter: notNowAfter}, nil
+		}
+		pause.For(ctx, ownerPause)
+	}
+	if !maybe {
+		return Answer{Result: NotNow, Reason: "no instance owned the pool in time", RetryAfter: notNowAfter}, nil
+	}
+	g.Log.Info("call: outcome unknown", zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path))
+	return Answer{}, ErrUnknown
+}
+
+// try brings a call to the owner that is known now; tried tells whether there was one.
+func (g *Gate) try(ctx context.Context, c Call) (answer Answer, tried bool, err error) {
+	if g.Owner.Owns() {
+		answer, err = g.Owner.Handle(ctx, c)
+		return answer, true, err
+	}
+	current := g.Owner.Current()
+	if current == nil || current.Address == "" || current.Instance == g.Owner.Instance {
+		return Answer{}, false, ErrNotOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerCall)
+	defer cancel()
+	err = g.client(current).Call(ctx, MethodPool, c, &answer)
+	var fault *httpjson.Fault
+	switch {
+	case err == nil:
+		return answer, true, nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		g.Owner.Overtake(current)
+		return answer, true, ErrNotOwner
+	case errors.Is(err, peer.ErrUnreachable):
+		return answer, true, ErrNotOwner
+	case errors.As(err, &fault) && fault.Code == codeNotOwner:
+		return answer, true, ErrNotOwner
+	}
+	return answer, true, ErrUnknown
+}
+
+// client returns the connection to an owner.
+func (g *Gate) client(current *Current) *peer.Client {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.link == nil || g.link.current.Address != current.Address {
+		if g.link != nil {
+			g.link.client.Close()
+		}
+		g.link = &ownerLink{current: current, client: &peer.Client{Address: current.Address}}
+	}
+	return g.link.client
+}
+
+// Offer adds the owner's method to a peer server.
+func (g *Gate) Offer(s *peer.Server) {
+	peer.Offer(s, MethodPool, func(ctx context.Context, c Call) (Answer, error) {
+		ctx, cancel := context.WithTimeout(ctx, peerCall)
+		defer cancel()
+		answer, err := g.Owner.Handle(ctx, c)
+		switch {
+		case errors.Is(err, ErrNotOwner):
+			return answer, &httpjson.Fault{Status: 409, Code: codeNotOwner, Message: err.Error()}
+		case err != nil:
+			return answer, &httpjson.Fault{Status: 504, Code: codeUnknown, Message: err.Error()}
+		}
+		return answer, nil
+	})
+}
--- a/pkg/ids/ids.go
+++ b/pkg/ids/ids.go
@@ -29,6 +29,10 @@
 	// Attempt counts the starts of one job.
 	Attempt uint32
 
+	// RunNumber counts the runs of one task, over all owners.
+	RunNumber uint64
+	// QueueID names a queue of jobs.
+	QueueID string
 	// Accelerators counts whole accelerators.
 	Accelerators int
 	// MilliCores counts thousandths of a processor core.
