--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -72,7 +73,7 @@
 	// NoJob calls name a job that doesn't exist.
 	NoJob   Result = "NoJob"
 	Invalid Result = "Invalid"
-	// NotNow calls can't be answered at this moment; nothing was done.
+	// NotNow calls can't be answered at this moment; nothing was done, and nothing is known of the job.
 	NotNow Result = "NotNow"
 )
 
@@ -94,9 +95,13 @@
 	o.metrics.Calls.Add(1)
 	var answer Answer
 	var w *waiter
-	if err := t.do(ctx, func() { answer, w = t.handle(c) }); err != nil {
+	var failed error
+	if err := t.do(ctx, func() { answer, w, failed = t.handle(c) }); err != nil {
 		return Answer{}, err
 	}
+	if failed != nil {
+		return Answer{}, failed
+	}
 	if w == nil {
 		return answer, nil
 	}
@@ -111,36 +116,49 @@
 }
 
 // handle answers a call, or returns a waiter for its answer.
-func (t *term) handle(c Call) (Answer, *waiter) {
+func (t *term) handle(c Call) (Answer, *waiter, error) {
 	now := time.Now()
 	if age := now.Sub(t.configSeen); age > t.owner.Times.Revoke || t.catalog == nil {
-		return t.refuse(c, NotNow, "the configuration was not confirmed for "+age.Round(time.Millisecond).String(), notNowAfter), nil
+		if c.Kind == Submit && t.knows(c.Path) {
+			// A refusal would say that the job never runs.
+			return Answer{}, nil, ErrUnknown
+		}
+		return t.refuse(c, NotNow, "the configuration was not confirmed for "+age.Round(time.Millisecond).String(), notNowAfter), nil, nil
 	}
 	q, rest := t.catalog.Resolve(c.Host, c.Path)
 	if q == nil {
-		return t.refuse(c, NoQueue, "no queue is configured there", 0), nil
+		return t.refuse(c, NoQueue, "no queue is configured there", 0), nil, nil
 	}
 	account, known := t.catalog.Keys[c.Key]
 	if !known && !q.Public {
-		return t.refuse(c, NoKey, "the key is not configured", 0), nil
+		return t.refuse(c, NoKey, "the key is not configured", 0), nil, nil
 	}
 	if c.Kind == Read && rest == "" {
-		return Answer{Result: OK, Pending: t.state.Pending(q.ID)}, nil
+		return Answer{Result: OK, Pending: t.state.Pending(q.ID)}, nil, nil
 	}
 	j := t.state.Job(ids.JobID(rest))
 	if j != nil && (j.Account != account || j.Queue != q.ID) {
 		j = nil
 	}
+	var answer Answer
+	var w *waiter
 	switch c.Kind {
 	case Submit:
-		return t.submit(c, q, account, ids.JobID(rest), j, now)
+		answer, w = t.submit(c, q, account, ids.JobID(rest), j, now)
 	case Cancel:
-		return t.cancelJob(c, j, now)
-	}
-	if j == nil {
-		return Answer{Result: NoJob}, nil
+		answer, w = t.cancelJob(c, j, now)
+	default:
+		answer = Answer{Result: NoJob}
+		if j != nil {
+			answer = Answer{Result: OK, State: t.shown(j), Begun: j.Begun()}
+		}
 	}
-	return Answer{Result: OK, State: t.shown(j), Begun: j.Begun()}, nil
+	return answer, w, nil
+}
+
+// knows reports whether a path ends with the id of a job that is kept, or may be.
+func (t *term) knows(path string) bool {
+	return t.state.Job(ids.JobID(path[strings.LastIndexByte(path, '/')+1:])) != nil
 }
 
 // shown returns the state of a job that callers may rely on: an end only once the store keeps it.
--- a/internal/process/poolowner/gate.go
+++ b/internal/process/poolowner/gate.go
@@ -53,9 +53,9 @@
 	for ctx.Err() == nil {
 		answer, tried, err := g.try(ctx, c)
 		switch {
-		case err == nil:
+		case err == nil && (!maybe || answer.Result != NotNow):
 			return answer, nil
-		case tried:
+		case err != nil && tried:
 			maybe = maybe || !errors.Is(err, ErrNotOwner)
 		}
 		if !maybe && time.Since(ownerless) > ownerWait {
