--- a/cmd/jujubegrade/command_platform.go
+++ b/cmd/jujubegrade/command_platform.go
@@ -30,7 +30,7 @@
 				return err
 			}
 			defer func() { _ = logger.Sync() }() // standard output can't be synced on every system
-			return errors.Wrap(platform.New(s, logger.With(zap.String("instance", s.Node))).Run(ctx), "platform")
+			return errors.Wrap(platform.New(s, *file, logger.With(zap.String("instance", s.Node))).Run(ctx), "platform")
 		},
 	}
 }
--- a/internal/process/poolowner/gate.go
+++ b/internal/process/poolowner/gate.go
@@ -53,6 +53,10 @@
 	for ctx.Err() == nil {
 		answer, tried, err := g.try(ctx, c)
 		switch {
+		case err == nil && maybe && c.Kind == Submit && (answer.Result == NoKey || answer.Result == NoQueue):
+			// An earlier try may have handed the job in while its key or queue was still there.
+			g.unknown(c)
+			return Answer{}, ErrUnknown
 		case err == nil && (!maybe || answer.Result != NotNow):
 			return answer, nil
 		case err != nil && tried:
@@ -67,10 +71,14 @@
 	if !maybe {
 		return Answer{Result: NotNow, Reason: "no instance owned the pool in time", RetryAfter: notNowAfter}, nil
 	}
-	g.Log.Info("call: outcome unknown", zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path))
+	g.unknown(c)
 	return Answer{}, ErrUnknown
 }
 
+func (g *Gate) unknown(c Call) {
+	g.Log.Info("call: outcome unknown", zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path))
+}
+
 // try brings a call to the owner that is known now; tried tells whether there was one.
 func (g *Gate) try(ctx context.Context, c Call) (answer Answer, tried bool, err error) {
 	if g.Owner.Owns() {
