--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -10,6 +11,8 @@
 	// keepLimit is how long a unit waits for the workers that are being cleared for it before it looks for others:
 	// a few times the longest stop, since a stop may have to be sent again.
 	keepLimit = 1500 * time.Millisecond
+	// lookInterval is the longest time between looks for room: estimates change with time alone.
+	lookInterval = 250 * time.Millisecond
 )
 
 // Decide starts and stops what is to be started and stopped, and returns the orders and notices since the last call.
@@ -19,7 +22,12 @@
 	if !s.recovering {
 		s.judgeOwed()
 		s.startKept(now)
-		s.placeWaiting(now)
+		if s.tried != s.growth || now.Sub(s.triedAt) > lookInterval || (!s.retryAt.IsZero() && !now.Before(s.retryAt)) {
+			s.retryAt, s.triedAt = time.Time{}, now
+			s.placeWaiting(now)
+			// What the starts themselves have changed leaves less room than before.
+			s.tried = s.growth
+		}
 	}
 	actions, notices := s.actions, s.notices
 	s.actions, s.notices = nil, nil
@@ -31,10 +39,15 @@
 	for id, until := range s.unknown {
 		if !now.Before(until) {
 			delete(s.unknown, id)
+			s.grow()
 			s.notice(Notice{Kind: "WorkerGone", Worker: id, Cause: "it never reported, and leases of an earlier owner have ended"})
 		}
 	}
 	for id, n := range s.nodes {
+		if !n.quarantined.IsZero() && !now.Before(n.quarantined) {
+			n.quarantined = time.Time{}
+			s.grow()
+		}
 		if len(n.runs) > 0 && (!n.listed || !n.silentSince.IsZero()) && now.After(n.lapses) {
 			s.notice(Notice{Kind: "WorkerLapsed", Worker: id, Cause: "it does not answer and its lease has ended"})
 			s.Dead(id, "the worker's lease has ended", now)
@@ -49,6 +62,10 @@
 // judgeOwed finds the jobs that guarantees cover: those of priority 0, in order, as long as an account's
 // accelerators suffice.
 func (s *State) judgeOwed() {
+	if !s.owedChanged {
+		return
+	}
+	s.owedChanged = false
 	sums := make(map[ids.AccountID]ids.Accelerators)
 	for _, j := range s.live {
 		if j.Priority != 0 {
@@ -61,21 +78,16 @@
 
 // startKept starts the units whose workers have been cleared.
 func (s *State) startKept(now time.Time) {
-	for _, j := range s.live {
-		for _, u := range j.units {
-			if u.phase != allocated {
-				continue
-			}
-			if !s.stillOpen(u, now) || now.Sub(u.allocatedAt) > keepLimit {
-				s.unkeep(u)
-				u.phase = waiting
-				continue
-			}
-			if clear(u) {
-				place := u.place
-				s.unkeep(u)
-				s.start(u, place, now)
-			}
+	for _, u := range slices.Clone(s.kept) {
+		if !s.stillOpen(u, now) || now.Sub(u.allocatedAt) > keepLimit {
+			s.unkeep(u)
+			u.phase = waiting
+			continue
+		}
+		if clear(u) {
+			place := u.place
+			s.unkeep(u)
+			s.start(u, place, now)
 		}
 	}
 }
@@ -106,36 +118,85 @@
 // placeWaiting starts the waiting units that fit: by priority, the covered ones first, then by submission. Urgent units
 // that don't fit stop others; the first unit of each priority that doesn't fit gets a reservation.
 func (s *State) placeWaiting(now time.Time) {
-	holds := &reservations{}
+	p := &pass{now: now}
+	p.bound(s)
 	for _, covered := range []bool{true, false} {
 		for _, j := range s.live {
+			if covered && j.Priority != 0 {
+				break
+			}
 			if j.stored && covered == j.owed {
-				s.placeJob(j, holds, now)
+				s.placeJob(j, p)
+			}
+		}
+	}
+}
+
+// pass is one look for room for all that waits.
+type pass struct {
+	now   time.Time
+	holds reservations
+	// most is a bound on what is free in one rack, and all on what is free in all.
+	most, all ids.Resources
+}
+
+// bound sums what is free.
+func (p *pass) bound(s *State) {
+	p.most, p.all = ids.Resources{}, ids.Resources{}
+	for _, r := range s.racks {
+		var sum ids.Resources
+		for _, n := range r.nodes {
+			if n.open(p.now) {
+				sum = sum.Plus(n.free().NotBelowZero())
 			}
 		}
+		p.most = atLeast(p.most, sum)
+		p.all = p.all.Plus(sum)
 	}
 }
 
+func atLeast(a, b ids.Resources) ids.Resources {
+	return ids.Resources{Accelerators: max(a.Accelerators, b.Accelerators), Cores: max(a.Cores, b.Cores), Memory: max(a.Memory, b.Memory)}
+}
+
+// mayFit reports whether a unit is within the bound of what is free.
+func (p *pass) mayFit(s *State, u *unit) bool {
+	need := u.spec().Each.Times(u.count)
+	if u.count > 1 && u.spec().SameRack && s.fitsOneRack(u, p.now) {
+		return p.most.Fits(need)
+	}
+	return p.all.Fits(need)
+}
+
 // placeJob places the waiting units of a job.
-func (s *State) placeJob(j *Job, holds *reservations, now time.Time) {
+func (s *State) placeJob(j *Job, p *pass) {
 	full := -1
 	for _, u := range j.units {
-		if u.phase != waiting || now.Before(u.notBefore) || u.step == full || !u.ready() || s.blocked(u) {
+		if u.phase != waiting || u.step == full || !u.ready() || s.blocked(u) {
 			continue
 		}
-		place := s.findPlace(u, now, func(n *node) ids.Resources { return s.roomFor(u, n, holds, now) })
-		if place != nil {
-			s.start(u, place, now)
+		if p.now.Before(u.notBefore) {
+			if s.retryAt.IsZero() || u.notBefore.Before(s.retryAt) {
+				s.retryAt = u.notBefore
+			}
 			continue
 		}
-		if j.Priority == 0 && s.reclaim(u, now) {
+		if p.mayFit(s, u) {
+			if place := s.findPlace(u, p.now, func(n *node) ids.Resources { return s.roomFor(u, n, &p.holds, p.now) }); place != nil {
+				s.start(u, place, p.now)
+				p.bound(s)
+				continue
+			}
+		}
+		if j.Priority == 0 && s.reclaim(u, p.now) {
+			p.bound(s)
 			continue
 		}
 		// The step's other tasks are of the same size.
 		if len(u.avoid) == 0 {
 			full = u.step
 		}
-		holds.add(s, u, now)
+		p.holds.add(s, u, p.now)
 	}
 }
 
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -117,6 +117,8 @@
 }
 
 func (s *State) rebuildRacks() {
+	s.shapes = make(map[shape]bool)
+	s.grow()
 	byID := make(map[ids.RackID]*rack)
 	s.racks = nil
 	for _, n := range s.sortedNodes() {
--- a/internal/process/pool/place.go
+++ b/internal/process/pool/place.go
@@ -103,12 +103,26 @@
 
 // fitsOneRack reports whether some rack could hold the unit if nothing else ran there.
 func (s *State) fitsOneRack(u *unit, now time.Time) bool {
+	spec := u.spec()
+	key := shape{service: u.job.Service, label: spec.Label, each: spec.Each, count: u.count, perNode: spec.MaxPerWorker}
+	if fits, known := s.shapes[key]; known {
+		return fits
+	}
+	fits := false
 	for _, r := range s.racks {
-		if s.fill(u, s.seats(u, r.nodes, now, func(n *node) ids.Resources { return n.Total })) != nil {
-			return true
-		}
+		fits = fits || s.fill(u, s.seats(u, r.nodes, now, func(n *node) ids.Resources { return n.Total })) != nil
 	}
-	return false
+	s.shapes[key] = fits
+	return fits
+}
+
+// shape is what decides whether a unit could ever fit one rack.
+type shape struct {
+	service ids.ServiceID
+	label   string
+	each    ids.Resources
+	count   int
+	perNode int
 }
 
 // keep holds workers for a unit until what is being stopped there has ended.
@@ -116,6 +130,7 @@
 	u.phase = allocated
 	u.place = place
 	u.allocatedAt = now
+	s.kept = append(s.kept, u)
 	for _, n := range place {
 		n.kept = n.kept.Plus(u.spec().Each)
 	}
@@ -126,4 +141,6 @@
 		n.kept = n.kept.Minus(u.spec().Each)
 	}
 	u.place = nil
+	s.kept = slices.DeleteFunc(s.kept, func(other *unit) bool { return other == u })
+	s.grow()
 }
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -15,6 +15,9 @@
 	if n == nil {
 		return
 	}
+	if !n.known || !n.silentSince.IsZero() {
+		s.grow()
+	}
 	n.silentSince = time.Time{}
 	if report.Incarnation != 0 && report.Incarnation != n.Incarnation {
 		if n.Incarnation != 0 {
@@ -130,6 +133,7 @@
 		s.unkeep(u)
 	}
 	u.phase = done
+	s.grow()
 	s.touch(u.job)
 	for _, other := range u.job.units {
 		if other.phase != done {
@@ -246,6 +250,7 @@
 func (s *State) EndRecovery(missing []ids.InstanceID, until, now time.Time) {
 	s.init()
 	s.recovering = false
+	s.grow()
 	for id, n := range s.nodes {
 		if n.listed && !n.known {
 			s.unknown[id] = until
@@ -265,8 +270,6 @@
 	}
 }
 
-// Silent workers that are taken as gone free what they ran; see expire.
-
 // blocked reports whether a unit of an earlier owner may still run on a worker that can't be asked.
 func (s *State) blocked(u *unit) bool {
 	return u.job.restored && len(s.unknown) > 0
--- a/internal/process/pool/reservation.go
+++ b/internal/process/pool/reservation.go
@@ -59,43 +59,72 @@
 
 // soonest returns when a unit is expected to fit, and where, if nothing else is started before.
 func (s *State) soonest(u *unit, now time.Time, usable func(n *node) bool) (time.Time, []*node) {
+	groups := [][]*node{s.allNodes()}
+	if u.count > 1 && u.spec().SameRack && s.fitsOneRack(u, now) {
+		groups = groups[:0]
+		for _, r := range s.racks {
+			groups = append(groups, r.nodes)
+		}
+	}
+	var best []*node
+	var bestAt time.Time
+	for _, group := range groups {
+		if at, place := s.soonestIn(u, group, now, usable); place != nil && (best == nil || at.Before(bestAt)) {
+			best, bestAt = place, at
+		}
+	}
+	return bestAt, best
+}
+
+// soonestIn is soonest on some workers: it follows how many tasks they hold while what runs there ends.
+func (s *State) soonestIn(u *unit, nodes []*node, now time.Time, usable func(n *node) bool) (time.Time, []*node) {
 	type ending struct {
-		unit *unit
-		at   time.Time
+		run *run
+		at  time.Time
 	}
 	var endings []ending
-	seen := make(map[*unit]bool)
-	for _, n := range s.nodes {
+	free := make(map[*node]ids.Resources, len(nodes))
+	held := 0
+	copies := func(n *node) int {
+		fits := free[n].Copies(u.spec().Each, u.count)
+		if limit := u.spec().MaxPerWorker; limit > 0 {
+			fits = min(fits, limit)
+		}
+		return fits
+	}
+	for _, n := range nodes {
+		if !s.usable(u, n, now) || !usable(n) {
+			continue
+		}
+		free[n] = n.free()
+		held += copies(n)
 		for r := range n.runs {
-			if r.unit != nil && !seen[r.unit] {
-				seen[r.unit] = true
-				endings = append(endings, ending{r.unit, now.Add(s.remaining(r.unit, now))})
+			at := now
+			if r.unit != nil {
+				at = now.Add(s.remaining(r.unit, now))
 			}
+			endings = append(endings, ending{r, at})
 		}
 	}
 	slices.SortFunc(endings, func(a, b ending) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.unit.job.ID, b.unit.job.ID), cmp.Compare(a.unit.first, b.unit.first))
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.run.Job, b.run.Job), cmp.Compare(a.run.Step, b.run.Step), cmp.Compare(a.run.Index, b.run.Index))
 	})
-	freed := make(map[*node]ids.Resources)
-	room := func(n *node) ids.Resources {
-		if !usable(n) {
-			return ids.Resources{}
+	at := now
+	for i := 0; held < u.count; i++ {
+		if i == len(endings) {
+			return time.Time{}, nil
 		}
-		return n.free().Plus(freed[n])
+		n := endings[i].run.node
+		held -= copies(n)
+		free[n] = free[n].Plus(endings[i].run.each)
+		held += copies(n)
+		at = endings[i].at
 	}
-	if place := s.findPlace(u, now, room); place != nil {
-		return now, place
-	}
-	for i, e := range endings {
-		free(freed, e.unit, 1)
-		// Endings of one moment are looked at together.
-		const together = 100 * time.Millisecond
-		if i+1 < len(endings) && endings[i+1].at.Sub(e.at) < together {
-			continue
-		}
-		if place := s.findPlace(u, now, room); place != nil {
-			return e.at, place
+	var seats []seat
+	for _, n := range nodes {
+		if _, found := free[n]; found && copies(n) > 0 {
+			seats = append(seats, seat{node: n, tasks: copies(n)})
 		}
 	}
-	return time.Time{}, nil
+	return at, s.fill(u, seats)
 }
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -163,6 +163,7 @@
 	r.phase = runGone
 	delete(r.node.runs, r)
 	r.node.used = r.node.used.Minus(r.each)
+	s.grow()
 }
 
 // runLost takes note that a run is gone although it was not done.
@@ -191,6 +192,7 @@
 	}
 	u.runs = u.runs[:0]
 	u.phase = waiting
+	s.grow()
 	if len(u.failed) >= u.job.MaxAttempts && !u.job.over() {
 		s.end(u.job, Failed, "a task failed as often as its queue allows", now)
 	}
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -31,6 +31,17 @@
 		live []*Job
 		// recovering keeps everything from being started until the workers have reported.
 		recovering bool
+		// kept are the units in phase allocated.
+		kept []*unit
+		// growth counts the events that may let a waiting unit start; nothing is looked for unless it has grown.
+		growth, tried uint64
+		triedAt       time.Time
+		// retryAt is when the next unit that backs off may start; zero if none does.
+		retryAt time.Time
+		// owedChanged tells that the jobs of priority 0 or the guarantees have changed.
+		owedChanged bool
+		// shapes remembers by shape whether a gang fits one rack, as long as the workers stay the same.
+		shapes map[shape]bool
 		// unknown are workers on which jobs of an earlier owner may run, and until when.
 		unknown   map[ids.InstanceID]time.Time
 		estimates map[ids.QueueID]*ratio
@@ -114,6 +125,8 @@
 // SetAccounts replaces the accounts of the configuration.
 func (s *State) SetAccounts(accounts map[ids.AccountID]Account) {
 	s.accounts = accounts
+	s.owedChanged = true
+	s.grow()
 }
 
 // Job returns a job, or nil.
@@ -142,14 +155,22 @@
 	}
 	at, _ := slices.BinarySearchFunc(s.live, j, compareJobs)
 	s.live = slices.Insert(s.live, at, j)
+	s.owedChanged = s.owedChanged || j.Priority == 0
+	s.grow()
 }
 
+func (s *State) grow() { s.growth++ }
+
 func compareJobs(a, b *Job) int {
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Submitted.Compare(b.Submitted), cmp.Compare(a.ID, b.ID))
 }
 
 func (s *State) dropLive(j *Job) {
-	s.live = slices.DeleteFunc(s.live, func(other *Job) bool { return other == j })
+	if at, found := slices.BinarySearchFunc(s.live, j, compareJobs); found {
+		s.live = slices.Delete(s.live, at, at+1)
+	}
+	s.owedChanged = s.owedChanged || j.Priority == 0
+	s.grow()
 }
 
 // Offer takes a job that was admitted and whose acceptance is being stored. It is not started before Accepted.
@@ -171,6 +192,9 @@
 // Stored takes note that the store keeps a version of a job.
 func (s *State) Stored(id ids.JobID, version uint64) {
 	if j := s.jobs[id]; j != nil {
+		if !j.stored {
+			s.grow()
+		}
 		j.stored = true
 		j.storedVersion = max(j.storedVersion, version)
 	}
--- /dev/null
+++ b/internal/process/pool/world_test.go
@@ -0,0 +1,46 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// testStart is the time at which all tests begin.
+var testStart = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+// testWorkers returns workers of one service, in racks, that have reported.
+func testState(workers, perRack int) *State {
+	s := &State{Epoch: 1}
+	var list []Worker
+	for i := range workers {
+		list = append(list, Worker{
+			ID: ids.InstanceID(fmt.Sprintf("w%04d", i)), Service: "service", Rack: ids.RackID(fmt.Sprintf("r%03d", i/perRack)),
+			Total: ids.Resources{Accelerators: 8, Cores: 128000, Memory: 262144}, Incarnation: 1,
+		})
+	}
+	s.SetWorkers(list, testStart)
+	for _, n := range s.nodes {
+		n.known = true
+	}
+	return s
+}
+
+// gangJob returns a job of one gang.
+func gangJob(id string, priority, tasks, accelerators int, estimate time.Duration) *Job {
+	return &Job{
+		ID: ids.JobID(id), Queue: "queue", Service: "service", Account: "account", Priority: priority, MaxAttempts: 3, Stretch: 3, Target: time.Second,
+		Steps: []Step{{
+			Tasks: tasks, Each: ids.Resources{Accelerators: ids.Accelerators(accelerators), Cores: 1000 * ids.MilliCores(6*accelerators), Memory: 1024},
+			Estimate: estimate, Gang: true, SameRack: true,
+		}},
+	}
+}
+
+// accept takes a job in as if the store had kept it.
+func (s *State) accept(j *Job, now time.Time) {
+	j.Submitted = now
+	s.Offer(j)
+	s.Stored(j.ID, j.Version())
+}
--- a/internal/process/poolowner/member.go
+++ b/internal/process/poolowner/member.go
@@ -38,10 +38,11 @@
 		return 0, err
 	}
 	o.contacted()
-	o.setCurrent(nil)
+	var current *Current
 	for _, e := range entries {
-		o.setCurrent(decodeCurrent(e))
+		current = decodeCurrent(e)
 	}
+	o.setCurrent(current)
 	return revision, nil
 }
 
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -283,6 +283,7 @@
 
 func (t *term) tick() {
 	now := time.Now()
+	t.owner.metrics.observe(t.state.Counts(now))
 	if now.Sub(t.retired) > retireInterval {
 		t.retired = now
 		if retired := t.state.Retired(now); len(retired) > 0 {
@@ -308,7 +309,6 @@
 	}
 	t.updateLinks()
 	t.write()
-	t.owner.metrics.observe(t.state.Counts(now))
 }
 
 func (t *term) logNotice(n pool.Notice) {
