--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -63,8 +63,13 @@
 	if r != nil {
 		s.gone(r)
 	}
-	if u != nil && (u.number == e.Run.Number || (u.number == 0 && j.restored)) {
+	switch {
+	case u == nil || j.over():
+	case u.number == e.Run.Number || (u.number == 0 && j.restored):
 		s.unitEnded(u, n, e, now)
+	case e.How == worker.EndFailed && e.Run.Number < u.number:
+		// An earlier owner could start the next run before the store kept the failure.
+		s.countFailure(u, e.Run.Number)
 	}
 	if r != nil && r.unit != nil {
 		s.settle(r.unit, now)
@@ -90,10 +95,7 @@
 		s.unitDone(u, n, now)
 	case worker.EndFailed:
 		s.strike(n, u.job.ID, now)
-		if !slices.Contains(u.failed, e.Run.Number) {
-			u.failed = append(u.failed, e.Run.Number)
-			s.touch(u.job)
-		}
+		s.countFailure(u, e.Run.Number)
 		u.avoidNode(n.ID)
 		s.interrupted(u, "a task failed on "+string(n.ID), now)
 	case worker.EndStopped, worker.EndLapsed, worker.EndBroken, worker.EndAlone:
@@ -103,6 +105,14 @@
 	}
 }
 
+// countFailure counts a failed run; the members of a gang share one.
+func (s *State) countFailure(u *unit, number ids.RunNumber) {
+	if !slices.Contains(u.failed, number) {
+		u.failed = append(u.failed, number)
+		s.touch(u.job)
+	}
+}
+
 func (u *unit) avoidNode(id ids.InstanceID) {
 	if u.avoid == nil {
 		u.avoid = make(map[ids.InstanceID]bool)
--- /dev/null
+++ b/internal/process/pool/report_test.go
@@ -0,0 +1,89 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// restored returns a state that took a job of an earlier owner over.
+func restored(j *Job) *State {
+	s := testState(4, 4)
+	s.Epoch = 2
+	j.State = Accepted
+	j.makeUnits()
+	s.Recover([]*Job{j})
+	return s
+}
+
+func runOf(j *Job, index int, number ids.RunNumber) worker.Run {
+	return worker.Run{Task: worker.Task{Job: j.ID, Index: index}, Number: number}
+}
+
+// An owner that can't reach the store starts the next run after a failure that only it knows. The worker lists the end
+// to the next owner, which finds the newer run at work.
+func TestEndsOfEarlierRunsCount(t *testing.T) {
+	j := gangJob("a", 1, 1, 8, time.Second)
+	j.MaxAttempts = 2
+	s := restored(j)
+	s.Reported("w0001", worker.RunReport{Incarnation: 1, Active: []worker.Active{{Run: runOf(j, 0, 1002)}}}, testStart, testStart)
+	s.Reported("w0000", worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: runOf(j, 0, 1001), Number: 1, How: worker.EndFailed}}}, testStart, testStart)
+	s.EndRecovery(nil, testStart, testStart)
+	now := testStart.Add(time.Second)
+	s.Reported("w0001", worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: runOf(j, 0, 1002), Number: 1, How: worker.EndFailed}}}, now, now)
+	actions, _ := s.Decide(now.Add(time.Minute))
+	require.Empty(t, actions, "two runs have failed, and the queue allows no more")
+	require.Equal(t, Failed, j.State)
+}
+
+// A worker that was restarted under its id begins its numbers of ends anew.
+func TestRestartedWorker(t *testing.T) {
+	s := testState(1, 1)
+	j := gangJob("a", 1, 1, 8, time.Second)
+	s.accept(j, testStart)
+	actions, _ := s.Decide(testStart)
+	require.Len(t, actions, 1)
+	s.RunStarted(actions[0].Worker, actions[0].Run, testStart)
+	n := s.nodes["w0000"]
+	n.seen, n.acknowledged = 7, 7
+
+	now := testStart.Add(time.Second)
+	s.Reported("w0000", worker.RunReport{Incarnation: 2}, now, now)
+	require.Empty(t, n.runs, "nothing of the earlier life runs")
+	require.Zero(t, s.Acknowledged("w0000"))
+	actions, _ = s.Decide(now.Add(time.Second))
+	require.Len(t, actions, 1, "the job starts again")
+	require.Greater(t, actions[0].Run.Number, j.units[0].number-1)
+}
+
+// The room of a run that is being stopped is taken until its end is reported.
+func TestRoomOfStoppedRuns(t *testing.T) {
+	s := testState(1, 1)
+	first, second := gangJob("a", 1, 1, 8, time.Second), gangJob("b", 1, 1, 8, time.Second)
+	s.accept(first, testStart)
+	actions, _ := s.Decide(testStart)
+	s.RunStarted("w0000", actions[0].Run, testStart)
+	s.accept(second, testStart)
+	s.Cancel("a", testStart)
+	actions, _ = s.Decide(testStart)
+	require.Equal(t, []Action{{Kind: StopRun, Worker: "w0000", Run: runOf(first, 0, 1001)}}, actions)
+
+	now := testStart.Add(100 * time.Millisecond)
+	s.StopConfirmed("w0000", runOf(first, 0, 1001), now)
+	actions, _ = s.Decide(now)
+	require.Empty(t, actions)
+	// A report that was asked for before the stop was confirmed may not show it.
+	s.Reported("w0000", worker.RunReport{Incarnation: 1}, testStart, now)
+	actions, _ = s.Decide(now)
+	require.Empty(t, actions)
+
+	now = now.Add(time.Second)
+	s.Reported("w0000", worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: runOf(first, 0, 1001), Number: 1, How: worker.EndStopped}}}, now, now)
+	actions, _ = s.Decide(now)
+	require.Len(t, actions, 1)
+	require.Equal(t, ids.JobID("b"), actions[0].Run.Job)
+}
