Let urgent jobs spend all of their slack waiting, and expect stops to take as long as they were seen to

Cause: urgent jobs were refused for a wait of 400 ms, the longest that a stop may take, against half of their slack.

--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -16,8 +16,9 @@
 const (
 	// leastRetryAfter is the shortest time after which a refused job may come again.
 	leastRetryAfter = time.Second
-	// waitShare is the part of the time between a job's own run time and its objective that it may spend waiting.
-	waitShare = 0.5
+	// bulkWait is the part of the time between a job's own run time and its objective that it may spend waiting: run times
+	// are estimated badly, and a longer queue serves no more of them. Urgent jobs may spend all of it.
+	bulkWait = 0.5
 )
 
 // Admit decides whether a job that is not known is accepted. A job that would end after its objective is refused at once.
@@ -42,7 +43,10 @@
 	if j.owed {
 		return nil
 	}
-	slack := time.Duration(waitShare * float64(j.objective()-s.chainTime(j)))
+	slack := j.objective() - s.chainTime(j)
+	if j.Priority > 0 {
+		slack = time.Duration(bulkWait * float64(slack))
+	}
 	if wait := s.expectedWait(j, now); wait > slack {
 		return &Refusal{
 			Reason: "it would wait " + wait.Round(time.Millisecond).String() + ", and may wait " + slack.Round(time.Millisecond).String(),
@@ -104,7 +108,7 @@
 	}
 	if j.Priority == 0 {
 		if place, _ := s.reclaimPlan(u, now); place != nil {
-			return wait + s.Times.Stop
+			return wait + s.stopTime()
 		}
 	}
 	at, place := s.soonest(u, now, func(*node) bool { return true })
--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -74,3 +74,22 @@
 func (s *State) stallTime(u *unit) time.Duration {
 	return max(leastStall, time.Duration(stallShare*s.Times.Remote*float64(u.spec().Estimate)))
 }
+
+// stopTime returns how long a stopped run usually takes to end.
+func (s *State) stopTime() time.Duration {
+	if s.stops.count == 0 {
+		return s.Times.Stop
+	}
+	return time.Duration(s.stops.mean)
+}
+
+// mean is a smoothed mean.
+type mean struct {
+	mean  float64
+	count int
+}
+
+func (m *mean) add(v float64) {
+	m.count++
+	m.mean += (v - m.mean) * max(learnShare, 1/float64(m.count))
+}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -61,6 +61,9 @@
 	u := j.unitOf(e.Task)
 	r := n.find(e.Run)
 	if r != nil {
+		if e.How == worker.EndStopped && !r.stopSent.IsZero() {
+			s.stops.add(float64(now.Sub(r.stopSent)))
+		}
 		s.gone(r)
 	}
 	switch {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -45,6 +45,8 @@
 		// unknown are workers on which jobs of an earlier owner may run, and until when.
 		unknown   map[ids.InstanceID]time.Time
 		estimates map[ids.QueueID]*ratio
+		// stops is the time that stopped runs took to end, in nanoseconds.
+		stops mean
 		actions   []Action
 		notices   []Notice
 		dirty     map[ids.JobID]*Job
