Learn run times as a line over the declared ones, and judge slack by them

Cause: a job's slack was its declared time against a learned multiple of it; declared times of the bulk queues say little (0.8 s to 28 s for runs of 6 s to 16 s), so jobs were refused with a slack of minus two minutes while workers stood free. Tasks of a step that wants one rack now stay in it.

--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -43,7 +43,7 @@
 	if j.owed {
 		return nil
 	}
-	slack := j.objective() - s.chainTime(j)
+	slack := s.objective(j) - s.chainTime(j)
 	if j.Priority > 0 {
 		slack = time.Duration(bulkWait * float64(slack))
 	}
@@ -70,17 +70,6 @@
 	return sum <= s.accounts[j.Account].Guaranteed
 }
 
-func (s *State) chainTime(j *Job) time.Duration {
-	chain := j.chain()
-	if len(j.units) == 0 {
-		return chain
-	}
-	if declared := j.units[0].spec().Estimate; declared > 0 {
-		return time.Duration(float64(chain) * float64(s.runTime(j.units[0])) / float64(declared))
-	}
-	return chain
-}
-
 // everFits reports whether the unit fits into the pool if nothing else runs.
 func (s *State) everFits(u *unit) bool {
 	count := 0
@@ -113,7 +102,7 @@
 	}
 	at, place := s.soonest(u, now, func(*node) bool { return true })
 	if place == nil {
-		return wait + j.objective()
+		return wait + s.objective(j)
 	}
 	return max(wait, at.Sub(now))
 }
--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -5,17 +5,26 @@
 	"time"
 )
 
-// ratio is the smoothed ratio of real to declared run times of a queue.
-type ratio struct {
-	log   float64
-	count int
+// runTimes learns the run times of a queue's tasks from the declared ones: a line through the logarithms of both. Declared
+// times may say little, so the line is as steep as they were seen to tell.
+type runTimes struct {
+	// weight is the number of samples, and declared and real are their means.
+	weight, declared, real float64
+	// spread and joint are the sums of the squared deviations of declared, and of their products with those of real.
+	spread, joint float64
 }
 
 const (
-	// learnShare is the weight of a new sample once there are enough of them.
+	// learnShare is the weight of a new sample of a smoothed mean once there are enough of them.
 	learnShare = 0.1
-	// maxRatio bounds what one sample can say of its queue.
-	maxRatio = 20
+	// priorSpread is the spread of declared times up to which they are trusted as they are: a few samples within a factor of two.
+	priorSpread = 2.0
+	// priorWeight is the number of samples that a queue's mean needs to count for half.
+	priorWeight = 2.0
+	// maxSamples bounds the weight of the past, so that a queue that changes is learned anew.
+	maxSamples = 200
+	// shortestRun stands for declared and real times that are shorter.
+	shortestRun = time.Millisecond
 	// stallShare is the part of a run's expected time without progress after which it is taken as stalled: progress is
 	// told in hundredths, and a slow worker takes up to eight times as long.
 	stallShare = 0.08
@@ -23,35 +32,82 @@
 	leastStall = 2 * time.Second
 )
 
-// learn takes the run time of a unit that was done into its queue's ratio. Runs from a checkpoint tell nothing.
+// add takes a sample in; weights below one are for samples that resemble each other.
+func (r *runTimes) add(declared, real time.Duration, weight float64) {
+	x, y := logOf(declared), logOf(real)
+	if r.weight > maxSamples {
+		shrink := maxSamples / r.weight
+		r.weight, r.spread, r.joint = r.weight*shrink, r.spread*shrink, r.joint*shrink
+	}
+	r.weight += weight
+	dx := x - r.declared
+	r.declared += dx * weight / r.weight
+	r.real += (y - r.real) * weight / r.weight
+	r.spread += weight * dx * (x - r.declared)
+	r.joint += weight * dx * (y - r.real)
+}
+
+func logOf(d time.Duration) float64 { return math.Log(max(d, shortestRun).Seconds()) }
+
+// expect returns the run time to expect of a task with a declared one.
+func (r *runTimes) expect(declared time.Duration) time.Duration {
+	if r == nil || r.weight == 0 {
+		return declared
+	}
+	slope := (r.joint + priorSpread) / (r.spread + priorSpread)
+	shift := (r.real - r.declared) * r.weight / (r.weight + priorWeight)
+	log := r.declared + shift + slope*(logOf(declared)-r.declared)
+	return time.Duration(math.Exp(log) * float64(time.Second))
+}
+
+// learn takes the run time of a unit that was done in. Runs from a checkpoint tell nothing.
 func (s *State) learn(u *unit, now time.Time) {
-	declared := u.spec().Estimate
-	if declared <= 0 || u.checkpoint != "" || u.job.restored {
+	if u.spec().Estimate <= 0 || u.checkpoint != "" || u.startedAt.IsZero() {
 		return
 	}
-	sample := math.Log(min(maxRatio, max(1.0/maxRatio, now.Sub(u.startedAt).Seconds()/declared.Seconds())))
+	real := now.Sub(u.startedAt)
+	if u.remote {
+		real = time.Duration(float64(real) / s.Times.Remote)
+	}
 	r := s.estimates[u.job.Queue]
 	if r == nil {
-		r = &ratio{}
+		r = &runTimes{}
 		s.estimates[u.job.Queue] = r
 	}
-	r.count++
-	r.log += (sample - r.log) * max(learnShare, 1/float64(r.count))
+	r.add(u.spec().Estimate, real, float64(u.count)/float64(u.spec().Tasks))
 }
 
-// runTime returns the expected run time of a unit from its start.
+// runTime returns the expected run time of a unit from its start, near its data.
 func (s *State) runTime(u *unit) time.Duration {
-	const fewSamples = 4
-	declared := u.spec().Estimate
-	if r := s.estimates[u.job.Queue]; r != nil && r.count >= fewSamples {
-		return time.Duration(float64(declared) * math.Exp(r.log))
+	return s.estimates[u.job.Queue].expect(u.spec().Estimate)
+}
+
+// chainTime returns the expected run time of the longest chain of a job's steps.
+func (s *State) chainTime(j *Job) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i, step := range j.Steps {
+		begin := time.Duration(0)
+		for _, earlier := range step.After {
+			begin = max(begin, ends[earlier])
+		}
+		ends[i] = begin + s.estimates[j.Queue].expect(step.Estimate)
+		longest = max(longest, ends[i])
 	}
-	return declared
+	return longest
+}
+
+// objective returns the time from submission in which a job should end.
+func (s *State) objective(j *Job) time.Duration {
+	return time.Duration(j.Stretch*float64(s.chainTime(j))) + j.Target
 }
 
 // remaining returns the expected time until a unit ends.
 func (s *State) remaining(u *unit, now time.Time) time.Duration {
 	whole := s.runTime(u)
+	if u.remote {
+		whole = time.Duration(float64(whole) * s.Times.Remote)
+	}
 	switch u.phase {
 	case stopping:
 		return s.Times.Stop
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -59,6 +59,8 @@
 		// restored jobs were accepted under an earlier owner.
 		restored bool
 		units    []*unit
+		// racks are where the steps whose tasks want one rack have begun.
+		racks map[int]*rack
 		// version counts the changes that the store has to keep, and storedVersion is the one that it keeps.
 		version, storedVersion uint64
 		// owed tells that the job is covered by its account's guarantee.
@@ -83,6 +85,8 @@
 		allocatedAt time.Time
 		startedAt   time.Time
 		notBefore   time.Time
+		// remote tells that the place makes the tasks slower.
+		remote bool
 		// avoid are the workers on which the unit failed.
 		avoid map[ids.InstanceID]bool
 		// percent is the least progress of the members, and movedAt when it last rose.
@@ -194,25 +198,3 @@
 	}
 	return sum
 }
-
-// chain returns the declared run time of the longest chain of steps.
-func (j *Job) chain() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	longest := time.Duration(0)
-	for i, s := range j.Steps {
-		start := time.Duration(0)
-		for _, earlier := range s.After {
-			if earlier < i {
-				start = max(start, ends[earlier])
-			}
-		}
-		ends[i] = start + s.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// objective returns the time from submission in which the job should end.
-func (j *Job) objective() time.Duration {
-	return time.Duration(j.Stretch*float64(j.chain())) + j.Target
-}
--- a/internal/process/pool/place.go
+++ b/internal/process/pool/place.go
@@ -16,32 +16,17 @@
 	left int64
 }
 
-// find returns the worker of each task of a unit, or nil. room returns what may be used on a worker.
-// A gang that wants one rack gets one if any rack could ever hold it.
+// findPlace returns the worker of each task of a unit, or nil. room returns what may be used on a worker.
 func (s *State) findPlace(u *unit, now time.Time, room func(n *node) ids.Resources) []*node {
-	spec := u.spec()
-	if spec.DataRack != "" {
-		for _, r := range s.racks {
-			if r.id == spec.DataRack {
-				if place := s.fill(u, s.seats(u, r.nodes, now, room)); place != nil {
-					return place
-				}
-			}
-		}
-	}
-	if u.count == 1 || !spec.SameRack || !s.fitsOneRack(u, now) {
-		return s.fill(u, s.seats(u, s.allNodes(), now, room))
-	}
 	var best []*node
 	bestLeft := int64(0)
-	for _, r := range s.racks {
-		seats := s.seats(u, r.nodes, now, room)
-		place := s.fill(u, seats)
+	for _, group := range s.groups(u, now) {
+		place := s.fill(u, s.seats(u, group, now, room))
 		if place == nil {
 			continue
 		}
 		left := int64(0)
-		for _, n := range r.nodes {
+		for _, n := range group {
 			left += int64(n.free().Accelerators)
 		}
 		if best == nil || left < bestLeft {
@@ -51,6 +36,92 @@
 	return best
 }
 
+// groups returns the sets of workers of which a unit takes one, so that it is not slowed down: those of its data's rack, of
+// the rack in which its step has begun, or of each rack if its step wants one and a rack could ever hold the unit.
+func (s *State) groups(u *unit, now time.Time) [][]*node {
+	spec := u.spec()
+	if spec.DataRack != "" {
+		if r := s.rackOf(spec.DataRack); r != nil && s.couldHold(u, r, now) {
+			return [][]*node{r.nodes}
+		}
+	}
+	if !spec.SameRack || spec.Tasks == 1 {
+		return [][]*node{s.allNodes()}
+	}
+	if u.count == 1 {
+		if r := s.stepRack(u, now); r != nil {
+			return [][]*node{r.nodes}
+		}
+		return [][]*node{s.allNodes()}
+	}
+	if !s.fitsOneRack(u, now) {
+		return [][]*node{s.allNodes()}
+	}
+	var groups [][]*node
+	for _, r := range s.racks {
+		groups = append(groups, r.nodes)
+	}
+	return groups
+}
+
+func (s *State) rackOf(id ids.RackID) *rack {
+	for _, r := range s.racks {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// couldHold reports whether a rack could hold the unit if nothing else ran there.
+func (s *State) couldHold(u *unit, r *rack, now time.Time) bool {
+	return s.fill(u, s.seats(u, r.nodes, now, func(n *node) ids.Resources { return n.Total })) != nil
+}
+
+// stepRack returns the rack for the single tasks of a step: the one in which the step has begun, or else the one with the
+// most room for them.
+func (s *State) stepRack(u *unit, now time.Time) *rack {
+	if r := u.job.racks[u.step]; r != nil {
+		// Racks are built anew when the list of workers changes.
+		if r = s.rackOf(r.id); r != nil && s.couldHold(u, r, now) {
+			return r
+		}
+	}
+	var best *rack
+	most := 0
+	for _, r := range s.racks {
+		seats := 0
+		for _, seat := range s.seats(u, r.nodes, now, (*node).free) {
+			free := seat.node.free().Copies(u.spec().Each, u.spec().Tasks)
+			if limit := u.spec().MaxPerWorker; limit > 0 {
+				free = min(free, limit)
+			}
+			seats += free
+		}
+		if seats = min(seats, u.spec().Tasks); seats > most {
+			best, most = r, seats
+		}
+	}
+	return best
+}
+
+// isRemote reports whether a place slows the unit's tasks down.
+func (s *State) isRemote(u *unit, place []*node) bool {
+	spec := u.spec()
+	for _, n := range place {
+		if spec.DataRack != "" && n.Rack != spec.DataRack {
+			return true
+		}
+		if spec.SameRack && n.Rack != place[0].Rack {
+			return true
+		}
+	}
+	if first := u.job.racks[u.step]; spec.SameRack && first != nil && first.id != place[0].Rack {
+		return true
+	}
+	return false
+}
+
 func (s *State) allNodes() []*node {
 	var all []*node
 	for _, r := range s.racks {
@@ -110,7 +181,7 @@
 	}
 	fits := false
 	for _, r := range s.racks {
-		fits = fits || s.fill(u, s.seats(u, r.nodes, now, func(n *node) ids.Resources { return n.Total })) != nil
+		fits = fits || s.couldHold(u, r, now)
 	}
 	s.shapes[key] = fits
 	return fits
--- a/internal/process/pool/reclaim.go
+++ b/internal/process/pool/reclaim.go
@@ -30,14 +30,11 @@
 
 // reclaimPlan returns the place that a unit can have and what has to be stopped for it.
 func (s *State) reclaimPlan(u *unit, now time.Time) ([]*node, []victim) {
-	if u.count == 1 || !u.spec().SameRack || !s.fitsOneRack(u, now) {
-		return s.reclaimFrom(u, s.allNodes(), now)
-	}
 	var best []*node
 	var bestVictims []victim
 	bestLost := 0.0
-	for _, r := range s.racks {
-		place, victims := s.reclaimFrom(u, r.nodes, now)
+	for _, group := range s.groups(u, now) {
+		place, victims := s.reclaimFrom(u, group, now)
 		if place == nil {
 			continue
 		}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -137,6 +137,10 @@
 func (s *State) unitDone(u *unit, n *node, now time.Time) {
 	if u.phase == running || u.phase == starting {
 		s.learn(u, now)
+		s.notice(Notice{
+			Kind: "Done", Job: u.job.ID, Step: u.step, Tasks: u.count, Number: u.number, Worker: n.ID, After: now.Sub(u.job.Submitted),
+			Cause: "ran " + now.Sub(u.startedAt).Round(time.Millisecond).String() + ", declared " + u.spec().Estimate.String(),
+		})
 		for _, r := range u.runs {
 			r.node.cleared()
 		}
@@ -239,6 +243,7 @@
 	u.job.begun = true
 	u.runs = append(u.runs, r)
 	r.unit = u
+	u.job.beganIn(u.step, r.node.rack)
 	if len(u.runs) < u.count {
 		return true
 	}
--- a/internal/process/pool/reservation.go
+++ b/internal/process/pool/reservation.go
@@ -59,16 +59,9 @@
 
 // soonest returns when a unit is expected to fit, and where, if nothing else is started before.
 func (s *State) soonest(u *unit, now time.Time, usable func(n *node) bool) (time.Time, []*node) {
-	groups := [][]*node{s.allNodes()}
-	if u.count > 1 && u.spec().SameRack && s.fitsOneRack(u, now) {
-		groups = groups[:0]
-		for _, r := range s.racks {
-			groups = append(groups, r.nodes)
-		}
-	}
 	var best []*node
 	var bestAt time.Time
-	for _, group := range groups {
+	for _, group := range s.groups(u, now) {
 		if at, place := s.soonestIn(u, group, now, usable); place != nil && (best == nil || at.Before(bestAt)) {
 			best, bestAt = place, at
 		}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -26,6 +26,8 @@
 	u.phase = starting
 	u.startedAt, u.movedAt = now, now
 	u.percent = 0
+	u.remote = s.isRemote(u, place)
+	u.job.beganIn(u.step, place[0].rack)
 	u.runs = u.runs[:0]
 	for i, n := range place {
 		r := &run{
@@ -44,15 +46,23 @@
 	})
 }
 
+// beganIn notes the rack in which a step has begun.
+func (j *Job) beganIn(step int, r *rack) {
+	if j.racks == nil {
+		j.racks = make(map[int]*rack)
+	}
+	if j.racks[step] == nil {
+		j.racks[step] = r
+	}
+}
+
 func placedCause(u *unit, place []*node) string {
 	cause := "free room"
 	if u.job.owed {
 		cause = "owed by the account's guarantee"
 	}
-	for _, n := range place[1:] {
-		if n.rack != place[0].rack {
-			return cause + ", more than one rack"
-		}
+	if u.remote {
+		cause += ", away from its rack or data"
 	}
 	return cause + ", rack " + string(place[0].Rack)
 }
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -44,12 +44,12 @@
 		shapes map[shape]bool
 		// unknown are workers on which jobs of an earlier owner may run, and until when.
 		unknown   map[ids.InstanceID]time.Time
-		estimates map[ids.QueueID]*ratio
+		estimates map[ids.QueueID]*runTimes
 		// stops is the time that stopped runs took to end, in nanoseconds.
-		stops mean
-		actions   []Action
-		notices   []Notice
-		dirty     map[ids.JobID]*Job
+		stops   mean
+		actions []Action
+		notices []Notice
+		dirty   map[ids.JobID]*Job
 	}
 
 	// Account is what the configuration grants a client account.
@@ -116,7 +116,7 @@
 	s.jobs = make(map[ids.JobID]*Job)
 	s.dirty = make(map[ids.JobID]*Job)
 	s.unknown = make(map[ids.InstanceID]time.Time)
-	s.estimates = make(map[ids.QueueID]*ratio)
+	s.estimates = make(map[ids.QueueID]*runTimes)
 	s.Times.Stop = cmp.Or(s.Times.Stop, 400*time.Millisecond)
 	s.Times.Reclaim = cmp.Or(s.Times.Reclaim, 2900*time.Millisecond)
 	s.Times.Restore = cmp.Or(s.Times.Restore, 100*time.Millisecond)
