Weigh a stop by what it costs the job, and a core-second by its priority

Cause: owed urgent gangs stopped other urgent ones that had just begun, since these had lost the least work; they then ended late.

--- a/internal/process/pool/reclaim.go
+++ b/internal/process/pool/reclaim.go
@@ -2,20 +2,32 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
-// victim is a unit that may be stopped, with the work that would be lost.
+// victim is a unit that may be stopped, with what its stop costs in core-seconds of the least urgent work.
 type victim struct {
 	unit *unit
-	lost float64
+	cost float64
 }
 
-// reclaim stops units of lower standing to make room for a unit, those first that lose the least work, and keeps their
-// workers for it. It returns false if that would not suffice, and then stops nothing.
+const (
+	// levelWeight is how many times as much a core-second counts as one of the next lower priority.
+	levelWeight = 3.0
+	// levels bounds the priorities that are told apart.
+	levels = 4
+	// restartWait is how long a stopped unit waits for its next start: a stop and a look for room.
+	restartWait = time.Second
+	// coresPerAccelerator is what an accelerator counts in cores.
+	coresPerAccelerator = 8
+)
+
+// reclaim stops units of lower standing to make room for a unit, those first that cost the least, and keeps their workers
+// for it. It returns false if that would not suffice, and then stops nothing.
 func (s *State) reclaim(u *unit, now time.Time) bool {
 	place, victims := s.reclaimPlan(u, now)
 	if place == nil {
@@ -32,18 +44,18 @@
 func (s *State) reclaimPlan(u *unit, now time.Time) ([]*node, []victim) {
 	var best []*node
 	var bestVictims []victim
-	bestLost := 0.0
+	bestCost := 0.0
 	for _, group := range s.groups(u, now) {
 		place, victims := s.reclaimFrom(u, group, now)
 		if place == nil {
 			continue
 		}
-		lost := 0.0
+		cost := 0.0
 		for _, v := range victims {
-			lost += v.lost
+			cost += v.cost
 		}
-		if best == nil || lost < bestLost {
-			best, bestVictims, bestLost = place, victims, lost
+		if best == nil || cost < bestCost {
+			best, bestVictims, bestCost = place, victims, cost
 		}
 	}
 	return best, bestVictims
@@ -100,7 +112,7 @@
 	}
 }
 
-// victims returns the units on some workers that may be stopped for a unit, those first that lose the least for the room
+// victims returns the units on some workers that may be stopped for a unit, those first that cost the least for the room
 // that they hold.
 func (s *State) victims(u *unit, nodes []*node, now time.Time) []victim {
 	found := make(map[*unit]bool)
@@ -113,11 +125,11 @@
 	}
 	list := make([]victim, 0, len(found))
 	for other := range found {
-		list = append(list, victim{unit: other, lost: s.workLost(other, now)})
+		list = append(list, victim{unit: other, cost: s.stopCost(other, now)})
 	}
 	slices.SortFunc(list, func(a, b victim) int {
 		return cmp.Or(
-			cmp.Compare(a.lost/s.size(a.unit), b.lost/s.size(b.unit)),
+			cmp.Compare(a.cost/s.size(a.unit), b.cost/s.size(b.unit)),
 			cmp.Compare(a.unit.job.ID, b.unit.job.ID), cmp.Compare(a.unit.step, b.unit.step), cmp.Compare(a.unit.first, b.unit.first),
 		)
 	})
@@ -135,16 +147,26 @@
 	return to.job.Priority == 0
 }
 
-// workLost returns the core-seconds that stopping a unit would lose. Checkpointed work goes on elsewhere.
-func (s *State) workLost(u *unit, now time.Time) float64 {
+// stopCost returns what the stop of a unit costs: the work that is lost, the wait for the next start, and all of the job
+// if it would then end after its objective. Checkpointed work goes on elsewhere.
+func (s *State) stopCost(u *unit, now time.Time) float64 {
 	lost := now.Sub(u.startedAt)
 	if u.spec().Checkpoints {
-		lost = s.Times.Restore + s.Times.Stop
+		lost = s.Times.Restore
 	}
-	return max(lost, s.Times.Restore).Seconds() * s.size(u)
+	seconds := (lost + restartWait).Seconds()
+	whole := s.runTime(u)
+	due := u.job.Submitted.Add(s.objective(u.job))
+	if end := now.Add(s.remaining(u, now)); !end.After(due) && end.Add(lost+restartWait).After(due) {
+		seconds += whole.Seconds()
+	}
+	return seconds * s.size(u) * weight(u.job.Priority)
 }
 
-const coresPerAccelerator = 8
+// weight returns what a core-second of a priority counts.
+func weight(priority int) float64 {
+	return math.Pow(levelWeight, float64(levels-min(max(priority, 0), levels)))
+}
 
 // size returns the cores of a unit; an accelerator counts as several.
 func (s *State) size(u *unit) float64 {
