Replace a lost owner sooner, and restart gangs broken by a silent worker at once

Cause: windows around the loss of an owner or of workers were the worst. A restarted owner waited for its own former lease, a killed one for 2 s, an ending term for its calls under way (two processes outlasted the grace); gangs with a member on a crashed worker waited 6.9 s for its lease although the other members had been reported as broken.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -100,6 +100,15 @@
 	return c.conn, nil
 }
 
+// Disconnected opens the connection, if there is none, and returns what is closed when it ends.
+func (c *Client) Disconnected(ctx context.Context) (<-chan struct{}, error) {
+	conn, err := c.open(ctx)
+	if err != nil {
+		return nil, errors.Mark(err, ErrUnreachable)
+	}
+	return conn.DisconnectNotify(), nil
+}
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	const dialTimeout = time.Second
 	d := net.Dialer{Timeout: dialTimeout}
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -48,6 +48,9 @@
 			n.quarantined = time.Time{}
 			s.grow()
 		}
+		if !n.silentSince.IsZero() {
+			s.expireBroken(n, now)
+		}
 		if len(n.runs) > 0 && (!n.listed || !n.silentSince.IsZero()) && now.After(n.lapses) {
 			s.notice(Notice{Kind: "WorkerLapsed", Worker: id, Cause: "it does not answer and its lease has ended"})
 			s.Dead(id, "the worker's lease has ended", now)
@@ -59,6 +62,29 @@
 	}
 }
 
+// expireBroken frees the runs of broken gangs on a silent worker. A gang is broken on all workers once one of its members
+// has ended. If all others have told of that and name no other cause, it was a member on the silent worker that ended.
+func (s *State) expireBroken(n *node, now time.Time) {
+	for r := range n.runs {
+		if r.unit == nil || !r.unit.broken || r.unit.phase != stopping || !r.unit.onlyOn(n) {
+			continue
+		}
+		s.notice(Notice{Kind: "RunGone", Job: r.Job, Step: r.Step, Number: r.Number, Worker: n.ID, Cause: "its gang is broken, and the worker is silent"})
+		s.gone(r)
+		s.settle(r.unit, now)
+	}
+}
+
+// onlyOn reports whether the runs of a unit that are left are all on one worker.
+func (u *unit) onlyOn(n *node) bool {
+	for _, r := range u.runs {
+		if r.phase != runGone && r.node != n {
+			return false
+		}
+	}
+	return true
+}
+
 // judgeOwed finds the jobs that guarantees cover: those of priority 0, in order, as long as an account's
 // accelerators suffice.
 func (s *State) judgeOwed() {
@@ -118,7 +144,7 @@
 // placeWaiting starts the waiting units that fit: by priority, the covered ones first, then by submission. Urgent units
 // that don't fit stop others; the first unit of each priority that doesn't fit gets a reservation.
 func (s *State) placeWaiting(now time.Time) {
-	p := &pass{now: now}
+	p := &pass{now: now, reserve: s.headroom.update(s.urgentNeed(), now), cheap: s.cheap()}
 	p.bound(s)
 	for _, covered := range []bool{true, false} {
 		for _, j := range s.live {
@@ -138,6 +164,8 @@
 	holds reservations
 	// most is a bound on what is free in one rack, and all on what is free in all.
 	most, all ids.Resources
+	// reserve is to stay free of bulk work, beside what cheap stops would free.
+	reserve, cheap ids.Resources
 }
 
 // bound sums what is free.
@@ -181,6 +209,10 @@
 			}
 			continue
 		}
+		if !p.leavesHeadroom(u) {
+			full = u.step
+			continue
+		}
 		if p.mayFit(s, u) {
 			if place := s.findPlace(u, p.now, func(n *node) ids.Resources { return s.roomFor(u, n, &p.holds, p.now) }); place != nil {
 				s.start(u, place, p.now)
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -85,6 +85,8 @@
 		allocatedAt time.Time
 		startedAt   time.Time
 		notBefore   time.Time
+		// broken tells that the run was first heard of as broken: a member had ended on a worker that did not say so.
+		broken bool
 		// remote tells that the place makes the tasks slower.
 		remote bool
 		// avoid are the workers on which the unit failed.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -60,7 +60,9 @@
 	}
 
 	rack struct {
-		id    ids.RackID
+		id ids.RackID
+		// index is the rack's place among all, by id.
+		index int
 		nodes []*node
 	}
 )
@@ -132,6 +134,9 @@
 		r.nodes = append(r.nodes, n)
 	}
 	slices.SortFunc(s.racks, func(a, b *rack) int { return cmp.Compare(a.id, b.id) })
+	for i, r := range s.racks {
+		r.index = i
+	}
 }
 
 func (s *State) sortedNodes() []*node {
--- a/internal/process/pool/reclaim.go
+++ b/internal/process/pool/reclaim.go
@@ -150,10 +150,7 @@
 // stopCost returns what the stop of a unit costs: the work that is lost, the wait for the next start, and all of the job
 // if it would then end after its objective. Checkpointed work goes on elsewhere.
 func (s *State) stopCost(u *unit, now time.Time) float64 {
-	lost := now.Sub(u.startedAt)
-	if u.spec().Checkpoints {
-		lost = s.Times.Restore
-	}
+	lost := s.workLost(u, now)
 	seconds := (lost + restartWait).Seconds()
 	whole := s.runTime(u)
 	due := u.job.Submitted.Add(s.objective(u.job))
@@ -163,6 +160,14 @@
 	return seconds * s.size(u) * weight(u.job.Priority)
 }
 
+// workLost returns the run time of a unit that its stop would lose.
+func (s *State) workLost(u *unit, now time.Time) time.Duration {
+	if u.spec().Checkpoints {
+		return s.Times.Restore
+	}
+	return now.Sub(u.startedAt)
+}
+
 // weight returns what a core-second of a priority counts.
 func weight(priority int) float64 {
 	return math.Pow(levelWeight, float64(levels-min(max(priority, 0), levels)))
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -103,6 +103,7 @@
 		s.interrupted(u, "a task failed on "+string(n.ID), now)
 	case worker.EndStopped, worker.EndLapsed, worker.EndBroken, worker.EndAlone:
 		if u.phase != stopping {
+			u.broken = e.How == worker.EndBroken
 			s.interrupted(u, "a run ended as "+string(e.How)+" on "+string(n.ID), now)
 		}
 	}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -25,7 +25,7 @@
 	u.number = max(u.number, ids.RunNumber(s.Epoch)*runsPerEpoch) + 1
 	u.phase = starting
 	u.startedAt, u.movedAt = now, now
-	u.percent = 0
+	u.percent, u.broken = 0, false
 	u.remote = s.isRemote(u, place)
 	u.job.beganIn(u.step, place[0].rack)
 	u.runs = u.runs[:0]
@@ -146,7 +146,10 @@
 		u.phase = waiting
 	case starting, running:
 		u.phase = stopping
-		s.notice(Notice{Kind: "Stopped", Job: u.job.ID, Step: u.step, Tasks: u.count, Number: u.number, Cause: cause, After: now.Sub(u.job.Submitted)})
+		s.notice(Notice{
+			Kind: "Stopped", Job: u.job.ID, Step: u.step, Tasks: u.count, Number: u.number, Cause: cause, After: now.Sub(u.job.Submitted),
+			Lost: s.workLost(u, now).Seconds() * s.size(u),
+		})
 		for _, r := range slices.Clone(u.runs) {
 			s.stop(r, now)
 		}
--- a/internal/process/poolowner/gate.go
+++ b/internal/process/poolowner/gate.go
@@ -39,10 +39,14 @@
 	peerCall = time.Second
 	// ownerWait is how long a call waits for a new owner before it is refused as not run.
 	ownerWait = 300 * time.Millisecond
+	// watchPause is the pause before the connection to the owner is tried again.
+	watchPause = 100 * time.Millisecond
 	// ownerPause is the pause before the owner is looked up again.
 	ownerPause   = 20 * time.Millisecond
 	codeNotOwner = "NotOwner"
-	codeUnknown  = "OutcomeUnknown"
+	// codeRecovering tells that the instance is the owner but does not serve yet.
+	codeRecovering = "Recovering"
+	codeUnknown    = "OutcomeUnknown"
 )
 
 // Ask answers a call, here or at the owner. ErrUnknown tells that the outcome is not known. Calls may be brought to the
@@ -96,17 +100,39 @@
 	switch {
 	case err == nil:
 		return answer, true, nil
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case errors.Is(err, syscall.ECONNREFUSED), errors.As(err, &fault) && fault.Code == codeNotOwner:
+		// Its process has ended, or was started anew and knows nothing of its ownership.
 		g.Owner.Overtake(current)
 		return answer, true, ErrNotOwner
-	case errors.Is(err, peer.ErrUnreachable):
-		return answer, true, ErrNotOwner
-	case errors.As(err, &fault) && fault.Code == codeNotOwner:
+	case errors.Is(err, peer.ErrUnreachable), errors.As(err, &fault) && fault.Code == codeRecovering:
 		return answer, true, ErrNotOwner
 	}
 	return answer, true, ErrUnknown
 }
 
+// Watch notices the end of the owner's process by its connection, until ctx ends.
+func (g *Gate) Watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		current := g.Owner.Current()
+		if current == nil || current.Address == "" || current.Instance == g.Owner.Instance {
+			pause.For(ctx, watchPause)
+			continue
+		}
+		gone, err := g.client(current).Disconnected(ctx)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			g.Owner.Overtake(current)
+		}
+		if err != nil {
+			pause.For(ctx, watchPause)
+			continue
+		}
+		select {
+		case <-gone:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // client returns the connection to an owner.
 func (g *Gate) client(current *Current) *peer.Client {
 	g.mu.Lock()
@@ -127,6 +153,8 @@
 		defer cancel()
 		answer, err := g.Owner.Handle(ctx, c)
 		switch {
+		case errors.Is(err, ErrNotOwner) && g.Owner.recovering.Load():
+			return answer, &httpjson.Fault{Status: 409, Code: codeRecovering, Message: err.Error()}
 		case errors.Is(err, ErrNotOwner):
 			return answer, &httpjson.Fault{Status: 409, Code: codeNotOwner, Message: err.Error()}
 		case err != nil:
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -61,7 +61,7 @@
 		wake: make(chan struct{}, 1), orders: make(chan struct{}, ordersAtOnce),
 	}
 	l.wanted.Store(&wanted{busy: true})
-	t.spawn(l.renew)
+	go l.renew()
 	return l
 }
 
@@ -203,9 +203,9 @@
 	switch a.Kind {
 	case pool.StartRun:
 		l.markOrdered()
-		t.spawn(func() { l.start(a) })
+		go l.start(a)
 	case pool.StopRun:
-		t.spawn(func() { l.stop(a) })
+		go l.stop(a)
 	}
 }
 
--- a/internal/process/poolowner/member.go
+++ b/internal/process/poolowner/member.go
@@ -74,6 +74,11 @@
 				wait += weakDelay
 			}
 		}
+		if current := o.current.Load(); current != nil && current.Instance == o.Instance && !o.leaving.Load() {
+			// The key is of an earlier process of this instance, or of a term that has ended.
+			o.compete(ctx, current.revision)
+			return
+		}
 		events, at, err := o.watchOwner(ctx, revision, wait)
 		if dead := o.dead.Swap(nil); dead != nil && dead == o.current.Load() && !o.leaving.Load() {
 			o.compete(ctx, dead.revision)
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -45,7 +45,9 @@
 
 		term    atomic.Pointer[term]
 		leaving atomic.Bool
-		current atomic.Pointer[Current]
+		// recovering tells that this instance holds the owner's key and reads what its predecessor left.
+		recovering atomic.Bool
+		current    atomic.Pointer[Current]
 		// contact is when the store last answered, by the steady clock.
 		contact atomic.Pointer[time.Time]
 		// dead is an owner whose process is known to have ended, and interrupt ends the watch that runs.
@@ -86,8 +88,9 @@
 	keyWorkers = "Jujubegrade/Workers"
 	prefixJobs = "Jujubegrade/Job/"
 
-	// defaultLease is twice the shortest lease of the platform's store, so that one lost renewal doesn't end it.
-	defaultLease = 2 * time.Second
+	// DefaultLease is a little above the shortest lease of the platform's store: one lost renewal doesn't end it, and an
+	// owner that is lost without a word is replaced soon.
+	DefaultLease = 1400 * time.Millisecond
 	// defaultWorkerLease is the longest that the platform's workers grant.
 	defaultWorkerLease = 6 * time.Second
 	// defaultRevoke is well below the platform's bound of 5 s on revoked keys.
@@ -114,7 +117,7 @@
 )
 
 func (t Times) withDefaults() Times {
-	t.Lease = cmp.Or(t.Lease, defaultLease)
+	t.Lease = cmp.Or(t.Lease, DefaultLease)
 	t.WorkerLease = cmp.Or(t.WorkerLease, defaultWorkerLease)
 	t.Revoke = cmp.Or(t.Revoke, defaultRevoke)
 	return t
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
@@ -46,10 +46,6 @@
 	used    []ids.InstanceID
 	usedAt  store.Revision
 	retired time.Time
-
-	spawnLock sync.Mutex
-	closed    bool
-	tasks     sync.WaitGroup
 }
 
 const (
@@ -61,8 +57,10 @@
 	// leaseSlack is how long an owner that can't renew its lease goes on with what runs: longer than the store's usual outages.
 	// Orders stay fenced, and nothing is accepted meanwhile.
 	leaseSlack = 9 * time.Second
-	// clockSlack is the part by which a worker's clock may be slow, with a margin.
-	clockSlack = 0.03
+	// clockSlack is the part by which a worker's clock may be slow, 2% by the platform's word, with a margin.
+	clockSlack = 0.025
+	// clockStep covers the rounding of the worker's clock and of ours.
+	clockStep = 50 * time.Millisecond
 	// retireInterval is the time between removals of jobs that ended long ago.
 	retireInterval = 10 * time.Second
 )
@@ -80,14 +78,16 @@
 	}
 	t.log.Info("owner: ownership claimed")
 	o.metrics.Claims.Add(1)
-	t.spawn(t.keepLease)
-	t.spawn(t.watchSuccessor)
+	o.recovering.Store(true)
+	go t.keepLease()
+	go t.watchSuccessor()
 	if t.load() {
 		t.run()
 	}
+	o.recovering.Store(false)
 	o.term.Store(nil)
+	// Calls that are under way end by their timeouts; nothing that they bring is taken any more.
 	cancel(nil)
-	t.join()
 	t.log.Info("owner: ownership ended", zap.NamedError("cause", context.Cause(ctx)))
 	t.release()
 }
@@ -104,22 +104,6 @@
 	}
 }
 
-// spawn runs a function that ends with the term.
-func (t *term) spawn(run func()) {
-	t.spawnLock.Lock()
-	defer t.spawnLock.Unlock()
-	if !t.closed {
-		t.tasks.Go(run)
-	}
-}
-
-func (t *term) join() {
-	t.spawnLock.Lock()
-	t.closed = true
-	t.spawnLock.Unlock()
-	t.tasks.Wait()
-}
-
 // post hands an event to the term's goroutine.
 func (t *term) post(event func()) {
 	select {
@@ -165,21 +149,30 @@
 	ctx, cancel := context.WithTimeout(t.ctx, 4*storeCall)
 	defer cancel()
 	sent := time.Now()
-	config, configRev, err := t.owner.Store.List(ctx, t.owner.ConfigPrefix)
-	if err != nil {
+	var config, workers, records []store.Entry
+	var configRev, workersRev store.Revision
+	var used store.Entry
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() (err error) {
+		config, configRev, err = t.owner.Store.List(ctx, t.owner.ConfigPrefix)
 		return errors.Wrap(err, "configuration")
-	}
-	workers, workersRev, err := t.owner.Store.List(ctx, t.owner.WorkerPrefix)
-	if err != nil {
+	})
+	g.Go(func() (err error) {
+		workers, workersRev, err = t.owner.Store.List(ctx, t.owner.WorkerPrefix)
 		return errors.Wrap(err, "workers")
-	}
-	records, _, err := t.owner.Store.List(ctx, prefixJobs)
-	if err != nil {
+	})
+	g.Go(func() (err error) {
+		records, _, err = t.owner.Store.List(ctx, prefixJobs)
 		return errors.Wrap(err, "jobs")
-	}
-	used, err := t.owner.Store.Get(ctx, keyWorkers)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
+	})
+	g.Go(func() (err error) {
+		if used, err = t.owner.Store.Get(ctx, keyWorkers); errors.Is(err, store.ErrNotFound) {
+			return nil
+		}
 		return errors.Wrap(err, "used workers")
+	})
+	if err := g.Wait(); err != nil {
+		return err
 	}
 	t.owner.contacted()
 	t.usedAt = used.Revision
@@ -202,8 +195,8 @@
 	}
 	t.state.Recover(jobs)
 	t.log.Info("owner: records read", zap.Int("jobs", len(jobs)), zap.Int("workers", len(t.listed)), zap.Duration("took", time.Since(sent)))
-	t.spawn(func() { t.followConfig(config, configRev) })
-	t.spawn(func() { t.followWorkers(workers, workersRev) })
+	go t.followConfig(config, configRev)
+	go t.followWorkers(workers, workersRev)
 	return nil
 }
 
@@ -271,6 +264,7 @@
 	until := now.Add(leaseSlack + t.leaseBound())
 	t.state.EndRecovery(missing, until, now)
 	t.owner.term.Store(t)
+	t.owner.recovering.Store(false)
 	c := t.state.Counts(now)
 	t.log.Info("owner: ownership taken", zap.Int("unknown", c.Unknown), zap.Int("runs", c.Runs), zap.Int("jobs", c.LiveJobs), zap.Int("missing", len(missing)))
 	return true
@@ -278,7 +272,7 @@
 
 // leaseBound returns how long a lease that is ordered now can last on a worker, whose clock may be slow.
 func (t *term) leaseBound() time.Duration {
-	return time.Duration(float64(t.owner.Times.WorkerLease)*(1+clockSlack)) + storeCall
+	return time.Duration(float64(t.owner.Times.WorkerLease)*(1+clockSlack)) + clockStep
 }
 
 func (t *term) tick() {
@@ -287,7 +281,7 @@
 	if now.Sub(t.retired) > retireInterval {
 		t.retired = now
 		if retired := t.state.Retired(now); len(retired) > 0 {
-			t.spawn(func() { t.remove(retired) })
+			go t.remove(retired)
 		}
 	}
 }
@@ -313,7 +307,7 @@
 
 func (t *term) logNotice(n pool.Notice) {
 	t.log.Info("decision: "+n.Kind, zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("tasks", n.Tasks),
-		zap.Uint64("run", uint64(n.Number)), zap.String("worker", string(n.Worker)), zap.String("cause", n.Cause), zap.Duration("after", n.After))
+		zap.Uint64("run", uint64(n.Number)), zap.String("worker", string(n.Worker)), zap.String("cause", n.Cause), zap.Duration("after", n.After), zap.Float64("lostCoreSeconds", n.Lost))
 }
 
 // keepLease renews the ownership's lease until the term ends.
@@ -323,7 +317,7 @@
 	for t.ctx.Err() == nil {
 		pause.For(t.ctx, jitter(t.owner.Times.Lease/renewals))
 		sent := time.Now()
-		ctx, cancel := context.WithTimeout(t.ctx, storeCall)
+		ctx, cancel := context.WithTimeout(t.ctx, t.owner.Times.Lease/3)
 		err := t.owner.Store.Keep(ctx, t.claim.lease)
 		cancel()
 		switch {
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -79,10 +79,10 @@
 		return
 	}
 	t.writing = true
-	t.spawn(func() {
+	go func() {
 		result, revision := t.commit(b)
 		t.post(func() { t.committed(b, result, revision) })
-	})
+	}()
 }
 
 // transaction returns what a batch asks of the store.
@@ -184,7 +184,7 @@
 			t.state.Retry(r.id)
 		}
 		t.writing = true
-		t.spawn(t.refreshConfig)
+		go t.refreshConfig()
 		return
 	}
 	if b.used != nil {
