--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -71,7 +71,7 @@
 		}
 		s.notice(Notice{Kind: "RunGone", Job: r.Job, Step: r.Step, Number: r.Number, Worker: n.ID, Cause: "its gang is broken, and the worker is silent"})
 		s.gone(r)
-		s.settle(r.unit, now)
+		s.settle(r.unit)
 	}
 }
 
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -45,7 +45,7 @@
 		case r.phase == runStopping, r.unit == nil, r.unit.phase == done:
 			s.gone(r)
 			if r.unit != nil {
-				s.settle(r.unit, now)
+				s.settle(r.unit)
 			}
 		default:
 			s.runLost(r, "the worker no longer lists the run", now)
@@ -73,9 +73,10 @@
 	case e.How == worker.EndFailed && e.Run.Number < u.number:
 		// An earlier owner could start the next run before the store kept the failure.
 		s.countFailure(u, e.Run.Number)
+		s.endFailed(u, now)
 	}
 	if r != nil && r.unit != nil {
-		s.settle(r.unit, now)
+		s.settle(r.unit)
 	}
 	p := pendingEnd{number: e.Number}
 	if j != nil && j.version > j.storedVersion {
@@ -124,13 +125,15 @@
 	u.avoid[id] = true
 }
 
-// interrupted stops what is left of a unit, or ends the job of a waiting one that has failed too often.
+// interrupted stops what is left of a unit, and ends its job if it has failed too often.
 func (s *State) interrupted(u *unit, cause string, now time.Time) {
-	if u.phase == starting || u.phase == running {
-		s.abort(u, cause, now)
-		return
-	}
-	if u.phase == waiting && len(u.failed) >= u.job.MaxAttempts && !u.job.over() {
+	s.abort(u, cause, now)
+	s.endFailed(u, now)
+}
+
+// endFailed ends the job of a unit that has failed too often.
+func (s *State) endFailed(u *unit, now time.Time) {
+	if len(u.failed) >= u.job.MaxAttempts && !u.job.over() {
 		s.end(u.job, Failed, "a task failed as often as its queue allows", now)
 	}
 }
@@ -285,6 +288,7 @@
 			if u.phase == starting && len(u.runs) < u.count {
 				s.abort(u, "only a part of the gang was found at work", now)
 			}
+			s.endFailed(u, now)
 		}
 	}
 }
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -87,3 +87,33 @@
 	require.Len(t, actions, 1)
 	require.Equal(t, ids.JobID("b"), actions[0].Run.Job)
 }
+
+// A job whose last allowed run has failed is over at once, also if another member of the gang is still being stopped, and
+// an owner that finds such a record starts it no more.
+func TestLastFailureEndsTheJob(t *testing.T) {
+	s := testState(2, 2)
+	j := gangJob("a", 1, 2, 8, time.Second)
+	j.MaxAttempts = 1
+	s.accept(j, testStart)
+	actions, _ := s.Decide(testStart)
+	require.Len(t, actions, 2)
+	for _, a := range actions {
+		s.RunStarted(a.Worker, a.Run, testStart)
+	}
+	s.Reported("w0000", worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: actions[0].Run, Number: 1, How: worker.EndFailed}}}, testStart, testStart)
+	require.Equal(t, Failed, j.State)
+	require.NotEmpty(t, s.nodes["w0001"].runs, "the other member takes its room until it has ended")
+
+	j.State = Accepted
+	value, err := j.Encode("1")
+	require.NoError(t, err)
+	found, err := Decode(value)
+	require.NoError(t, err)
+	next := testState(2, 2)
+	next.Epoch = 2
+	next.Recover([]*Job{found})
+	next.EndRecovery(nil, testStart, testStart)
+	actions, _ = next.Decide(testStart.Add(time.Minute))
+	require.Empty(t, actions)
+	require.Equal(t, Failed, found.State)
+}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -153,7 +153,7 @@
 		for _, r := range slices.Clone(u.runs) {
 			s.stop(r, now)
 		}
-		s.settle(u, now)
+		s.settle(u)
 	}
 }
 
@@ -190,11 +190,11 @@
 		s.backOff(u, now)
 		s.abort(u, cause, now)
 	}
-	s.settle(u, now)
+	s.settle(u)
 }
 
 // settle lets a stopped unit wait again once nothing of it runs.
-func (s *State) settle(u *unit, now time.Time) {
+func (s *State) settle(u *unit) {
 	if u.phase != stopping {
 		return
 	}
@@ -206,9 +206,6 @@
 	u.runs = u.runs[:0]
 	u.phase = waiting
 	s.grow()
-	if len(u.failed) >= u.job.MaxAttempts && !u.job.over() {
-		s.end(u.job, Failed, "a task failed as often as its queue allows", now)
-	}
 }
 
 // backOff delays the next start of a unit a little more with each try.
