--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -104,7 +104,7 @@
 	if place == nil {
 		return wait + s.objective(j)
 	}
-	return max(wait, at.Sub(now))
+	return wait + at.Sub(now)
 }
 
 // backlog returns how long the pool works on the units that wait before a job, by their dominant share of the pool.
