--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -81,14 +81,24 @@
 	return label == "" || slices.Contains(n.Labels, label)
 }
 
-// tasksOf counts the runs of a step of a job on the worker.
-func (n *node) tasksOf(j *Job, step int) int {
+// tasksOn counts the tasks of a step of a job that run on a worker, or for which it is being cleared.
+func (s *State) tasksOn(n *node, j *Job, step int) int {
 	count := 0
 	for r := range n.runs {
 		if r.unit != nil && r.unit.job == j && r.unit.step == step {
 			count++
 		}
 	}
+	for _, u := range s.kept {
+		if u.job != j || u.step != step {
+			continue
+		}
+		for _, other := range u.place {
+			if other == n {
+				count++
+			}
+		}
+	}
 	return count
 }
 
--- a/internal/process/pool/place.go
+++ b/internal/process/pool/place.go
@@ -141,7 +141,7 @@
 		free := room(n)
 		tasks := free.Copies(spec.Each, u.count)
 		if spec.MaxPerWorker > 0 {
-			tasks = min(tasks, spec.MaxPerWorker-n.tasksOf(u.job, u.step))
+			tasks = min(tasks, spec.MaxPerWorker-s.tasksOn(n, u.job, u.step))
 		}
 		if tasks <= 0 {
 			continue
