Give stalled runs up, follow unanswered starts into a worker's next life, and test owners in a random soak

Cause, each found by the soak or a scenario and with a test: a run without progress was kept for ever; a start that got no answer reached the worker's next life after its task had begun elsewhere; a gang that needs every worker kept off the one on which it had failed for good; a job admitted under an older configuration was stored under a newer one that no longer had its key; a job of which nothing is known was refused as not run while no instance owned the pool. The soak still fails: a large bulk gang never gets its room on a small pool (headroom), next.

--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -16,6 +16,8 @@
 const (
 	// leastRetryAfter is the shortest time after which a refused job may come again.
 	leastRetryAfter = time.Second
+	// longestRetryAfter bounds that time: workers that can't be used now may be back by then.
+	longestRetryAfter = 10 * time.Second
 	// bulkWait is the part of the time between a job's own run time and its objective that it may spend waiting: run times
 	// are estimated badly, and a longer queue serves no more of them. Urgent jobs may spend all of it.
 	bulkWait = 0.5
@@ -50,7 +52,7 @@
 	if wait := s.expectedWait(j, now); wait > slack {
 		return &Refusal{
 			Reason: "it would wait " + wait.Round(time.Millisecond).String() + ", and may wait " + slack.Round(time.Millisecond).String(),
-			After:  max(leastRetryAfter, wait-slack),
+			After:  min(longestRetryAfter, max(leastRetryAfter, wait-slack)),
 		}
 	}
 	return nil
@@ -115,6 +117,9 @@
 			total = total.Plus(n.Total)
 		}
 	}
+	if total == (ids.Resources{}) {
+		return 0
+	}
 	sum := 0.0
 	for _, other := range s.live {
 		if other.Priority > j.Priority {
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -53,7 +53,10 @@
 		}
 		if len(n.runs) > 0 && (!n.listed || !n.silentSince.IsZero()) && now.After(n.lapses) {
 			s.notice(Notice{Kind: "WorkerLapsed", Worker: id, Cause: "it does not answer and its lease has ended"})
-			s.Dead(id, "the worker's lease has ended", now)
+			n.known = false
+			for r := range n.runs {
+				s.runLost(r, "the worker's lease has ended", now)
+			}
 		}
 		if !n.listed && len(n.runs) == 0 && now.After(n.lapses) {
 			delete(s.nodes, id)
--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -17,6 +17,8 @@
 const (
 	// learnShare is the weight of a new sample of a smoothed mean once there are enough of them.
 	learnShare = 0.1
+	// longestStall bounds the time without progress that a unit is given for the work that it has done.
+	longestStall = time.Minute
 	// priorSpread is the spread of declared times up to which they are trusted as they are: a few samples within a factor of two.
 	priorSpread = 2.0
 	// priorWeight is the number of samples that a queue's mean needs to count for half.
@@ -29,7 +31,7 @@
 	// told in hundredths, and a slow worker takes up to eight times as long.
 	stallShare = 0.08
 	// leastStall is the shortest time without progress that counts: two reports of a worker.
-	leastStall = 2 * time.Second
+	leastStall = 1500 * time.Millisecond
 )
 
 // add takes a sample in; weights below one are for samples that resemble each other.
@@ -62,7 +64,7 @@
 
 // learn takes the run time of a unit that was done in. Runs from a checkpoint tell nothing.
 func (s *State) learn(u *unit, now time.Time) {
-	if u.spec().Estimate <= 0 || u.checkpoint != "" || u.startedAt.IsZero() {
+	if u.spec().Estimate <= 0 || u.checkpoint != "" || u.adopted {
 		return
 	}
 	real := now.Sub(u.startedAt)
@@ -119,6 +121,9 @@
 	}
 	const tellingPercent = 10
 	elapsed := now.Sub(u.startedAt)
+	if u.adopted {
+		return max(whole*time.Duration(100-u.percent)/100-elapsed, whole/10)
+	}
 	if u.percent >= tellingPercent && u.checkpoint == "" {
 		left := time.Duration(float64(u.movedAt.Sub(u.startedAt)) * float64(100-u.percent) / float64(u.percent))
 		return max(0, left-now.Sub(u.movedAt))
@@ -126,9 +131,14 @@
 	return max(whole-elapsed, whole/10)
 }
 
-// stallTime returns how long a unit may show no progress.
+// stallTime returns how long a unit may show no progress: at least as long as the work is worth that its stop would lose,
+// since it may go on any moment.
 func (s *State) stallTime(u *unit) time.Duration {
-	return max(leastStall, time.Duration(stallShare*s.Times.Remote*float64(u.spec().Estimate)))
+	patience := max(leastStall, time.Duration(stallShare*s.Times.Remote*float64(u.spec().Estimate)))
+	if u.spec().Checkpoints {
+		return patience
+	}
+	return max(patience, min(longestStall, u.movedAt.Sub(u.startedAt)))
 }
 
 // stopTime returns how long a stopped run usually takes to end.
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -85,12 +85,14 @@
 		allocatedAt time.Time
 		startedAt   time.Time
 		notBefore   time.Time
+		// adopted tells that the run began under an earlier owner, so that its start is not known.
+		adopted bool
 		// broken tells that the run was first heard of as broken: a member had ended on a worker that did not say so.
 		broken bool
 		// remote tells that the place makes the tasks slower.
 		remote bool
-		// avoid are the workers on which the unit failed.
-		avoid map[ids.InstanceID]bool
+		// avoid are the workers on which the unit failed, and until when it is kept off them.
+		avoid map[ids.InstanceID]time.Time
 		// percent is the least progress of the members, and movedAt when it last rose.
 		percent int
 		movedAt time.Time
@@ -105,6 +107,8 @@
 		node  *node
 		each  ids.Resources
 		phase runPhase
+		// known tells that the worker has said that the run was there. Until then its start may still be carried out.
+		known bool
 		// confirmed is when the start was confirmed, or the stop in phase runStopping.
 		confirmed time.Time
 		percent   int
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -162,19 +162,30 @@
 func (s *State) reborn(n *node, incarnation uint64, now time.Time) {
 	n.Incarnation = incarnation
 	n.seen, n.acknowledged, n.ends = 0, 0, nil
-	for r := range n.runs {
-		if r.phase != runStarting {
-			s.runLost(r, "the worker was restarted", now)
-		}
-	}
+	s.lose(n, "the worker was restarted", now)
 }
 
-// Dead takes note that nothing runs on a worker any more.
+// Dead takes note that a worker's process has ended.
 func (s *State) Dead(id ids.InstanceID, cause string, now time.Time) {
 	if n := s.nodes[id]; n != nil {
 		n.known = false
-		for r := range n.runs {
+		if n.silentSince.IsZero() {
+			n.silentSince = now
+		}
+		s.lose(n, cause, now)
+	}
+}
+
+// lose takes the runs as gone that were on a worker whose process has ended. A start that was not answered may be carried
+// out by its next life; it is stopped there before the task may start elsewhere.
+func (s *State) lose(n *node, cause string, now time.Time) {
+	for r := range n.runs {
+		switch {
+		case r.known:
 			s.runLost(r, cause, now)
+		case r.phase == runStarting && r.unit != nil:
+			s.backOff(r.unit, now)
+			s.abort(r.unit, cause, now)
 		}
 	}
 }
--- a/internal/process/pool/place.go
+++ b/internal/process/pool/place.go
@@ -156,7 +156,7 @@
 }
 
 func (s *State) usable(u *unit, n *node, now time.Time) bool {
-	return n.open(now) && n.Service == u.job.Service && n.has(u.spec().Label) && (!u.avoid[n.ID] || len(u.avoid)*2 > len(s.nodes))
+	return n.open(now) && n.Service == u.job.Service && n.has(u.spec().Label) && !now.Before(u.avoid[n.ID])
 }
 
 // fill puts the tasks of a unit on seats in order, or returns nil if there are too few.
--- a/internal/process/pool/place_test.go
+++ b/internal/process/pool/place_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -40,3 +41,23 @@
 	}
 	require.Len(t, racks, 1)
 }
+
+// A gang that needs every worker starts again after it has failed on one of them.
+func TestGangThatNeedsEveryWorker(t *testing.T) {
+	s := testState(2, 2)
+	j := gangJob("a", 1, 2, 8, time.Second)
+	s.accept(j, testStart)
+	actions, _ := s.Decide(testStart)
+	require.Len(t, actions, 2)
+	for _, a := range actions {
+		s.RunStarted(a.Worker, a.Run, testStart)
+	}
+	for i, how := range []worker.Ending{worker.EndFailed, worker.EndBroken} {
+		s.Reported(actions[i].Worker, worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: actions[i].Run, Number: 1, How: how}}}, testStart, testStart)
+	}
+	s.Decide(testStart)
+	actions, _ = s.Decide(testStart.Add(time.Second))
+	require.Empty(t, actions, "it keeps off the worker for a while")
+	actions, _ = s.Decide(testStart.Add(time.Minute))
+	require.Len(t, actions, 2)
+}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -100,7 +100,7 @@
 	case worker.EndFailed:
 		s.strike(n, u.job.ID, now)
 		s.countFailure(u, e.Run.Number)
-		u.avoidNode(n.ID)
+		u.avoidNode(n.ID, now)
 		s.interrupted(u, "a task failed on "+string(n.ID), now)
 	case worker.EndStopped, worker.EndLapsed, worker.EndBroken, worker.EndAlone:
 		if u.phase != stopping {
@@ -118,11 +118,12 @@
 	}
 }
 
-func (u *unit) avoidNode(id ids.InstanceID) {
+// avoidNode keeps a unit off a worker on which it failed for a while.
+func (u *unit) avoidNode(id ids.InstanceID, now time.Time) {
 	if u.avoid == nil {
-		u.avoid = make(map[ids.InstanceID]bool)
+		u.avoid = make(map[ids.InstanceID]time.Time)
 	}
-	u.avoid[id] = true
+	u.avoid[id] = now.Add(avoidTime)
 }
 
 // interrupted stops what is left of a unit, and ends its job if it has failed too often.
@@ -187,6 +188,7 @@
 	if r.phase == runStarting {
 		s.active(r, now)
 	}
+	r.known = true
 	r.percent = a.Percent
 	if u := r.unit; u != nil && u.number == r.Number {
 		if a.Checkpoint != "" {
@@ -196,7 +198,7 @@
 	}
 }
 
-// moved takes note of the progress of a unit's slowest member.
+// moved takes note of the progress of a unit's slowest member, and gives the unit up if that has stood still for too long.
 func (s *State) moved(u *unit, now time.Time) {
 	least := 100
 	for _, r := range u.runs {
@@ -205,14 +207,33 @@
 	if least != u.percent {
 		u.percent = least
 		u.movedAt = now
+		return
+	}
+	if u.phase != running || now.Sub(u.movedAt) < s.stallTime(u) {
+		return
+	}
+	var slowest []*node
+	for _, r := range u.runs {
+		if r.percent == least {
+			if !r.node.silentSince.IsZero() {
+				// Its progress is not known.
+				return
+			}
+			slowest = append(slowest, r.node)
+		}
+	}
+	for _, n := range slowest {
+		s.strike(n, u.job.ID, now)
+		u.avoidNode(n.ID, now)
 	}
+	s.abort(u, "no progress for "+now.Sub(u.movedAt).Round(time.Millisecond).String()+", first on "+string(slowest[0].ID), now)
 }
 
 // unexpected handles a run that this owner did not order.
 func (s *State) unexpected(n *node, a worker.Active, now time.Time) {
 	j := s.jobs[a.Job]
 	u := j.unitOf(a.Task)
-	r := &run{Run: a.Run, node: n, phase: runActive, confirmed: now, percent: a.Percent}
+	r := &run{Run: a.Run, node: n, phase: runActive, known: true, confirmed: now, percent: a.Percent}
 	if u != nil {
 		r.each = u.spec().Each
 	}
@@ -235,6 +256,7 @@
 		u.number = r.Number
 		u.phase = starting
 		u.startedAt, u.movedAt = now, now
+		u.adopted = true
 		u.runs = u.runs[:0]
 	case u.phase != starting || u.number != r.Number:
 		return false
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -117,3 +117,24 @@
 	require.Empty(t, actions)
 	require.Equal(t, Failed, found.State)
 }
+
+// A gang that stands still is given up and starts elsewhere; its slowest worker gets a strike.
+func TestStalledGang(t *testing.T) {
+	s := testState(4, 2)
+	j := gangJob("a", 1, 2, 8, 4*time.Second)
+	s.accept(j, testStart)
+	actions, _ := s.Decide(testStart)
+	require.Len(t, actions, 2)
+	for _, a := range actions {
+		s.RunStarted(a.Worker, a.Run, testStart)
+	}
+	now := testStart
+	for range 8 {
+		now = now.Add(500 * time.Millisecond)
+		s.Reported(actions[0].Worker, worker.RunReport{Incarnation: 1, Active: []worker.Active{{Run: actions[0].Run, Percent: 50}}}, now, now)
+		s.Reported(actions[1].Worker, worker.RunReport{Incarnation: 1, Active: []worker.Active{{Run: actions[1].Run, Percent: 0}}}, now, now)
+	}
+	require.Equal(t, stopping, j.units[0].phase)
+	require.Equal(t, 1, s.nodes[actions[1].Worker].strikes)
+	require.Zero(t, s.nodes[actions[0].Worker].strikes)
+}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -13,6 +13,9 @@
 	firstRetry = 100 * time.Millisecond
 	// maxRetryDoubled bounds the doubling.
 	maxRetryDoubled = 4
+	// avoidTime is how long a unit keeps off a worker on which it failed: as long as the worker would be left out first. Later
+	// it may need that very worker to fit.
+	avoidTime = firstQuarantine
 	// strikesToQuarantine is the number of failures in a row, of different jobs, after which a worker is left out.
 	strikesToQuarantine = 2
 	// firstQuarantine is how long a worker is left out first; the time doubles with each quarantine in a row.
@@ -25,7 +28,7 @@
 	u.number = max(u.number, ids.RunNumber(s.Epoch)*runsPerEpoch) + 1
 	u.phase = starting
 	u.startedAt, u.movedAt = now, now
-	u.percent, u.broken = 0, false
+	u.percent, u.broken, u.adopted = 0, false, false
 	u.remote = s.isRemote(u, place)
 	u.job.beganIn(u.step, place[0].rack)
 	u.runs = u.runs[:0]
@@ -93,6 +96,7 @@
 
 func (s *State) active(r *run, now time.Time) {
 	r.phase = runActive
+	r.known = true
 	r.confirmed = now
 	u := r.unit
 	if u == nil || u.phase != starting {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -9,7 +9,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
@@ -317,4 +319,24 @@
 	return c
 }
 
+// Describe returns the workers and the live jobs as text, for reports of failures.
+func (s *State) Describe(now time.Time) string {
+	var b strings.Builder
+	for _, n := range s.sortedNodes() {
+		fmt.Fprintf(&b, "worker %s open %t listed %t known %t silent %t draining %t used %v kept %v runs %d\n",
+			n.ID, n.open(now), n.listed, n.known, !n.silentSince.IsZero(), n.Draining, n.used, n.kept, len(n.runs))
+		for r := range n.runs {
+			fmt.Fprintf(&b, "  run %s %d phase %d known %t confirmed %t\n", r.Task, r.Number, r.phase, r.known, !r.confirmed.IsZero())
+		}
+	}
+	for _, j := range s.live {
+		fmt.Fprintf(&b, "job %s stored %t owed %t restored %t\n", j.ID, j.stored, j.owed, j.restored)
+		for _, u := range j.units {
+			fmt.Fprintf(&b, "  unit %d/%d tasks %d phase %d number %d failed %d avoids %d not before %v\n",
+				u.step, u.first, u.count, u.phase, u.number, len(u.failed), len(u.avoid), u.notBefore.Sub(now))
+		}
+	}
+	return b.String()
+}
+
 func (s *State) notice(n Notice) { s.notices = append(s.notices, n) }
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -119,7 +119,7 @@
 func (t *term) handle(c Call) (Answer, *waiter, error) {
 	now := time.Now()
 	if age := now.Sub(t.configSeen); age > t.owner.Times.Revoke || t.catalog == nil {
-		if c.Kind == Submit && t.knows(c.Path) {
+		if c.Kind == Submit && t.state.Job(c.job()) != nil {
 			// A refusal would say that the job never runs.
 			return Answer{}, nil, ErrUnknown
 		}
@@ -156,9 +156,9 @@
 	return answer, w, nil
 }
 
-// knows reports whether a path ends with the id of a job that is kept, or may be.
-func (t *term) knows(path string) bool {
-	return t.state.Job(ids.JobID(path[strings.LastIndexByte(path, '/')+1:])) != nil
+// job returns the job that a call's path ends with.
+func (c Call) job() ids.JobID {
+	return ids.JobID(c.Path[strings.LastIndexByte(c.Path, '/')+1:])
 }
 
 // shown returns the state of a job that callers may rely on: an end only once the store keeps it.
@@ -252,11 +252,12 @@
 	t.waiters[id] = left
 }
 
-// judgeWaiting withdraws the jobs whose queue or key the newest configuration no longer has. They were not stored.
+// judgeWaiting withdraws the jobs whose queue or key the newest configuration no longer has, before they are stored. The
+// record of one that is under way is written only if the configuration has not changed, and is judged after that.
 func (t *term) judgeWaiting() {
 	for id, list := range t.waiters {
 		j := t.state.Job(id)
-		if j == nil || j.IsStored() {
+		if j == nil || j.IsStored() || t.inFlight.has(id) {
 			continue
 		}
 		result := OK
--- a/internal/process/poolowner/follow.go
+++ b/internal/process/poolowner/follow.go
@@ -105,6 +105,7 @@
 			}
 			t.catalog, t.configAt = c, e.Revision
 			t.state.SetAccounts(c.Accounts)
+			t.judgeWaiting()
 			t.log.Info("configuration: in force", zap.Uint64("version", uint64(c.Version)), zap.Uint64("revision", uint64(e.Revision)),
 				zap.Int("queues", len(c.Queues)), zap.Int("keys", len(c.Keys)))
 		}
--- a/internal/process/poolowner/gate.go
+++ b/internal/process/poolowner/gate.go
@@ -11,7 +11,9 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
 	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
+	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
 type (
@@ -19,6 +21,8 @@
 	Gate struct {
 		Owner *Owner
 		Log   *zap.Logger
+		// Call brings a call to the instance at an address; nil calls it over the network.
+		Call func(ctx context.Context, address string, c Call) (Answer, error)
 
 		mu   sync.Mutex
 		link *ownerLink
@@ -67,16 +71,24 @@
 			maybe = maybe || !errors.Is(err, ErrNotOwner)
 		}
 		if !maybe && time.Since(ownerless) > ownerWait {
-			g.Log.Info("call: no owner", zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path))
-			return Answer{Result: NotNow, Reason: "no instance owns the pool at the moment", RetryAfter: notNowAfter}, nil
+			break
 		}
 		pause.For(ctx, ownerPause)
 	}
-	if !maybe {
-		return Answer{Result: NotNow, Reason: "no instance owned the pool in time", RetryAfter: notNowAfter}, nil
+	if maybe || (c.Kind == Submit && !g.Owner.isNew(c.job())) {
+		g.unknown(c)
+		return Answer{}, ErrUnknown
 	}
-	g.unknown(c)
-	return Answer{}, ErrUnknown
+	g.Log.Info("call: no owner", zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path))
+	return Answer{Result: NotNow, Reason: "no instance owns the pool at the moment", RetryAfter: notNowAfter}, nil
+}
+
+// isNew reports whether the store is known to keep no record of a job, so that a refusal of it is true.
+func (o *Owner) isNew(id ids.JobID) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), ownerWait)
+	defer cancel()
+	_, err := o.Store.Get(ctx, prefixJobs+string(id))
+	return errors.Is(err, store.ErrNotFound)
 }
 
 func (g *Gate) unknown(c Call) {
@@ -95,7 +107,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCall)
 	defer cancel()
-	err = g.client(current).Call(ctx, MethodPool, c, &answer)
+	call := g.Call
+	if call == nil {
+		call = func(ctx context.Context, _ string, c Call) (answer Answer, err error) {
+			return answer, g.client(current).Call(ctx, MethodPool, c, &answer)
+		}
+	}
+	answer, err = call(ctx, current.Address, c)
 	var fault *httpjson.Fault
 	switch {
 	case err == nil:
@@ -148,18 +166,21 @@
 
 // Offer adds the owner's method to a peer server.
 func (g *Gate) Offer(s *peer.Server) {
-	peer.Offer(s, MethodPool, func(ctx context.Context, c Call) (Answer, error) {
-		ctx, cancel := context.WithTimeout(ctx, peerCall)
-		defer cancel()
-		answer, err := g.Owner.Handle(ctx, c)
-		switch {
-		case errors.Is(err, ErrNotOwner) && g.Owner.recovering.Load():
-			return answer, &httpjson.Fault{Status: 409, Code: codeRecovering, Message: err.Error()}
-		case errors.Is(err, ErrNotOwner):
-			return answer, &httpjson.Fault{Status: 409, Code: codeNotOwner, Message: err.Error()}
-		case err != nil:
-			return answer, &httpjson.Fault{Status: 504, Code: codeUnknown, Message: err.Error()}
-		}
-		return answer, nil
-	})
+	peer.Offer(s, MethodPool, g.answer)
+}
+
+// answer answers a call that another instance has brought.
+func (g *Gate) answer(ctx context.Context, c Call) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerCall)
+	defer cancel()
+	answer, err := g.Owner.Handle(ctx, c)
+	switch {
+	case errors.Is(err, ErrNotOwner) && g.Owner.recovering.Load():
+		return answer, &httpjson.Fault{Status: 409, Code: codeRecovering, Message: err.Error()}
+	case errors.Is(err, ErrNotOwner):
+		return answer, &httpjson.Fault{Status: 409, Code: codeNotOwner, Message: err.Error()}
+	case err != nil:
+		return answer, &httpjson.Fault{Status: 504, Code: codeUnknown, Message: err.Error()}
+	}
+	return answer, nil
 }
--- /dev/null
+++ b/internal/process/poolowner/soak_test.go
@@ -0,0 +1,290 @@
+package poolowner
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/internal/standin/runservice"
+	"github.com/jujubegrade/jujubegrade/internal/standin/storeservice"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// soak drives instances through random work and faults.
+type soak struct {
+	*world
+	rt   *rapid.T
+	jobs []ids.JobID
+	// priorities are those of the jobs' queues.
+	priorities map[ids.JobID]int
+}
+
+const (
+	soakSteps     = 60
+	soakInstances = 3
+	soakWorkers   = 6
+)
+
+// TestSoak lets random faults meet random work, and holds the platform's rules as the ledger tells them. At the end all
+// faults are over and every accepted job comes to its end.
+func TestSoak(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &soak{world: newWorld(t, soakInstances, soakWorkers), rt: rt, priorities: make(map[ids.JobID]int)}
+			defer s.stop()
+			for range soakSteps {
+				s.step()
+				time.Sleep(time.Duration(rapid.IntRange(0, 1500).Draw(rt, "pause")) * time.Millisecond)
+			}
+			s.heal()
+			s.finish()
+		})
+	})
+}
+
+func (s *soak) pick(n int, label string) int { return rapid.IntRange(0, n-1).Draw(s.rt, label) }
+
+// step does one random thing: half of them hand work in.
+func (s *soak) step() {
+	faults := []func(){
+		s.killInstance, s.pauseInstance, s.storeOutage, s.storeFault, s.store.Compact,
+		s.crashWorker, s.cutWorker, s.badWorker, s.lateOrders, s.lapseEntries, s.changeConfig,
+	}
+	switch n := s.pick(2*len(faults)+2, "action"); {
+	case n < len(faults):
+		faults[n]()
+	case n == len(faults):
+		s.cancelJob()
+	case n == len(faults)+1:
+		s.showJob()
+	default:
+		s.submitJob()
+	}
+}
+
+func (s *soak) instance() *instance { return s.instances[s.pick(soakInstances, "instance")] }
+
+func (s *soak) worker() *runservice.Worker {
+	return s.fleet.Worker(ids.InstanceID(fmt.Sprintf("worker%02d", s.pick(soakWorkers, "worker"))))
+}
+
+func (s *soak) submitJob() {
+	id := ids.JobID(fmt.Sprintf("job%03d", len(s.jobs)))
+	if len(s.jobs) > 0 && s.pick(6, "repeat") == 0 {
+		id = s.jobs[s.pick(len(s.jobs), "job")]
+	} else {
+		spec := jobSpec{
+			steps:   []pool.Step{s.randomStep()},
+			runTime: time.Duration(rapid.IntRange(100, 6000).Draw(s.rt, "run time")) * time.Millisecond,
+			poison:  s.pick(12, "poison") == 0,
+		}
+		if s.pick(3, "second step") == 0 {
+			second := s.randomStep()
+			second.After = []int{0}
+			spec.steps = append(spec.steps, second)
+		}
+		s.define(id, spec)
+		s.jobs = append(s.jobs, id)
+		s.priorities[id] = s.pick(3, "priority")
+	}
+	i := s.instance()
+	go s.submit(i, s.priorities[id], id)
+}
+
+func (s *soak) randomStep() pool.Step {
+	step := gangStep(1+s.pick(6, "tasks"), 1<<s.pick(4, "accelerators"))
+	step.Gang = s.pick(3, "gang") > 0
+	step.SameRack = s.pick(2, "same rack") == 0
+	step.Checkpoints = s.pick(2, "checkpoints") == 0
+	return step
+}
+
+func (s *soak) cancelJob() {
+	if len(s.jobs) == 0 {
+		return
+	}
+	id := s.jobs[s.pick(len(s.jobs), "job")]
+	i := s.instance()
+	go func() {
+		answer, err := s.ask(i, Cancel, s.priorities[id], id, nil)
+		s.ledger.cancelled(id, answer, err)
+	}()
+}
+
+func (s *soak) showJob() {
+	if len(s.jobs) == 0 {
+		return
+	}
+	id := s.jobs[s.pick(len(s.jobs), "job")]
+	i := s.instance()
+	go func() {
+		answer, err := s.ask(i, Read, s.priorities[id], id, nil)
+		s.ledger.shown(id, answer, err)
+	}()
+}
+
+// killInstance ends a process, the owner's half of the time, and starts it again later.
+func (s *soak) killInstance() {
+	i := s.instance()
+	if owner := s.ownerInstance(); owner != nil && s.pick(2, "owner") == 0 {
+		i = owner
+	}
+	if i.isDead() {
+		return
+	}
+	i.kill(s.pick(2, "off") == 0)
+	time.AfterFunc(time.Duration(s.pick(4000, "down"))*time.Millisecond, i.start)
+}
+
+func (s *soak) pauseInstance() {
+	i := s.instance()
+	if owner := s.ownerInstance(); owner != nil {
+		i = owner
+	}
+	i.pause(time.Duration(s.pick(8000, "pause")) * time.Millisecond)
+}
+
+func (s *soak) storeOutage() {
+	s.store.SetOutage(true, s.pick(2, "leases pause") == 0)
+	time.Sleep(time.Duration(s.pick(6000, "outage")) * time.Millisecond)
+	s.store.SetOutage(false, false)
+}
+
+// storeFault lets calls go wrong for a while, for all instances or for one.
+func (s *soak) storeFault() {
+	faults := []storeservice.CallFault{
+		{LoseAnswer: true}, {Late: 2 * time.Second}, {Refuse: true}, {Silent: true}, {Delay: 240 * time.Millisecond},
+	}
+	fault := faults[s.pick(len(faults), "fault")]
+	only := s.instance().name
+	if s.pick(2, "all") == 0 {
+		only = ""
+	}
+	every := 1 + s.pick(3, "every")
+	calls := 0
+	s.store.SetFault(func(client string, write bool) storeservice.CallFault {
+		if calls++; calls%every == 0 && (only == "" || only == client) && (write || fault.Late == 0) {
+			return fault
+		}
+		return storeservice.CallFault{}
+	})
+	time.AfterFunc(time.Duration(s.pick(8000, "lasts"))*time.Millisecond, func() { s.store.SetFault(nil) })
+}
+
+// crashWorker ends a worker's process; it comes back under its id.
+func (s *soak) crashWorker() {
+	n := s.pick(soakWorkers, "worker")
+	id := ids.InstanceID(fmt.Sprintf("worker%02d", n))
+	w := s.fleet.Worker(id)
+	w.Crash()
+	time.AfterFunc(time.Duration(s.pick(10000, "down"))*time.Millisecond, func() {
+		w.Restart()
+		s.list(id)
+	})
+}
+
+func (s *soak) cutWorker() {
+	w := s.worker()
+	w.SetCut(true)
+	time.AfterFunc(time.Duration(s.pick(10000, "cut"))*time.Millisecond, func() { w.SetCut(false) })
+}
+
+// badWorker lets a worker fail or hang all that it starts for a while.
+func (s *soak) badWorker() {
+	w := s.worker()
+	if s.pick(2, "hangs") == 0 {
+		w.SetHangs(true)
+	} else {
+		w.SetFails(true)
+	}
+	time.AfterFunc(time.Duration(s.pick(8000, "bad"))*time.Millisecond, func() {
+		w.SetHangs(false)
+		w.SetFails(false)
+	})
+}
+
+// lateOrders lets some orders get no answer, and be carried out seconds later.
+func (s *soak) lateOrders() {
+	w := s.worker()
+	calls := 0
+	w.SetFault(func(string) runservice.Fault {
+		calls++
+		return [...]runservice.Fault{{}, {Late: 3 * time.Second}, {LoseAnswer: true}, {}}[calls%4]
+	})
+	time.AfterFunc(time.Duration(s.pick(8000, "late"))*time.Millisecond, func() { w.SetFault(nil) })
+}
+
+// lapseEntries lets workers that live vanish from the instance list for a while.
+func (s *soak) lapseEntries() {
+	id := ids.InstanceID(fmt.Sprintf("worker%02d", s.pick(soakWorkers, "worker")))
+	s.unlist(id)
+	time.AfterFunc(time.Duration(s.pick(3000, "lapsed"))*time.Millisecond, func() { s.list(id) })
+}
+
+// changeConfig writes the next version of the configuration.
+func (s *soak) changeConfig() {
+	s.catalog.Version++
+	s.configure()
+}
+
+// describePool returns how the owner sees its pool.
+func (s *soak) describePool() string {
+	i := s.ownerInstance()
+	if i == nil {
+		return "nobody owns the pool\n"
+	}
+	text := i.name + " owns the pool\n"
+	if t := i.owner.term.Load(); t != nil {
+		_ = t.do(t.ctx, func() { text += fmt.Sprintf("%+v\n", t.state.Counts(time.Now())) + t.state.Describe(time.Now()) })
+	}
+	return text
+}
+
+// heal ends all faults.
+func (s *soak) heal() {
+	time.Sleep(15 * time.Second)
+	s.store.SetFault(nil)
+	s.store.SetOutage(false, false)
+	for id := range s.listed {
+		w := s.fleet.Worker(id)
+		w.SetCut(false)
+		w.SetHangs(false)
+		w.SetFails(false)
+		w.SetFault(nil)
+		s.list(id)
+	}
+	time.Sleep(time.Second)
+}
+
+// finish waits until every accepted job has ended, as its callers see it.
+func (s *soak) finish() {
+	s.t.Helper()
+	var left string
+	for range 600 {
+		left = ""
+		for _, id := range s.jobs {
+			s.ledger.mu.Lock()
+			accepted := s.ledger.jobs[id].accepted
+			s.ledger.mu.Unlock()
+			if !accepted {
+				continue
+			}
+			if state := s.state(s.priorities[id], id); state != pool.Completed && state != pool.Failed && state != pool.Cancelled {
+				left += fmt.Sprintf("job %s is %q\n", id, state)
+			}
+		}
+		if left == "" {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	left += s.describePool()
+	require.Empty(s.t, left+s.ledger.text(), "jobs did not end after all faults were over")
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -39,7 +39,9 @@
 	// revisions are those of the jobs' records.
 	revisions map[ids.JobID]store.Revision
 	waiters   map[ids.JobID][]*waiter
-	writing   bool
+	// writing tells that the next batch has to wait, and inFlight is the one that is under way.
+	writing  bool
+	inFlight *batch
 	// storeFailing is when the store began to fail; zero if it answers.
 	storeFailing time.Time
 	// used is the list of workers that the store has as those that may run tasks.
--- /dev/null
+++ b/internal/process/poolowner/world_test.go
@@ -0,0 +1,405 @@
+package poolowner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
+	"github.com/jujubegrade/jujubegrade/internal/connection/store"
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/internal/standin/runservice"
+	"github.com/jujubegrade/jujubegrade/internal/standin/storeservice"
+	"github.com/jujubegrade/jujubegrade/internal/version/catalog"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+type (
+	// world is a store, workers and instances within one process, in virtual time.
+	world struct {
+		t         *testing.T
+		store     storeservice.Transactional
+		fleet     *runservice.Fleet
+		ledger    *ledger
+		instances []*instance
+		catalog   catalog.Catalog
+		listed    map[ids.InstanceID]Listed
+
+		mu    sync.Mutex
+		specs map[ids.JobID]jobSpec
+	}
+
+	// jobSpec is what the workers know of a job.
+	jobSpec struct {
+		steps   []pool.Step
+		runTime time.Duration
+		// poison jobs fail wherever they run.
+		poison bool
+	}
+
+	// instance is one process of the system.
+	instance struct {
+		world  *world
+		name   string
+		owner  *Owner
+		gate   *Gate
+		cancel context.CancelFunc
+
+		mu sync.Mutex
+		// dead processes answer nothing and learn nothing; off tells that their machine is off too.
+		dead, off bool
+		paused    chan struct{}
+	}
+)
+
+const (
+	testConfigKey    = "Config/Current"
+	testConfigPrefix = "Config/"
+	testWorkerPrefix = "Worker/"
+	testKey          = "key"
+	testAccount      = "account"
+	testRacks        = 3
+)
+
+var testTotal = ids.Resources{Accelerators: 8, Cores: 64000, Memory: 262144}
+
+// newWorld starts instances and workers and waits until there is an owner.
+func newWorld(t *testing.T, instances, workers int) *world {
+	w := &world{t: t, ledger: newLedger(testTotal), specs: make(map[ids.JobID]jobSpec), listed: make(map[ids.InstanceID]Listed)}
+	w.fleet = &runservice.Fleet{Describe: w.describe, Observe: w.ledger.observe}
+	w.catalog = catalog.Catalog{
+		Version: 1, Keys: map[string]ids.AccountID{testKey: testAccount},
+		Accounts: map[ids.AccountID]pool.Account{testAccount: {Guaranteed: 16}},
+	}
+	for priority := range 3 {
+		w.catalog.Queues = append(w.catalog.Queues, catalog.Queue{
+			ID: ids.QueueID(fmt.Sprintf("queue%d", priority)), Host: "host", Prefix: fmt.Sprintf("/%d/", priority),
+			Service: "service", Priority: priority, MaxAttempts: 2, Stretch: 100, Target: time.Minute,
+		})
+	}
+	w.configure()
+	for i := range workers {
+		w.addWorker(i)
+	}
+	for i := range instances {
+		w.instances = append(w.instances, &instance{world: w, name: fmt.Sprintf("instance%d", i)})
+		w.instances[i].start()
+	}
+	w.awaitOwner()
+	// Lets the workers report.
+	time.Sleep(2 * time.Second)
+	return w
+}
+
+// configure writes the configuration as the operator does.
+func (w *world) configure() {
+	value, err := json.Marshal(w.catalog)
+	require.NoError(w.t, err)
+	w.store.Set(testConfigKey, value)
+}
+
+func (w *world) addWorker(number int) {
+	id := ids.InstanceID(fmt.Sprintf("worker%02d", number))
+	w.fleet.Add(id)
+	w.listed[id] = Listed{Address: string(id), Worker: pool.Worker{
+		ID: id, Service: "service", Rack: ids.RackID(fmt.Sprintf("rack%d", number%testRacks)), Total: testTotal, Incarnation: 1,
+	}}
+	w.list(id)
+}
+
+// list writes a worker's entry as the worker does.
+func (w *world) list(id ids.InstanceID) {
+	l := w.listed[id]
+	l.Incarnation = w.fleet.Worker(id).Incarnation()
+	value, err := json.Marshal(l)
+	require.NoError(w.t, err)
+	w.store.Set(testWorkerPrefix+string(id), value)
+}
+
+func (w *world) unlist(id ids.InstanceID) { w.store.Remove(testWorkerPrefix + string(id)) }
+
+func (w *world) describe(t worker.Task) runservice.Task {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	spec := w.specs[t.Job]
+	task := runservice.Task{RunTime: spec.runTime, StopTime: 100 * time.Millisecond, Fails: spec.poison}
+	if step := spec.steps[t.Step]; step.Gang {
+		task.Gang = step.Tasks
+		task.Checkpoints = step.Checkpoints
+	}
+	return task
+}
+
+// start begins a life of the instance's process.
+func (i *instance) start() {
+	w := i.world
+	ctx, cancel := context.WithCancel(context.Background())
+	i.mu.Lock()
+	i.dead, i.off, i.paused, i.cancel = false, false, nil, cancel
+	i.mu.Unlock()
+	life := i.life(ctx)
+	i.owner = &Owner{
+		Instance: ids.InstanceID(i.name), Address: i.name, Store: life.store(w.store.Client(i.name)),
+		ConfigKey: testConfigKey, ConfigPrefix: testConfigPrefix,
+		Catalog: func(value []byte) (*catalog.Catalog, error) {
+			c := &catalog.Catalog{}
+			return c, json.Unmarshal(value, c)
+		},
+		WorkerPrefix: testWorkerPrefix,
+		Worker: func(_ string, value []byte) (l Listed, err error) {
+			return l, json.Unmarshal(value, &l)
+		},
+		Dial: func(l Listed) worker.Runs { return life.runs(w.fleet.Worker(l.ID).Runs()) },
+		Log:  zap.NewNop(),
+		// Jobs are known for longer than any test lasts.
+		Pool: pool.Times{Retention: 24 * time.Hour},
+	}
+	i.gate = &Gate{Owner: i.owner, Log: zap.NewNop(), Call: w.call}
+	go i.owner.Run(ctx)
+}
+
+// call brings a call to the instance at an address.
+func (w *world) call(ctx context.Context, address string, c Call) (Answer, error) {
+	for _, i := range w.instances {
+		if i.name != address {
+			continue
+		}
+		i.mu.Lock()
+		dead, off, paused, gate := i.dead, i.off, i.paused, i.gate
+		i.mu.Unlock()
+		switch {
+		case off || paused != nil:
+			<-ctx.Done()
+			return Answer{}, peer.ErrUnknown
+		case dead:
+			return Answer{}, errors.Mark(syscall.ECONNREFUSED, peer.ErrUnreachable)
+		}
+		answer, err := gate.answer(ctx, c)
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		if i.dead || i.off {
+			return Answer{}, peer.ErrUnknown
+		}
+		return answer, err
+	}
+	return Answer{}, peer.ErrUnreachable
+}
+
+// kill ends the process at once. With off its machine is off, so that calls to it get no answer.
+func (i *instance) kill(off bool) {
+	i.mu.Lock()
+	i.dead, i.off = true, off
+	i.mu.Unlock()
+	i.cancel()
+}
+
+// pause stops the process for a while.
+func (i *instance) pause(d time.Duration) {
+	resume := make(chan struct{})
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.paused != nil {
+		return
+	}
+	i.paused = resume
+	time.AfterFunc(d, func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		if i.paused == resume {
+			i.paused = nil
+		}
+		close(resume)
+	})
+}
+
+// life is one life of a process: its calls end with it.
+type life struct {
+	instance *instance
+	ctx      context.Context
+}
+
+func (i *instance) life(ctx context.Context) life { return life{instance: i, ctx: ctx} }
+
+// wait returns once the process runs, or an error if it has ended.
+func (l life) wait() error {
+	l.instance.mu.Lock()
+	paused := l.instance.paused
+	l.instance.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+	if l.ctx.Err() != nil && l.instance.isDead() {
+		return errors.New("the process has ended")
+	}
+	return nil
+}
+
+func (i *instance) isDead() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.dead
+}
+
+// store lets the calls of a life wait while it is paused, and fail once it has ended.
+func (l life) store(s store.Transactions) store.Transactions {
+	return store.Transactions{
+		Get: func(ctx context.Context, key string) (store.Entry, error) {
+			if l.wait() != nil {
+				return store.Entry{}, store.ErrRefused
+			}
+			return s.Get(ctx, key)
+		},
+		List: func(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+			if l.wait() != nil {
+				return nil, 0, store.ErrRefused
+			}
+			return s.List(ctx, prefix)
+		},
+		Watch: func(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+			if l.wait() != nil {
+				return nil, 0, store.ErrRefused
+			}
+			return s.Watch(ctx, prefix, after, wait)
+		},
+		Commit: func(ctx context.Context, t store.Transaction) (store.Revision, error) {
+			if l.wait() != nil {
+				return 0, store.ErrRefused
+			}
+			return s.Commit(ctx, t)
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (store.LeaseID, time.Duration, error) {
+			if l.wait() != nil {
+				return 0, 0, store.ErrRefused
+			}
+			return s.Grant(ctx, ttl)
+		},
+		Keep: func(ctx context.Context, id store.LeaseID) error {
+			if l.wait() != nil {
+				return store.ErrRefused
+			}
+			return s.Keep(ctx, id)
+		},
+	}
+}
+
+func (l life) runs(r worker.Runs) worker.Runs {
+	return worker.Runs{
+		Start: func(ctx context.Context, o worker.RunOrder) error {
+			if err := l.wait(); err != nil {
+				return err
+			}
+			return r.Start(ctx, o)
+		},
+		Stop: func(ctx context.Context, epoch ids.Epoch, run worker.Run) error {
+			if err := l.wait(); err != nil {
+				return err
+			}
+			return r.Stop(ctx, epoch, run)
+		},
+		Renew: func(ctx context.Context, o worker.RenewOrder) (worker.RunReport, error) {
+			if err := l.wait(); err != nil {
+				return worker.RunReport{}, err
+			}
+			return r.Renew(ctx, o)
+		},
+		Close: r.Close,
+	}
+}
+
+// ownerInstance returns the instance that owns the pool, or nil.
+func (w *world) ownerInstance() *instance {
+	for _, i := range w.instances {
+		if !i.isDead() && i.owner.Owns() {
+			return i
+		}
+	}
+	return nil
+}
+
+// awaitOwner waits until an instance owns the pool.
+func (w *world) awaitOwner() *instance {
+	for range 1000 {
+		if i := w.ownerInstance(); i != nil {
+			return i
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.t.Fatal("no instance owns the pool")
+	return nil
+}
+
+// define makes a job known to the workers and the ledger.
+func (w *world) define(id ids.JobID, spec jobSpec) {
+	w.mu.Lock()
+	w.specs[id] = spec
+	w.mu.Unlock()
+	w.ledger.add(id, spec.steps, 2)
+}
+
+// ask makes a call at one instance.
+func (w *world) ask(i *instance, kind CallKind, priority int, id ids.JobID, steps []pool.Step) (Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if i.isDead() {
+		return Answer{}, errors.New("no connection")
+	}
+	return i.gate.Ask(ctx, Call{Kind: kind, Host: "host", Path: fmt.Sprintf("/%d/%s", priority, id), Key: testKey, Steps: steps})
+}
+
+// submit hands a job in once.
+func (w *world) submit(i *instance, priority int, id ids.JobID) (Answer, error) {
+	w.mu.Lock()
+	spec := w.specs[id]
+	w.mu.Unlock()
+	w.ledger.tried(id)
+	answer, err := w.ask(i, Submit, priority, id, spec.steps)
+	w.ledger.answered(id, answer, err)
+	return answer, err
+}
+
+// state returns the state of a job.
+func (w *world) state(priority int, id ids.JobID) pool.JobState {
+	answer, err := w.ask(w.awaitOwner(), Read, priority, id, nil)
+	w.ledger.shown(id, answer, err)
+	return answer.State
+}
+
+// awaitState waits until a job has a state.
+func (w *world) awaitState(priority int, id ids.JobID, want pool.JobState) {
+	w.t.Helper()
+	var last pool.JobState
+	for range 1200 {
+		if last = w.state(priority, id); last == want {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.t.Fatalf("job %s is %q instead of %q\n%s", id, last, want, w.ledger.events)
+}
+
+// stop ends all processes and checks the ledger.
+func (w *world) stop() {
+	w.t.Helper()
+	for _, i := range w.instances {
+		i.kill(true)
+	}
+	// Lets calls and leases that are under way end.
+	time.Sleep(time.Minute)
+	require.Empty(w.t, w.ledger.verdict())
+}
+
+func gangStep(tasks, accelerators int) pool.Step {
+	return pool.Step{
+		Tasks: tasks, Each: ids.Resources{Accelerators: ids.Accelerators(accelerators), Cores: 4000, Memory: 1024},
+		Estimate: 2 * time.Second, Gang: true, SameRack: true, Checkpoints: true,
+	}
+}
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -79,6 +80,7 @@
 		return
 	}
 	t.writing = true
+	t.inFlight = b
 	go func() {
 		result, revision := t.commit(b)
 		t.post(func() { t.committed(b, result, revision) })
@@ -160,6 +162,11 @@
 	return 0, 0, false
 }
 
+// has reports whether a batch holds a job's record.
+func (b *batch) has(id ids.JobID) bool {
+	return b != nil && slices.ContainsFunc(b.records, func(r record) bool { return r.id == id })
+}
+
 // storeFailed takes note that the store doesn't answer.
 func (t *term) storeFailed(since time.Time, err error) {
 	if t.storeFailing.IsZero() {
@@ -170,7 +177,7 @@
 
 // committed takes the outcome of a batch over.
 func (t *term) committed(b *batch, result outcome, revision store.Revision) {
-	t.writing = false
+	t.writing, t.inFlight = false, nil
 	if result == lost {
 		return
 	}
@@ -179,7 +186,7 @@
 		t.storeFailing = time.Time{}
 	}
 	if result == configChanged {
-		// Nothing was written. The jobs are judged anew by the newest configuration.
+		// Nothing was written. The jobs are judged anew by the newest configuration once it is read.
 		for _, r := range b.records {
 			t.state.Retry(r.id)
 		}
@@ -204,8 +211,8 @@
 		if entries, _, listed := t.list(t.owner.ConfigPrefix); listed {
 			t.post(func() {
 				t.setConfig(entries, sent)
-				t.writing = false
 				t.judgeWaiting()
+				t.writing = false
 			})
 			return
 		}
