Mend what the random soak of owners found, and leave out the headroom for urgent work

A stale owner is now told by its lease, by the clock that counts suspensions, and by what its workers follow.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -147,7 +147,7 @@
 // placeWaiting starts the waiting units that fit: by priority, the covered ones first, then by submission. Urgent units
 // that don't fit stop others; the first unit of each priority that doesn't fit gets a reservation.
 func (s *State) placeWaiting(now time.Time) {
-	p := &pass{now: now, reserve: s.headroom.update(s.urgentNeed(), now), cheap: s.cheap()}
+	p := &pass{now: now}
 	p.bound(s)
 	for _, covered := range []bool{true, false} {
 		for _, j := range s.live {
@@ -167,8 +167,6 @@
 	holds reservations
 	// most is a bound on what is free in one rack, and all on what is free in all.
 	most, all ids.Resources
-	// reserve is to stay free of bulk work, beside what cheap stops would free.
-	reserve, cheap ids.Resources
 }
 
 // bound sums what is free.
@@ -203,7 +201,7 @@
 func (s *State) placeJob(j *Job, p *pass) {
 	full := -1
 	for _, u := range j.units {
-		if u.phase != waiting || u.step == full || !u.ready() || s.blocked(u) {
+		if u.phase != waiting || u.strays > 0 || u.step == full || !u.ready() || s.blocked(u) {
 			continue
 		}
 		if p.now.Before(u.notBefore) {
@@ -212,10 +210,6 @@
 			}
 			continue
 		}
-		if !p.leavesHeadroom(u) {
-			full = u.step
-			continue
-		}
 		if p.mayFit(s, u) {
 			if place := s.findPlace(u, p.now, func(n *node) ids.Resources { return s.roomFor(u, n, &p.holds, p.now) }); place != nil {
 				s.start(u, place, p.now)
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -91,6 +91,8 @@
 		broken bool
 		// remote tells that the place makes the tasks slower.
 		remote bool
+		// strays are runs of the unit that are being stopped although they are not part of its newest run. It starts after them.
+		strays int
 		// avoid are the workers on which the unit failed, and until when it is kept off them.
 		avoid map[ids.InstanceID]time.Time
 		// percent is the least progress of the members, and movedAt when it last rose.
@@ -103,12 +105,16 @@
 	// run is one member of a unit's run on a worker. It takes room there until it is known to be gone.
 	run struct {
 		worker.Run
-		unit  *unit
+		unit *unit
+		// stray is the unit of a run that is not part of its newest run.
+		stray *unit
 		node  *node
 		each  ids.Resources
 		phase runPhase
 		// known tells that the worker has said that the run was there. Until then its start may still be carried out.
 		known bool
+		// unanswered tells that an order of the start got no answer. It may be carried out late, also by the worker's next life.
+		unanswered bool
 		// confirmed is when the start was confirmed, or the stop in phase runStopping.
 		confirmed time.Time
 		percent   int
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -103,7 +103,7 @@
 }
 
 // SetWorkers replaces the instance list. Workers that it no longer has keep their runs until these are known to be gone.
-func (s *State) SetWorkers(list []Worker, now time.Time) {
+func (s *State) SetWorkers(list []Worker) {
 	s.init()
 	listed := make(map[ids.InstanceID]bool, len(list))
 	for _, w := range list {
@@ -113,10 +113,13 @@
 			n = &node{runs: make(map[*run]bool)}
 			s.nodes[w.ID] = n
 		}
-		if w.Incarnation != 0 && n.Incarnation != 0 && w.Incarnation > n.Incarnation {
-			s.reborn(n, w.Incarnation, now)
+		if n.Incarnation != 0 {
+			if w.Incarnation > n.Incarnation {
+				// Its report tells what runs in its new life.
+				n.known = false
+			}
+			w.Incarnation = n.Incarnation
 		}
-		w.Incarnation = max(w.Incarnation, n.Incarnation)
 		n.Worker = w
 		n.listed = true
 	}
@@ -158,13 +161,6 @@
 	return all
 }
 
-// reborn takes note of a new life of a worker: nothing of the old one runs any more.
-func (s *State) reborn(n *node, incarnation uint64, now time.Time) {
-	n.Incarnation = incarnation
-	n.seen, n.acknowledged, n.ends = 0, 0, nil
-	s.lose(n, "the worker was restarted", now)
-}
-
 // Dead takes note that a worker's process has ended.
 func (s *State) Dead(id ids.InstanceID, cause string, now time.Time) {
 	if n := s.nodes[id]; n != nil {
@@ -181,15 +177,25 @@
 func (s *State) lose(n *node, cause string, now time.Time) {
 	for r := range n.runs {
 		switch {
-		case r.known:
+		case r.known && !r.unanswered:
 			s.runLost(r, cause, now)
-		case r.phase == runStarting && r.unit != nil:
-			s.backOff(r.unit, now)
-			s.abort(r.unit, cause, now)
+		default:
+			s.stopAgain(r, cause, now)
 		}
 	}
 }
 
+// stopAgain stops a run in the next life of its worker, which may carry the start out late.
+func (s *State) stopAgain(r *run, cause string, now time.Time) {
+	if u := r.unit; u != nil && u.number == r.Number && (u.phase == starting || u.phase == running) {
+		s.backOff(u, now)
+		s.abort(u, cause, now)
+		return
+	}
+	r.phase = runActive
+	s.stop(r, now)
+}
+
 // Silent takes note that a worker doesn't answer. Its units are given up after a while; their runs there are taken as
 // gone only once the worker's lease must have ended.
 func (s *State) Silent(id ids.InstanceID, now time.Time) {
@@ -218,10 +224,11 @@
 	return n.acknowledged
 }
 
-// Busy reports whether something runs on a worker, or whether that is not known, so that it needs renewals.
+// Busy reports whether something runs on a worker, or whether that or the worker's health is not known, so that it needs
+// renewals.
 func (s *State) Busy(id ids.InstanceID) bool {
 	n := s.nodes[id]
-	return n != nil && (len(n.runs) > 0 || !n.known)
+	return n != nil && (len(n.runs) > 0 || !n.known || !n.silentSince.IsZero())
 }
 
 // Known reports whether a worker has reported to this owner.
@@ -230,6 +237,12 @@
 	return n != nil && n.known
 }
 
+// Answers reports whether a worker has reported and answers.
+func (s *State) Answers(id ids.InstanceID) bool {
+	n := s.nodes[id]
+	return n != nil && n.known && n.silentSince.IsZero()
+}
+
 // Seen returns the number of the last end of a worker that was handled.
 func (s *State) Seen(id ids.InstanceID) uint64 {
 	if n := s.nodes[id]; n != nil {
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -19,12 +19,13 @@
 		s.grow()
 	}
 	n.silentSince = time.Time{}
-	if report.Incarnation != 0 && report.Incarnation != n.Incarnation {
+	reborn := report.Incarnation != 0 && report.Incarnation != n.Incarnation
+	if reborn {
 		if n.Incarnation != 0 {
 			s.notice(Notice{Kind: "WorkerRestarted", Worker: id, Cause: "its report names another life"})
-			s.reborn(n, report.Incarnation, now)
 		}
 		n.Incarnation = report.Incarnation
+		n.seen, n.acknowledged, n.ends = 0, 0, nil
 	}
 	for _, e := range report.Ended {
 		if e.Number > n.seen {
@@ -38,7 +39,14 @@
 		s.atWork(n, a, now)
 	}
 	for r := range n.runs {
-		if listed[r.Run] || r.confirmed.IsZero() || !r.confirmed.Before(sent) {
+		if listed[r.Run] {
+			continue
+		}
+		if reborn && r.unanswered {
+			s.stopAgain(r, "the worker was restarted", now)
+			continue
+		}
+		if r.confirmed.IsZero() || !r.confirmed.Before(sent) {
 			continue
 		}
 		switch {
@@ -245,6 +253,10 @@
 		}
 		return
 	}
+	if u != nil {
+		r.stray = u
+		u.strays++
+	}
 	s.notice(Notice{Kind: "UnknownRunStopped", Job: a.Job, Step: a.Step, Number: a.Number, Worker: n.ID, Cause: "this owner did not order it"})
 	s.stop(r, now)
 }
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -123,6 +123,13 @@
 	s.runLost(r, "the worker refused the start: "+cause.Error(), now)
 }
 
+// RunUnanswered takes note that an order to start a run got no answer; it may be sent again.
+func (s *State) RunUnanswered(id ids.InstanceID, ref worker.Run) {
+	if r := s.find(id, ref); r != nil {
+		r.unanswered = true
+	}
+}
+
 // RunUnknown takes note that a worker gave no answer to a start: the run may be there, or come later. The unit is stopped whole.
 func (s *State) RunUnknown(id ids.InstanceID, ref worker.Run, now time.Time) {
 	r := s.find(id, ref)
@@ -180,6 +187,9 @@
 	r.phase = runGone
 	delete(r.node.runs, r)
 	r.node.used = r.node.used.Minus(r.each)
+	if r.stray != nil {
+		r.stray.strays--
+	}
 	s.grow()
 }
 
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -48,11 +48,10 @@
 		unknown   map[ids.InstanceID]time.Time
 		estimates map[ids.QueueID]*runTimes
 		// stops is the time that stopped runs took to end, in nanoseconds.
-		stops    mean
-		headroom headroom
-		actions  []Action
-		notices  []Notice
-		dirty    map[ids.JobID]*Job
+		stops   mean
+		actions []Action
+		notices []Notice
+		dirty   map[ids.JobID]*Job
 	}
 
 	// Account is what the configuration grants a client account.
@@ -182,9 +181,6 @@
 // Offer takes a job that was admitted and whose acceptance is being stored. It is not started before Accepted.
 func (s *State) Offer(j *Job) {
 	j.State = Accepted
-	if j.Priority == 0 {
-		s.headroom.saw(j)
-	}
 	s.add(j)
 	s.touch(j)
 }
--- a/internal/process/pool/world_test.go
+++ b/internal/process/pool/world_test.go
@@ -20,7 +20,7 @@
 			Total: ids.Resources{Accelerators: 8, Cores: 128000, Memory: 262144}, Incarnation: 1,
 		})
 	}
-	s.SetWorkers(list, testStart)
+	s.SetWorkers(list)
 	for _, n := range s.nodes {
 		n.known = true
 	}
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -118,9 +118,12 @@
 // handle answers a call, or returns a waiter for its answer.
 func (t *term) handle(c Call) (Answer, *waiter, error) {
 	now := time.Now()
-	if age := now.Sub(t.configSeen); age > t.owner.Times.Revoke || t.catalog == nil {
+	if c.Kind == Submit && t.state.Job(c.job()) == nil && !t.isNewest() {
+		// Another instance may own the pool by now, and know the job: a refusal would say that it never runs.
+		return Answer{}, nil, ErrUnknown
+	}
+	if age := t.owner.since(t.configSeen); age > t.owner.Times.Revoke || t.catalog == nil {
 		if c.Kind == Submit && t.state.Job(c.job()) != nil {
-			// A refusal would say that the job never runs.
 			return Answer{}, nil, ErrUnknown
 		}
 		return t.refuse(c, NotNow, "the configuration was not confirmed for "+age.Round(time.Millisecond).String(), notNowAfter), nil, nil
@@ -140,6 +143,10 @@
 	if j != nil && (j.Account != account || j.Queue != q.ID) {
 		j = nil
 	}
+	if j == nil && c.Kind != Submit && !t.isNewest() {
+		// Another instance may own the pool by now, and know the job.
+		return t.refuse(c, NotNow, "ownership is not confirmed", notNowAfter), nil, nil
+	}
 	var answer Answer
 	var w *waiter
 	switch c.Kind {
--- a/internal/process/poolowner/follow.go
+++ b/internal/process/poolowner/follow.go
@@ -25,13 +25,13 @@
 
 // followPrefix keeps a copy of the entries under a prefix and hands it on after each change, with the time at which it
 // was asked for. It ends with the term.
-func (t *term) followPrefix(prefix string, entries []store.Entry, revision store.Revision, wait, gather time.Duration, changed func(entries map[string]store.Entry, sent time.Time)) {
+func (t *term) followPrefix(prefix string, entries []store.Entry, revision store.Revision, wait, gather time.Duration, changed func(entries map[string]store.Entry, sent stamp)) {
 	known := make(map[string]store.Entry)
 	for _, e := range entries {
 		known[e.Key] = e
 	}
 	for t.ctx.Err() == nil {
-		sent := time.Now()
+		sent := t.owner.now()
 		ctx, cancel := context.WithTimeout(t.ctx, wait+watchMargin)
 		events, at, err := t.owner.Store.Watch(ctx, prefix, revision, wait)
 		cancel()
@@ -81,7 +81,7 @@
 }
 
 func (t *term) followConfig(entries []store.Entry, revision store.Revision) {
-	t.followPrefix(t.owner.ConfigPrefix, entries, revision, configWait, 0, func(known map[string]store.Entry, sent time.Time) {
+	t.followPrefix(t.owner.ConfigPrefix, entries, revision, configWait, 0, func(known map[string]store.Entry, sent stamp) {
 		t.owner.contacted()
 		list := make([]store.Entry, 0, len(known))
 		for _, e := range known {
@@ -92,7 +92,7 @@
 }
 
 // setConfig takes a configuration over, unless a newer one is known.
-func (t *term) setConfig(entries []store.Entry, sent time.Time) {
+func (t *term) setConfig(entries []store.Entry, sent stamp) {
 	for _, e := range entries {
 		if e.Key != t.owner.ConfigKey {
 			continue
@@ -109,14 +109,14 @@
 			t.log.Info("configuration: in force", zap.Uint64("version", uint64(c.Version)), zap.Uint64("revision", uint64(e.Revision)),
 				zap.Int("queues", len(c.Queues)), zap.Int("keys", len(c.Keys)))
 		}
-		if sent.After(t.configSeen) && e.Revision == t.configAt {
+		if sent.at.After(t.configSeen.at) && e.Revision == t.configAt {
 			t.configSeen = sent
 		}
 	}
 }
 
 func (t *term) followWorkers(entries []store.Entry, revision store.Revision) {
-	t.followPrefix(t.owner.WorkerPrefix, entries, revision, workersWait, workersPause, func(known map[string]store.Entry, _ time.Time) {
+	t.followPrefix(t.owner.WorkerPrefix, entries, revision, workersWait, workersPause, func(known map[string]store.Entry, _ stamp) {
 		list := make([]store.Entry, 0, len(known))
 		for _, e := range known {
 			list = append(list, e)
@@ -127,7 +127,6 @@
 
 // setWorkers takes the instance list over. Entries that can't be read name no worker.
 func (t *term) setWorkers(entries []store.Entry) {
-	now := time.Now()
 	listed := make(map[ids.InstanceID]Listed, len(entries))
 	for _, e := range entries {
 		w, err := t.owner.Worker(e.Key, e.Value)
@@ -146,7 +145,7 @@
 	for _, w := range listed {
 		workers = append(workers, w.Worker)
 	}
-	t.state.SetWorkers(workers, now)
+	t.state.SetWorkers(workers)
 	for id, w := range listed {
 		l := t.links[id]
 		if l != nil && l.address != w.Address {
--- a/internal/process/poolowner/ledger_test.go
+++ b/internal/process/poolowner/ledger_test.go
@@ -34,9 +34,9 @@
 		done             map[worker.Task]bool
 		// noted are the tasks whose end as done was acknowledged while their worker's lease lasted.
 		noted map[worker.Task]bool
-		// failed are the numbers of the runs of each task or gang that failed and were acknowledged.
-		failed  map[worker.Task]map[ids.RunNumber]bool
-		started bool
+		// failed are the numbers of the runs of each task or gang that failed; noted ones were acknowledged.
+		failed, notedFailed map[worker.Task]map[ids.RunNumber]bool
+		started             bool
 	}
 )
 
@@ -52,7 +52,7 @@
 	defer l.mu.Unlock()
 	l.jobs[id] = &ledgerJob{
 		steps: steps, maxAttempts: maxAttempts,
-		done: make(map[worker.Task]bool), noted: make(map[worker.Task]bool), failed: make(map[worker.Task]map[ids.RunNumber]bool),
+		done: make(map[worker.Task]bool), noted: make(map[worker.Task]bool), failed: make(map[worker.Task]map[ids.RunNumber]bool), notedFailed: make(map[worker.Task]map[ids.RunNumber]bool),
 	}
 }
 
@@ -83,8 +83,11 @@
 		l.active[e.Worker][e.Run] = true
 	case runservice.Ended:
 		delete(l.active[e.Worker], e.Run)
-		if e.How == worker.EndDone {
+		switch e.How {
+		case worker.EndDone:
 			j.done[e.Run.Task] = true
+		case worker.EndFailed:
+			j.countFailure(j.failed, e.Run)
 		}
 	case runservice.Acknowledged:
 		l.acknowledged(e, j)
@@ -107,7 +110,7 @@
 	if j.noted[e.Run.Task] {
 		l.fault("%s was started after its end as done was acknowledged", e.Run.Task)
 	}
-	if failed := len(j.failed[j.failureKey(e.Run.Task)]); failed >= j.maxAttempts {
+	if failed := len(j.notedFailed[j.failureKey(e.Run.Task)]); failed >= j.maxAttempts {
 		l.fault("%s was started after %d runs had failed", e.Run.Task, failed)
 	}
 	step := j.steps[e.Run.Step]
@@ -140,11 +143,7 @@
 	case worker.EndDone:
 		j.noted[e.Run.Task] = true
 	case worker.EndFailed:
-		key := j.failureKey(e.Run.Task)
-		if j.failed[key] == nil {
-			j.failed[key] = make(map[ids.RunNumber]bool)
-		}
-		j.failed[key][e.Run.Number] = true
+		j.countFailure(j.notedFailed, e.Run)
 	}
 }
 
@@ -155,6 +154,14 @@
 	l.jobs[id].tries++
 }
 
+func (j *ledgerJob) countFailure(failures map[worker.Task]map[ids.RunNumber]bool, r worker.Run) {
+	key := j.failureKey(r.Task)
+	if failures[key] == nil {
+		failures[key] = make(map[ids.RunNumber]bool)
+	}
+	failures[key][r.Number] = true
+}
+
 // failureKey returns the task by which failures are counted: the members of a gang share them.
 func (j *ledgerJob) failureKey(t worker.Task) worker.Task {
 	if j.steps[t.Step].Gang {
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -72,13 +72,14 @@
 
 // updateLinks tells the links what is wanted of them, and closes those of workers that are gone for good.
 func (t *term) updateLinks() {
+	probe := t.probed()
 	for id, l := range t.links {
 		if _, listed := t.listed[id]; !listed && !t.state.Busy(id) {
 			l.close()
 			delete(t.links, id)
 			continue
 		}
-		w := wanted{busy: t.state.Busy(id), acknowledge: t.state.Acknowledged(id), seen: t.state.Seen(id)}
+		w := wanted{busy: t.state.Busy(id) || id == probe, acknowledge: t.state.Acknowledged(id), seen: t.state.Seen(id)}
 		if old := l.wanted.Load(); *old != w {
 			l.wanted.Store(&w)
 			select {
@@ -89,11 +90,27 @@
 	}
 }
 
+// probed returns a worker to ask although nothing runs there, while the lease is not confirmed: its answer tells that no newer
+// owner has come.
+func (t *term) probed() ids.InstanceID {
+	if t.owner.since(*t.kept.Load()) < t.owner.Times.Lease/2 {
+		return ""
+	}
+	var first ids.InstanceID
+	for id := range t.listed {
+		if t.state.Answers(id) && (first == "" || id < first) {
+			first = id
+		}
+	}
+	return first
+}
+
 // renew renews the lease and collects reports until the link is closed.
 func (l *link) renew() {
 	// told is the last end that the worker's life with this number was told to forget.
 	told, incarnation := uint64(0), uint64(0)
 	failures, refused := 0, 0
+	var answered time.Time
 	for l.ctx.Err() == nil {
 		w := l.wanted.Load()
 		if !w.busy && w.acknowledge <= told {
@@ -105,16 +122,20 @@
 			l.sleep(renewWait)
 			w = l.wanted.Load()
 		}
-		o := worker.RenewOrder{Epoch: l.term.claim.Epoch, Acknowledged: w.acknowledge}
-		if w.acknowledge <= told && w.seen <= w.acknowledge && failures == 0 {
-			o.Wait = renewWait
+		o := worker.RenewOrder{Epoch: l.term.claim.Epoch}
+		// A worker that may have been restarted numbers its ends anew: it is asked for its life before it is told to forget any.
+		if failures == 0 && time.Since(answered) < renewWait+workerCall {
+			o.Acknowledged = w.acknowledge
+			if w.acknowledge <= told && w.seen <= w.acknowledge {
+				o.Wait = renewWait
+			}
 		}
 		// A worker that doesn't answer gets no longer lease, so that its runs end in a time that is known.
 		if failures == 0 {
 			o.Lease = l.term.owner.Times.WorkerLease
 			l.markOrdered()
 		}
-		sent := time.Now()
+		sent := l.term.owner.now()
 		report, err := l.call(o)
 		if l.ctx.Err() != nil {
 			return
@@ -124,10 +145,13 @@
 				l.term.log.Info("workers: answers again", zap.String("worker", string(l.id)), zap.Int("failures", failures))
 			}
 			failures, refused = 0, 0
-			if told = o.Acknowledged; report.Incarnation != incarnation {
+			answered = time.Now()
+			l.term.followed.Store(&sent)
+			told = max(told, o.Acknowledged)
+			if report.Incarnation != incarnation {
 				told, incarnation = 0, report.Incarnation
 			}
-			l.reported(report, sent)
+			l.reported(report, sent.at)
 			continue
 		}
 		failures++
@@ -136,7 +160,7 @@
 		} else {
 			refused = 0
 		}
-		l.failed(err, failures, refused >= goneAfter, sent)
+		l.failed(err, failures, refused >= goneAfter, sent.at)
 		pause.For(l.ctx, jitter(renewPause))
 	}
 }
@@ -249,7 +273,10 @@
 			t.post(func() { t.state.RunRefused(l.id, a.Run, err, errors.Is(err, worker.ErrUnhealthy), time.Now()) })
 			return
 		}
-		unknown = true
+		if !unknown {
+			unknown = true
+			t.post(func() { t.state.RunUnanswered(l.id, a.Run) })
+		}
 		t.owner.metrics.StartsUnknown.Add(1)
 		t.log.Warn("orders: a start was not answered", zap.String("job", string(a.Run.Job)), zap.Int("step", a.Run.Step), zap.Int("task", a.Run.Index),
 			zap.Uint64("run", uint64(a.Run.Number)), zap.String("worker", string(l.id)), zap.Error(err))
--- a/internal/process/poolowner/member.go
+++ b/internal/process/poolowner/member.go
@@ -135,6 +135,7 @@
 	c, err := o.claim(ctx, over)
 	if err != nil {
 		o.Log.Info("member: claim failed", zap.Error(err))
+		pause.For(ctx, jitter(retryPause))
 		return
 	}
 	o.setCurrent(&c.Current)
@@ -146,14 +147,14 @@
 	Current
 	lease store.LeaseID
 	// kept is when the last renewal that succeeded was sent.
-	kept time.Time
+	kept stamp
 }
 
 // claim takes the owner's key, which must have the given revision, and raises the epoch.
 func (o *Owner) claim(ctx context.Context, over store.Revision) (*claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCall)
 	defer cancel()
-	sent := time.Now()
+	sent := o.now()
 	lease, _, err := o.Store.Grant(ctx, o.Times.Lease)
 	if err != nil {
 		return nil, errors.Wrap(err, "lease")
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -40,6 +40,9 @@
 		// Times bound the decisions.
 		Times Times
 		Pool  pool.Times
+		// Suspended returns for how long the machine has been suspended in all, which the steady clock doesn't count. Nil asks
+		// the system.
+		Suspended func() time.Duration
 		// Weak instances leave the claim to others for a moment.
 		Weak bool
 
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -295,3 +295,35 @@
 	}
 	return list
 }
+
+// A worker that was cut off while nothing ran there is used again once it answers.
+func TestIdleWorkerComesBack(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.define("a", jobSpec{steps: []pool.Step{gangStep(6, 8)}, runTime: time.Second})
+		w.fleet.Worker("worker00").SetCut(true)
+		w.submit(w.instances[0], 1, "a")
+		time.Sleep(20 * time.Second)
+		w.fleet.Worker("worker00").SetCut(false)
+		w.awaitState(1, "a", pool.Completed)
+	})
+}
+
+// A worker that was restarted numbers its ends anew. It is not told to forget the first ones by the numbers of its earlier life.
+func TestRestartedWorkerKeepsItsEnds(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for n := range 6 {
+			id := ids.JobID(rune('a' + n))
+			w.define(id, jobSpec{steps: []pool.Step{gangStep(6, 8)}, runTime: 100 * time.Millisecond})
+			w.submit(w.instances[0], 1, id)
+			time.Sleep(5 * time.Second)
+			for worker := range w.listed {
+				w.fleet.Worker(worker).Crash()
+				w.fleet.Worker(worker).Restart()
+			}
+		}
+		for n := range 6 {
+			w.awaitState(1, ids.JobID(rune('a'+n)), pool.Completed)
+			require.Equal(t, 6, w.startsOf(ids.JobID(rune('a'+n))))
+		}
+	})
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,8 +32,12 @@
 	catalog *catalog.Catalog
 	// configAt is the store's revision of the configuration, and configSeen when it was last known to be the newest.
 	configAt   store.Revision
-	configSeen time.Time
-	listed     map[ids.InstanceID]Listed
+	configSeen stamp
+	// kept is when the last renewal of the lease that succeeded was sent.
+	kept atomic.Pointer[stamp]
+	// followed is when a worker was last asked for a report that it gave.
+	followed atomic.Pointer[stamp]
+	listed   map[ids.InstanceID]Listed
 	// malformed are the entries of the instance list that could not be read, each logged once.
 	malformed map[string]bool
 	links     map[ids.InstanceID]*link
@@ -78,6 +83,7 @@
 		listed: make(map[ids.InstanceID]Listed), malformed: make(map[string]bool), links: make(map[ids.InstanceID]*link),
 		revisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
 	}
+	t.kept.Store(&c.kept)
 	t.log.Info("owner: ownership claimed")
 	o.metrics.Claims.Add(1)
 	o.recovering.Store(true)
@@ -150,7 +156,7 @@
 func (t *term) read() error {
 	ctx, cancel := context.WithTimeout(t.ctx, 4*storeCall)
 	defer cancel()
-	sent := time.Now()
+	sent := t.owner.now()
 	var config, workers, records []store.Entry
 	var configRev, workersRev store.Revision
 	var used store.Entry
@@ -196,7 +202,7 @@
 		jobs = append(jobs, j)
 	}
 	t.state.Recover(jobs)
-	t.log.Info("owner: records read", zap.Int("jobs", len(jobs)), zap.Int("workers", len(t.listed)), zap.Duration("took", time.Since(sent)))
+	t.log.Info("owner: records read", zap.Int("jobs", len(jobs)), zap.Int("workers", len(t.listed)), zap.Duration("took", t.owner.since(sent)))
 	go t.followConfig(config, configRev)
 	go t.followWorkers(workers, workersRev)
 	return nil
@@ -315,25 +321,35 @@
 // keepLease renews the ownership's lease until the term ends.
 func (t *term) keepLease() {
 	const renewals = 5
-	kept := t.claim.kept
 	for t.ctx.Err() == nil {
 		pause.For(t.ctx, jitter(t.owner.Times.Lease/renewals))
-		sent := time.Now()
+		sent := t.owner.now()
 		ctx, cancel := context.WithTimeout(t.ctx, t.owner.Times.Lease/3)
 		err := t.owner.Store.Keep(ctx, t.claim.lease)
 		cancel()
 		switch {
 		case err == nil:
-			kept = sent
+			t.kept.Store(&sent)
 			t.owner.contacted()
 		case errors.Is(err, store.ErrNoLease):
 			t.end("the lease has ended")
-		case time.Since(kept) > t.owner.Times.Lease+leaseSlack:
+		case t.owner.since(*t.kept.Load()) > t.owner.Times.Lease+leaseSlack:
 			t.end("the lease could not be renewed")
 		}
 	}
 }
 
+// isNewest reports whether no other instance serves as the pool's owner yet: the lease can't have ended, or a worker has
+// followed this owner a moment ago. A newer owner fences all workers before it serves.
+func (t *term) isNewest() bool {
+	const moment = 2*renewWait + workerCall
+	if t.owner.since(*t.kept.Load()) < t.owner.Times.Lease {
+		return true
+	}
+	followed := t.followed.Load()
+	return followed != nil && t.owner.since(*followed) < moment
+}
+
 // watchSuccessor ends the term once another instance has claimed the pool.
 func (t *term) watchSuccessor() {
 	after := t.claim.revision
--- a/internal/process/poolowner/world_test.go
+++ b/internal/process/poolowner/world_test.go
@@ -158,8 +158,9 @@
 		Worker: func(_ string, value []byte) (l Listed, err error) {
 			return l, json.Unmarshal(value, &l)
 		},
-		Dial: func(l Listed) worker.Runs { return life.runs(w.fleet.Worker(l.ID).Runs()) },
-		Log:  zap.NewNop(),
+		Dial:      func(l Listed) worker.Runs { return life.runs(w.fleet.Worker(l.ID).Runs()) },
+		Log:       zap.NewNop(),
+		Suspended: func() time.Duration { return 0 },
 		// Jobs are known for longer than any test lasts.
 		Pool: pool.Times{Retention: 24 * time.Hour},
 	}
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -207,7 +207,7 @@
 // refreshConfig reads the configuration that a write has met, and judges the jobs that wait for their acceptance by it.
 func (t *term) refreshConfig() {
 	for t.ctx.Err() == nil {
-		sent := time.Now()
+		sent := t.owner.now()
 		if entries, _, listed := t.list(t.owner.ConfigPrefix); listed {
 			t.post(func() {
 				t.setConfig(entries, sent)
