--- a/cmd/jujubegrade/command_platform.go
+++ b/cmd/jujubegrade/command_platform.go
@@ -8,6 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/zap"
 
+	"github.com/jujubegrade/jujubegrade/internal/process/logsink"
 	"github.com/jujubegrade/jujubegrade/platform"
 )
 
@@ -25,12 +26,17 @@
 			if err != nil {
 				return err
 			}
-			logger, err := newLogger(*level, "stdout")
+			parsed, err := zap.ParseAtomicLevel(*level)
 			if err != nil {
 				return err
 			}
-			defer func() { _ = logger.Sync() }() // standard output can't be synced on every system
-			return errors.Wrap(platform.New(s, *file, logger.With(zap.String("instance", s.Node))).Run(ctx), "platform")
+			sink := logsink.New(c.out)
+			defer sink.Close()
+			var instance *platform.Instance
+			logger := logsink.Logger(sink, parsed.Level(), func() { instance.LeftOut.Add(1) })
+			instance = platform.New(s, *file, logger.With(zap.String("instance", s.Node)))
+			instance.Dropped = sink.Dropped
+			return errors.Wrap(instance.Run(ctx), "platform")
 		},
 	}
 }
--- a/cmd/jujubegrade/command_serve.go
+++ b/cmd/jujubegrade/command_serve.go
@@ -37,7 +37,7 @@
 }
 
 func serve(ctx context.Context, s *settings.Settings) error {
-	logger, err := newLogger(s.LogLevel, "stderr")
+	logger, err := newLogger(s.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -55,13 +55,13 @@
 	return nil
 }
 
-func newLogger(level, path string) (*zap.Logger, error) {
+func newLogger(level string) (*zap.Logger, error) {
 	parsed, err := zap.ParseAtomicLevel(level)
 	if err != nil {
 		return nil, err
 	}
 	c := zap.NewProductionConfig()
 	c.Level = parsed
-	c.OutputPaths = []string{path}
+	c.OutputPaths = []string{"stderr"}
 	return c.Build()
 }
