Keep workers that are not listed in the list of used ones until their leases have ended

Ruled out: ends acknowledged too early, pages of records, a worker's earlier life. The test fails before.

--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -331,3 +331,12 @@
 func (s *State) blocked(u *unit) bool {
 	return u.job.restored && len(s.unknown) > 0
 }
+
+// Unknown returns the workers on which runs of an earlier owner may be left.
+func (s *State) Unknown() []ids.InstanceID {
+	list := make([]ids.InstanceID, 0, len(s.unknown))
+	for id := range s.unknown {
+		list = append(list, id)
+	}
+	return list
+}
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -327,3 +327,28 @@
 		}
 	})
 }
+
+// The entries of all workers lapsed while the store was out, and two owners are lost before they are back. The last one
+// still knows that tasks may run on workers that are not listed.
+func TestLapsedEntriesOverTwoOwners(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.define("a", jobSpec{steps: []pool.Step{gangStep(2, 8)}, runTime: 20 * time.Second})
+		w.submit(w.instances[0], 1, "a")
+		time.Sleep(time.Second)
+		busy := w.workersOf("a")
+		for _, id := range busy {
+			w.unlist(id)
+		}
+		for range 2 {
+			w.ownerInstance().kill(false)
+			time.Sleep(time.Second)
+			w.awaitOwner()
+			time.Sleep(500 * time.Millisecond)
+		}
+		require.Equal(t, 2, w.startsOf("a"), "the gang runs on workers that are not listed")
+		for _, id := range busy {
+			w.list(id)
+		}
+		w.awaitState(1, "a", pool.Completed)
+	})
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -390,10 +390,11 @@
 // usedChanged returns the workers that may run tasks, and whether the store has another list of them. The next owner
 // needs it to miss none of them.
 func (t *term) usedChanged() ([]ids.InstanceID, bool) {
-	var list []ids.InstanceID
+	list := t.state.Unknown()
 	for id := range t.links {
 		list = append(list, id)
 	}
 	slices.Sort(list)
+	list = slices.Compact(list)
 	return list, !slices.Equal(list, t.used)
 }
