--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -284,3 +284,23 @@
 		delete(t.waiters, id)
 	}
 }
+
+// refuseWaiting refuses the jobs whose acceptance waits behind a write that the store doesn't answer. They are in no
+// transaction, so the refusal is true.
+func (t *term) refuseWaiting(now time.Time) {
+	if t.storeFailing.IsZero() || now.Sub(t.storeFailing) < storeOut {
+		return
+	}
+	for id, list := range t.waiters {
+		j := t.state.Job(id)
+		if j == nil || j.IsStored() || t.inFlight.has(id) {
+			continue
+		}
+		t.state.Withdraw(id)
+		t.log.Info("call: withdrawn", zap.String("job", string(id)), zap.String("result", string(Refused)), zap.String("cause", "the store does not answer"))
+		for _, w := range list {
+			w.answer <- Answer{Result: Refused, Reason: "the store does not answer", RetryAfter: notNowAfter}
+		}
+		delete(t.waiters, id)
+	}
+}
--- a/internal/process/poolowner/member.go
+++ b/internal/process/poolowner/member.go
@@ -18,13 +18,20 @@
 // Run follows the owner's key and competes for it whenever nobody holds it, until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
 	o.Times = o.Times.withDefaults()
+	failures := 0
 	for ctx.Err() == nil {
 		revision, err := o.readCurrent(ctx)
 		if err != nil {
-			o.Log.Warn("member: the owner's key can't be read", zap.Error(err))
-			pause.For(ctx, jitter(retryPause))
+			if failures++; failures == 1 {
+				o.Log.Warn("member: the owner's key can't be read", zap.Error(err))
+			}
+			pause.For(ctx, jitter(min(maxRetryPause, retryPause*time.Duration(failures))))
 			continue
 		}
+		if failures > 0 {
+			o.Log.Info("member: the owner's key is read again", zap.Int("failures", failures))
+		}
+		failures = 0
 		o.follow(ctx, revision)
 	}
 }
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -106,6 +106,8 @@
 	storeCall = 700 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 100 * time.Millisecond
+	// maxRetryPause bounds that pause as it grows: an instance that is turned away notices within it that it no longer is.
+	maxRetryPause = time.Second
 	// claimSpread is the time over which the instances spread their claims.
 	claimSpread = 80 * time.Millisecond
 	// weakDelay is what weak instances wait longer: a strong one's claim is settled by then.
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -352,3 +352,22 @@
 		w.awaitState(1, "a", pool.Completed)
 	})
 }
+
+// A job that waits behind a write without an answer is refused once the store is taken as out, long before its deadline.
+func TestRefusedBehindLostWrite(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for _, id := range []ids.JobID{"a", "b"} {
+			w.define(id, jobSpec{steps: []pool.Step{gangStep(2, 4)}, runTime: time.Second})
+		}
+		w.store.SetOutage(true, true)
+		go w.submit(w.instances[0], 1, "a")
+		time.Sleep(300 * time.Millisecond)
+		before := time.Now()
+		answer, err := w.submit(w.instances[0], 1, "b")
+		require.NoError(t, err)
+		require.Equal(t, Refused, answer.Result)
+		require.Less(t, time.Since(before), 2*storeOut)
+		w.store.SetOutage(false, true)
+		w.awaitState(1, "a", pool.Completed)
+	})
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -286,6 +286,7 @@
 func (t *term) tick() {
 	now := time.Now()
 	t.owner.metrics.observe(t.state.Counts(now))
+	t.refuseWaiting(now)
 	if now.Sub(t.retired) > retireInterval {
 		t.retired = now
 		if retired := t.state.Retired(now); len(retired) > 0 {
