--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -155,3 +155,13 @@
 		t.end("handed over")
 	}
 }
+
+// Describe returns the workers and the live jobs as text, or ErrNotOwner.
+func (o *Owner) Describe(ctx context.Context) (text string, err error) {
+	t := o.term.Load()
+	if t == nil {
+		return "", ErrNotOwner
+	}
+	err = t.do(ctx, func() { text = t.state.Describe(time.Now()) })
+	return text, err
+}
--- a/internal/process/poolowner/soak_test.go
+++ b/internal/process/poolowner/soak_test.go
@@ -1,6 +1,7 @@
 package poolowner
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -238,11 +239,11 @@
 	if i == nil {
 		return "nobody owns the pool\n"
 	}
-	text := i.name + " owns the pool\n"
-	if t := i.owner.term.Load(); t != nil {
-		_ = t.do(t.ctx, func() { text += fmt.Sprintf("%+v\n", t.state.Counts(time.Now())) + t.state.Describe(time.Now()) })
+	text, err := i.owner.Describe(context.Background())
+	if err != nil {
+		text = err.Error() + "\n"
 	}
-	return text
+	return i.name + " owns the pool\n" + text
 }
 
 // heal ends all faults.
