Let work that no guarantee covers stop nothing that is worth more than itself

Owed work still stops what it must. TestMaxPerWorkerCountsKeptTasks now asks for room for covered work: what it asserts stays as it was, but uncovered work no longer stops that gang.

--- a/internal/process/pool/place_test.go
+++ b/internal/process/pool/place_test.go
@@ -13,6 +13,8 @@
 // Tasks for which workers are being cleared count against the bound of tasks on a worker.
 func TestMaxPerWorkerCountsKeptTasks(t *testing.T) {
 	s := testState(2, 2)
+	// Only covered work stops a gang that is worth more than itself.
+	s.SetAccounts(map[ids.AccountID]Account{"account": {Guaranteed: 16}})
 	bulk := gangJob("a", 1, 2, 8, time.Second)
 	s.accept(bulk, testStart)
 	actions, _ := s.Decide(testStart)
--- a/internal/process/pool/reclaim.go
+++ b/internal/process/pool/reclaim.go
@@ -40,8 +40,10 @@
 	return true
 }
 
-// reclaimPlan returns the place that a unit can have and what has to be stopped for it.
+// reclaimPlan returns the place that a unit can have and what has to be stopped for it. Work that no guarantee covers stops
+// nothing that is worth more than itself.
 func (s *State) reclaimPlan(u *unit, now time.Time) ([]*node, []victim) {
+	worth := s.runTime(u).Seconds() * s.size(u) * weight(u.job.Priority)
 	var best []*node
 	var bestVictims []victim
 	bestCost := 0.0
@@ -54,6 +56,9 @@
 		for _, v := range victims {
 			cost += v.cost
 		}
+		if !u.job.owed && cost > worth {
+			continue
+		}
 		if best == nil || cost < bestCost {
 			best, bestVictims, bestCost = place, victims, cost
 		}
