--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -72,6 +72,10 @@
 		if r.unit == nil || !r.unit.broken || r.unit.phase != stopping || !r.unit.onlyOn(n) {
 			continue
 		}
+		if !r.known || r.unanswered {
+			// Its start may still be carried out.
+			continue
+		}
 		s.notice(Notice{Kind: "RunGone", Job: r.Job, Step: r.Step, Number: r.Number, Worker: n.ID, Cause: "its gang is broken, and the worker is silent"})
 		s.gone(r)
 		s.settle(r.unit)
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -243,6 +243,14 @@
 	return n != nil && n.known && n.silentSince.IsZero()
 }
 
+// Incarnation returns the life of a worker that last reported.
+func (s *State) Incarnation(id ids.InstanceID) uint64 {
+	if n := s.nodes[id]; n != nil {
+		return n.Incarnation
+	}
+	return 0
+}
+
 // Seen returns the number of the last end of a worker that was handled.
 func (s *State) Seen(id ids.InstanceID) uint64 {
 	if n := s.nodes[id]; n != nil {
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -138,3 +138,34 @@
 	require.Equal(t, 1, s.nodes[actions[1].Worker].strikes)
 	require.Zero(t, s.nodes[actions[0].Worker].strikes)
 }
+
+// A broken gang's member on a silent worker counts as ended, but not one whose start was never confirmed: it may still come.
+func TestBrokenGangOnSilentWorker(t *testing.T) {
+	cases := map[string]struct {
+		confirmed bool
+		left      int
+	}{
+		"its start was confirmed": {confirmed: true, left: 0},
+		"its start is not known":  {confirmed: false, left: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := testState(2, 2)
+			j := gangJob("a", 1, 2, 8, 4*time.Second)
+			s.accept(j, testStart)
+			actions, _ := s.Decide(testStart)
+			require.Len(t, actions, 2)
+			s.RunStarted(actions[0].Worker, actions[0].Run, testStart)
+			if c.confirmed {
+				s.RunStarted(actions[1].Worker, actions[1].Run, testStart)
+			}
+			silent := actions[1].Worker
+			s.Ordered(silent, testStart.Add(6*time.Second))
+			now := testStart.Add(time.Second)
+			s.Silent(silent, now)
+			s.Reported(actions[0].Worker, worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: actions[0].Run, Number: 1, How: worker.EndBroken}}}, now, now)
+			s.Decide(now)
+			require.Len(t, s.nodes[silent].runs, c.left)
+		})
+	}
+}
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -1,6 +1,7 @@
 package poolowner
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -34,8 +35,8 @@
 
 	wanted struct {
 		busy bool
-		// acknowledge is the last end that the store keeps, and seen the last one that was handled.
-		acknowledge, seen uint64
+		// acknowledge is the last end that the store keeps, and seen the last one that was handled, of one life of the worker.
+		acknowledge, seen, incarnation uint64
 	}
 )
 
@@ -79,7 +80,7 @@
 			delete(t.links, id)
 			continue
 		}
-		w := wanted{busy: t.state.Busy(id) || id == probe, acknowledge: t.state.Acknowledged(id), seen: t.state.Seen(id)}
+		w := wanted{busy: t.state.Busy(id) || id == probe, acknowledge: t.state.Acknowledged(id), seen: t.state.Seen(id), incarnation: t.state.Incarnation(id)}
 		if old := l.wanted.Load(); *old != w {
 			l.wanted.Store(&w)
 			select {
@@ -124,7 +125,7 @@
 		}
 		o := worker.RenewOrder{Epoch: l.term.claim.Epoch}
 		// A worker that may have been restarted numbers its ends anew: it is asked for its life before it is told to forget any.
-		if failures == 0 && time.Since(answered) < renewWait+workerCall {
+		if failures == 0 && w.incarnation == incarnation && time.Since(answered) < renewWait+workerCall {
 			o.Acknowledged = w.acknowledge
 			if w.acknowledge <= told && w.seen <= w.acknowledge {
 				o.Wait = renewWait
@@ -148,8 +149,8 @@
 			answered = time.Now()
 			l.term.followed.Store(&sent)
 			told = max(told, o.Acknowledged)
-			if report.Incarnation != incarnation {
-				told, incarnation = 0, report.Incarnation
+			if life := cmp.Or(report.Incarnation, w.incarnation); life != incarnation {
+				told, incarnation = 0, life
 			}
 			l.reported(report, sent.at)
 			continue
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -73,7 +73,7 @@
 		"its process is killed":   func(i *instance) { i.kill(false) },
 		"its machine is off":      func(i *instance) { i.kill(true) },
 		"it stands still":         func(i *instance) { i.pause(5 * time.Second) },
-		"it gives ownership up":   func(i *instance) { i.owner.Leave() },
+		"it gives ownership up":   func(i *instance) { owner, _ := i.current(); owner.Leave() },
 		"it is restarted at once": func(i *instance) { i.kill(false); i.start() },
 	}
 	for name, lose := range losses {
--- a/internal/process/poolowner/soak_test.go
+++ b/internal/process/poolowner/soak_test.go
@@ -93,8 +93,8 @@
 		s.jobs = append(s.jobs, id)
 		s.priorities[id] = s.pick(3, "priority")
 	}
-	i := s.instance()
-	go s.submit(i, s.priorities[id], id)
+	i, priority := s.instance(), s.priorities[id]
+	go s.submit(i, priority, id)
 }
 
 func (s *soak) randomStep() pool.Step {
@@ -110,9 +110,9 @@
 		return
 	}
 	id := s.jobs[s.pick(len(s.jobs), "job")]
-	i := s.instance()
+	i, priority := s.instance(), s.priorities[id]
 	go func() {
-		answer, err := s.ask(i, Cancel, s.priorities[id], id, nil)
+		answer, err := s.ask(i, Cancel, priority, id, nil)
 		s.ledger.cancelled(id, answer, err)
 	}()
 }
@@ -122,9 +122,9 @@
 		return
 	}
 	id := s.jobs[s.pick(len(s.jobs), "job")]
-	i := s.instance()
+	i, priority := s.instance(), s.priorities[id]
 	go func() {
-		answer, err := s.ask(i, Read, s.priorities[id], id, nil)
+		answer, err := s.ask(i, Read, priority, id, nil)
 		s.ledger.shown(id, answer, err)
 	}()
 }
@@ -239,7 +239,8 @@
 	if i == nil {
 		return "nobody owns the pool\n"
 	}
-	text, err := i.owner.Describe(context.Background())
+	owner, _ := i.current()
+	text, err := owner.Describe(context.Background())
 	if err != nil {
 		text = err.Error() + "\n"
 	}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -214,7 +214,6 @@
 	defer recovery.Stop()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	recovered := false
 	t.decide()
 	for {
 		select {
@@ -224,12 +223,12 @@
 			event()
 			t.drainEvents()
 		case <-recovery.C:
-			recovered = t.endRecovery(recovered)
+			t.endRecovery()
 		case <-ticker.C:
 			t.tick()
 		}
-		if !recovered && t.allReported() {
-			recovered = t.endRecovery(false)
+		if !t.serves() && t.allReported() {
+			t.endRecovery()
 		}
 		t.decide()
 	}
@@ -247,6 +246,7 @@
 	}
 }
 
+// allReported reports whether every listed worker has told what it runs.
 func (t *term) allReported() bool {
 	for id := range t.listed {
 		if !t.state.Known(id) {
@@ -256,10 +256,13 @@
 	return true
 }
 
+// serves reports whether the time in which the workers report is over.
+func (t *term) serves() bool { return t.owner.term.Load() == t }
+
 // endRecovery begins to decide, and to serve.
-func (t *term) endRecovery(already bool) bool {
-	if already {
-		return true
+func (t *term) endRecovery() {
+	if t.serves() {
+		return
 	}
 	now := time.Now()
 	var missing []ids.InstanceID
@@ -275,7 +278,6 @@
 	t.owner.recovering.Store(false)
 	c := t.state.Counts(now)
 	t.log.Info("owner: ownership taken", zap.Int("unknown", c.Unknown), zap.Int("runs", c.Runs), zap.Int("jobs", c.LiveJobs), zap.Int("missing", len(missing)))
-	return true
 }
 
 // leaseBound returns how long a lease that is ordered now can last on a worker, whose clock may be slow.
@@ -290,6 +292,9 @@
 	if now.Sub(t.retired) > retireInterval {
 		t.retired = now
 		if retired := t.state.Retired(now); len(retired) > 0 {
+			for _, id := range retired {
+				delete(t.revisions, id)
+			}
 			go t.remove(retired)
 		}
 	}
--- a/internal/process/poolowner/world_test.go
+++ b/internal/process/poolowner/world_test.go
@@ -147,7 +147,7 @@
 	i.dead, i.off, i.paused, i.cancel = false, false, nil, cancel
 	i.mu.Unlock()
 	life := i.life(ctx)
-	i.owner = &Owner{
+	owner := &Owner{
 		Instance: ids.InstanceID(i.name), Address: i.name, Store: life.store(w.store.Client(i.name)),
 		ConfigKey: testConfigKey, ConfigPrefix: testConfigPrefix,
 		Catalog: func(value []byte) (*catalog.Catalog, error) {
@@ -164,8 +164,23 @@
 		// Jobs are known for longer than any test lasts.
 		Pool: pool.Times{Retention: 24 * time.Hour},
 	}
-	i.gate = &Gate{Owner: i.owner, Log: zap.NewNop(), Call: w.call}
-	go i.owner.Run(ctx)
+	i.mu.Lock()
+	i.owner, i.gate = owner, &Gate{Owner: owner, Log: zap.NewNop(), Call: w.call}
+	i.mu.Unlock()
+	go owner.Run(ctx)
+}
+
+// current returns the owner and the gate of the instance's newest process.
+func (i *instance) current() (*Owner, *Gate) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.owner, i.gate
+}
+
+// owns reports whether the instance lives and owns the pool.
+func (i *instance) owns() bool {
+	owner, _ := i.current()
+	return !i.isDead() && owner.Owns()
 }
 
 // call brings a call to the instance at an address.
@@ -199,8 +214,9 @@
 func (i *instance) kill(off bool) {
 	i.mu.Lock()
 	i.dead, i.off = true, off
+	cancel := i.cancel
 	i.mu.Unlock()
-	i.cancel()
+	cancel()
 }
 
 // pause stops the process for a while.
@@ -319,7 +335,7 @@
 // ownerInstance returns the instance that owns the pool, or nil.
 func (w *world) ownerInstance() *instance {
 	for _, i := range w.instances {
-		if !i.isDead() && i.owner.Owns() {
+		if i.owns() {
 			return i
 		}
 	}
@@ -353,7 +369,8 @@
 	if i.isDead() {
 		return Answer{}, errors.New("no connection")
 	}
-	return i.gate.Ask(ctx, Call{Kind: kind, Host: "host", Path: fmt.Sprintf("/%d/%s", priority, id), Key: testKey, Steps: steps})
+	_, gate := i.current()
+	return gate.Ask(ctx, Call{Kind: kind, Host: "host", Path: fmt.Sprintf("/%d/%s", priority, id), Key: testKey, Steps: steps})
 }
 
 // submit hands a job in once.
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -57,7 +57,7 @@
 
 // write stores what has changed, unless a batch is under way already.
 func (t *term) write() {
-	if t.writing || t.owner.term.Load() == nil {
+	if t.writing || !t.serves() {
 		return
 	}
 	b := &batch{}
