Drop a field, a parameter, a method and a type that nothing needed

Read in the whole change: the waiter's account, the time of expireBroken, Job.Working, and the wrapper around the gate's connection, whose address the connection has itself. Behaviour stays as it is.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -49,7 +49,7 @@
 			s.grow()
 		}
 		if !n.silentSince.IsZero() {
-			s.expireBroken(n, now)
+			s.expireBroken(n)
 		}
 		if len(n.runs) > 0 && (!n.listed || !n.silentSince.IsZero()) && now.After(n.lapses) {
 			s.notice(Notice{Kind: "WorkerLapsed", Worker: id, Cause: "it does not answer and its lease has ended"})
@@ -67,7 +67,7 @@
 
 // expireBroken frees the runs of broken gangs on a silent worker. A gang is broken on all workers once one of its members
 // has ended. If all others have told of that and name no other cause, it was a member on the silent worker that ended.
-func (s *State) expireBroken(n *node, now time.Time) {
+func (s *State) expireBroken(n *node) {
 	for r := range n.runs {
 		if r.unit == nil || !r.unit.broken || r.unit.phase != stopping || !r.unit.onlyOn(n) {
 			continue
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -157,16 +157,6 @@
 // Begun reports whether a task of the job was started at some time.
 func (j *Job) Begun() bool { return j.begun }
 
-// Working reports whether a task of the job runs now.
-func (j *Job) Working() bool {
-	for _, u := range j.units {
-		if u.phase == running || u.phase == starting {
-			return true
-		}
-	}
-	return false
-}
-
 // makeUnits splits the steps into units.
 func (j *Job) makeUnits() {
 	for i, s := range j.Steps {
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -46,10 +46,9 @@
 
 	// waiter is a call that waits for the store to keep a job's version.
 	waiter struct {
-		account ids.AccountID
-		key     string
-		cancel  bool
-		answer  chan Answer
+		key    string
+		cancel bool
+		answer chan Answer
 	}
 )
 
@@ -188,7 +187,7 @@
 		if j.IsStored() {
 			return Answer{Result: OK}, nil
 		}
-		return Answer{}, t.wait(j.ID, account, c.Key, false)
+		return Answer{}, t.wait(j.ID, c.Key, false)
 	}
 	if id == "" || t.state.Job(id) != nil {
 		return t.refuse(c, Invalid, "the path names no job of this queue and account", 0), nil
@@ -216,7 +215,7 @@
 	t.log.Info("call: admitted", zap.String("job", string(id)), zap.String("queue", string(q.ID)), zap.String("account", string(account)),
 		zap.Int("priority", q.Priority), zap.Int("steps", len(c.Steps)), zap.Uint64("version", uint64(t.catalog.Version)))
 	t.state.Offer(j)
-	return Answer{}, t.wait(id, account, c.Key, false)
+	return Answer{}, t.wait(id, c.Key, false)
 }
 
 // cancelJob ends a job for its caller, who is answered once the store keeps that.
@@ -229,11 +228,11 @@
 	if t.state.Kept(j) {
 		return Answer{Result: OK}, nil
 	}
-	return Answer{}, t.wait(j.ID, j.Account, c.Key, true)
+	return Answer{}, t.wait(j.ID, c.Key, true)
 }
 
-func (t *term) wait(id ids.JobID, account ids.AccountID, key string, cancel bool) *waiter {
-	w := &waiter{account: account, key: key, cancel: cancel, answer: make(chan Answer, 1)}
+func (t *term) wait(id ids.JobID, key string, cancel bool) *waiter {
+	w := &waiter{key: key, cancel: cancel, answer: make(chan Answer, 1)}
 	t.waiters[id] = append(t.waiters[id], w)
 	return w
 }
--- a/internal/process/poolowner/gate.go
+++ b/internal/process/poolowner/gate.go
@@ -24,14 +24,9 @@
 		// Call brings a call to the instance at an address; nil calls it over the network.
 		Call func(ctx context.Context, address string, c Call) (Answer, error)
 
-		mu   sync.Mutex
-		link *ownerLink
-	}
-
-	// ownerLink is the connection to one owner.
-	ownerLink struct {
-		current *Current
-		client  *peer.Client
+		mu sync.Mutex
+		// link is the connection to the owner that was called last.
+		link *peer.Client
 	}
 )
 
@@ -155,13 +150,13 @@
 func (g *Gate) client(current *Current) *peer.Client {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.link == nil || g.link.current.Address != current.Address {
+	if g.link == nil || g.link.Address != current.Address {
 		if g.link != nil {
-			g.link.client.Close()
+			g.link.Close()
 		}
-		g.link = &ownerLink{current: current, client: &peer.Client{Address: current.Address}}
+		g.link = &peer.Client{Address: current.Address}
 	}
-	return g.link.client
+	return g.link
 }
 
 // Offer adds the owner's method to a peer server.
