Run tests with paused clocks on one processor under the race detector

In Go 1.26 all timers of a testing/synctest bubble share one race context. A goroutine that finds its own timer due fires it itself (maybeRunChan), while the bubble's root fires others on another thread: two threads then write the same shadow stack. A program of 20 lines with nothing but AfterFunc and NewTimer in a bubble crashed in 6 of 6 runs, at the same address, and in 0 of 13 with one processor; without the race detector in 0 of 4. Ruled out: the owner's own code (96 runs of its tests beside each other did not crash; the small program has none of it). TestRaceContext crashes without the setting and passes with it; TestPackages holds every package with a bubble to it.

--- /dev/null
+++ b/internal/process/configuration/main_test.go
@@ -0,0 +1,11 @@
+package configuration
+
+import (
+	"testing"
+
+	"github.com/jujubegrade/jujubegrade/internal/testrun"
+)
+
+func TestMain(m *testing.M) {
+	testrun.Main(m, nil)
+}
--- a/internal/process/owner/main_test.go
+++ b/internal/process/owner/main_test.go
@@ -1,22 +1,14 @@
 package owner
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/jujubegrade/jujubegrade/internal/testrun"
 )
 
 // TestMain fixes the seed of randomised runs, unless the command line names one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "12", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
-		if !set[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
+	testrun.Main(m, map[string]string{
+		"rapid.checks": "12", "rapid.nofailfile": "true", "rapid.seed": "1", "rapid.shrinktime": "5s",
+	})
 }
--- /dev/null
+++ b/internal/testrun/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package testrun
+
+const raceDetector = true
--- /dev/null
+++ b/internal/testrun/testrun_test.go
@@ -0,0 +1,73 @@
+package testrun
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestMain(m *testing.M) {
+	Main(m, nil)
+}
+
+// TestRaceContext lets goroutines find their timers due while others still fire. On more than one processor it crashes
+// the race detector's runtime of Go 1.26 within seconds.
+func TestRaceContext(t *testing.T) {
+	const rounds, timers = 400, 50
+	synctest.Test(t, func(t *testing.T) {
+		due := 0
+		for range rounds {
+			found := make(chan bool, timers)
+			for range timers {
+				timer := time.NewTimer(time.Second)
+				time.AfterFunc(time.Second, func() {
+					select {
+					case <-timer.C:
+						found <- true
+					default:
+						found <- false
+					}
+				})
+			}
+			for range timers {
+				if <-found {
+					due++
+				}
+			}
+		}
+		require.Equal(t, rounds*timers, due)
+	})
+}
+
+// TestPackages requires that every package with a bubble takes its TestMain from here.
+func TestPackages(t *testing.T) {
+	bubbles, mains := make(map[string]bool), make(map[string]bool)
+	require.NoError(t, filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		dir := filepath.Dir(path)
+		bubbles[dir] = bubbles[dir] || strings.Contains(string(text), `"testing/synctest"`)
+		mains[dir] = mains[dir] || strings.Contains(string(text), "testrun.Main(m")
+		return nil
+	}))
+	mains[filepath.Join("..", "..", "internal", "testrun")] = true
+	count := 0
+	for dir, has := range bubbles {
+		if has {
+			count++
+			require.True(t, mains[dir], "%s has a bubble and no TestMain that calls testrun.Main", dir)
+		}
+	}
+	require.Greater(t, count, 5)
+}
