Accept what is queued before a listener closes

Ruled out: fasthttp closes new connections as idle (it gives them 5 s before that). The entry closes its listeners before it waits for requests in flight, so that no new ones arrive during the wait. After: TestClose has no reset connection.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
@@ -17,6 +16,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/connection/instancelist"
 	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
+	"github.com/jujubegrade/jujubegrade/internal/connection/tcp"
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
 	"github.com/jujubegrade/jujubegrade/internal/process/configuration"
 	"github.com/jujubegrade/jujubegrade/internal/process/membership"
@@ -59,7 +59,7 @@
 		background   sync.WaitGroup
 		callers      *fasthttp.Server
 		operators    *fasthttp.Server
-		listeners    []net.Listener
+		listeners    []*tcp.Listener
 	}
 
 	ownership struct {
@@ -137,9 +137,8 @@
 		if err != nil {
 			return nil
 		}
-		var l net.Listener
-		if l, err = net.Listen("tcp", address); err != nil {
-			err = errors.Wrapf(err, "listen on %s", address)
+		var l *tcp.Listener
+		if l, err = tcp.Listen(address); err != nil {
 			return nil
 		}
 		e.listeners = append(e.listeners, l)
--- a/internal/process/entry/shutdown.go
+++ b/internal/process/entry/shutdown.go
@@ -3,8 +3,14 @@
 import (
 	"context"
 	"time"
+
+	"go.uber.org/zap"
 )
 
+// connectionsGrace bounds the wait for connections to end once no request is in flight: ten of the server's looks for
+// idle connections.
+const connectionsGrace = time.Second
+
 // Ready reports whether the instance takes new work, and if not, why.
 func (e *Entry) Ready() (string, bool) {
 	if e.leaving.Load() {
@@ -23,6 +29,7 @@
 	e.event("ShutdownBegan", "not ready; waiting for the balancer")
 	time.Sleep(e.Settings.BalancerLag)
 	e.handOver()
+	e.closeListeners()
 	done := make(chan struct{})
 	go func() {
 		e.inFlight.Wait()
@@ -58,8 +65,17 @@
 	}
 }
 
+// closeListeners turns new connections away. Those that are open already are still answered.
+func (e *Entry) closeListeners() {
+	for _, l := range e.listeners {
+		if err := l.Close(); err != nil {
+			e.Log.Warn("server: listener did not close cleanly", zap.Stringer("address", l.Addr()), zap.Error(err))
+		}
+	}
+}
+
 func (e *Entry) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), connectionsGrace)
 	defer cancel()
 	// Idle keep-alive connections may outlast the time; they carry no request.
 	_ = e.callers.ShutdownWithContext(ctx)
@@ -81,7 +97,7 @@
 	e.ownersLock.Unlock()
 	e.cancel()
 	for _, l := range e.listeners {
-		_ = l.Close() // the instance is gone in any case
+		_ = l.TCPListener.Close() // the instance is gone in any case
 	}
 	for _, p := range e.peers {
 		p.Close()
