Take the test's ports from below the ephemeral range and show unknown answers

Cause: one of 16 runs, four at a time, failed since an instance's port was taken between its choice and its use: the ports came from the range that the kernel gives to outgoing connections. Another of these runs saw four answers with an unknown outcome during the drain; the test now prints such an answer and the instance's events.

--- a/test/e2e_test.go
+++ b/test/e2e_test.go
@@ -143,10 +143,19 @@
 	return c
 }
 
+// freeAddresses returns addresses that nobody listens on. The ports lie below those that the kernel gives to outgoing
+// connections, which may take a port before the process that it is meant for.
 func freeAddresses(t *testing.T, n int) []string {
+	const first, last = 10000, 32000
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for port := first + os.Getpid()*n%(last-first); len(list) < n; port++ {
+		if port >= last {
+			port = first
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		require.NoError(t, err)
 		defer func() { _ = l.Close() }()
 		list = append(list, l.Addr().String())
@@ -292,6 +301,7 @@
 // load sends requests until it is stopped, and counts what it was answered.
 type load struct {
 	answered, refused, unknown, cutOff, wrong atomic.Int64
+	lastUnknown                               atomic.Value // a response whose outcome is unknown
 	stop                                      chan struct{}
 	done                                      sync.WaitGroup
 }
@@ -339,6 +349,7 @@
 		l.refused.Add(1)
 	default:
 		l.unknown.Add(1)
+		l.lastUnknown.Store(resp.String())
 	}
 }
 
@@ -431,7 +442,7 @@
 		require.Zero(t, drained.ProcessState.ExitCode(), drained.log.String())
 		require.Zero(t, l.cutOff.Load(), "requests in flight were cut off")
 		require.Zero(t, l.wrong.Load())
-		require.Zero(t, l.unknown.Load())
+		require.Zero(t, l.unknown.Load(), "%s\n%s", l.lastUnknown.Load(), drained.log.String())
 	})
 
 	t.Run("the time line tells a job's story", func(t *testing.T) {
