Let gangs wait for a rack whose workers return, and apply a queue's time-out

Cause 1: whether a gang fits one rack was judged by the workers usable at that moment and kept until the list of workers changed. A gang that had failed on a worker, while another rack had one in quarantine, was spread over racks, three times slower. Now workers count that are listed, answer, and are left out for a first quarantine at most; the result is dropped whenever that changes. TestGangIsNotSpreadWhileItAvoidsAWorker fails before and passes after; TestGangIsSpreadIfEachRackLacksAWorker holds the other side. Cause 2: the time-out of a queue was decoded and not applied: TestQueueTimeout waited 3 s for 300 ms. The owner now ends the wait, and the entry tells the outcome as unknown without asking again. Ruled out for 2: a bound at the entry, which does not follow the configuration.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -195,7 +195,7 @@
 // mayFit reports whether a unit is within the bound of what is free.
 func (p *pass) mayFit(s *State, u *unit) bool {
 	need := u.spec().Each.Times(u.count)
-	if u.count > 1 && u.spec().SameRack && s.fitsOneRack(u, p.now) {
+	if u.count > 1 && u.spec().SameRack && s.fitsOneRack(u) {
 		return p.most.Fits(need)
 	}
 	return p.all.Fits(need)
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -77,6 +77,11 @@
 	return n.listed && n.known && !n.Draining && n.silentSince.IsZero() && !now.Before(n.quarantined)
 }
 
+// returns reports whether the worker takes new runs now or after a short while.
+func (n *node) returns() bool {
+	return n.listed && !n.Draining && n.silentSince.IsZero() && n.quarantine <= firstQuarantine
+}
+
 func (n *node) has(label string) bool {
 	return label == "" || slices.Contains(n.Labels, label)
 }
@@ -132,7 +137,7 @@
 }
 
 func (s *State) rebuildRacks() {
-	s.shapes = make(map[shape]bool)
+	s.forgetShapes()
 	s.grow()
 	byID := make(map[ids.RackID]*rack)
 	s.racks = nil
@@ -152,6 +157,9 @@
 	}
 }
 
+// forgetShapes drops what was found of gangs and racks, since other workers return now.
+func (s *State) forgetShapes() { s.shapes = make(map[shape]bool) }
+
 func (s *State) sortedNodes() []*node {
 	all := make([]*node, 0, len(s.nodes))
 	for _, n := range s.nodes {
@@ -167,6 +175,7 @@
 		n.known = false
 		if n.silentSince.IsZero() {
 			n.silentSince = now
+			s.forgetShapes()
 		}
 		s.lose(n, cause, now)
 	}
@@ -201,6 +210,7 @@
 func (s *State) Silent(id ids.InstanceID, now time.Time) {
 	if n := s.nodes[id]; n != nil && n.silentSince.IsZero() {
 		n.silentSince = now
+		s.forgetShapes()
 	}
 }
 
--- a/internal/process/pool/place.go
+++ b/internal/process/pool/place.go
@@ -41,7 +41,7 @@
 func (s *State) groups(u *unit, now time.Time) [][]*node {
 	spec := u.spec()
 	if spec.DataRack != "" {
-		if r := s.rackOf(spec.DataRack); r != nil && s.couldHold(u, r, now) {
+		if r := s.rackOf(spec.DataRack); r != nil && s.couldHold(u, r) {
 			return [][]*node{r.nodes}
 		}
 	}
@@ -54,7 +54,7 @@
 		}
 		return [][]*node{s.allNodes()}
 	}
-	if !s.fitsOneRack(u, now) {
+	if !s.fitsOneRack(u) {
 		return [][]*node{s.allNodes()}
 	}
 	var groups [][]*node
@@ -73,9 +73,24 @@
 	return nil
 }
 
-// couldHold reports whether a rack could hold the unit if nothing else ran there.
-func (s *State) couldHold(u *unit, r *rack, now time.Time) bool {
-	return s.fill(u, s.seats(u, r.nodes, now, func(n *node) ids.Resources { return n.Total })) != nil
+// couldHold reports whether a rack could hold the unit if nothing else ran there. Workers that are left out for a short
+// while count: the unit waits for them rather than run slower for all its time.
+func (s *State) couldHold(u *unit, r *rack) bool {
+	spec := u.spec()
+	tasks := 0
+	for _, n := range r.nodes {
+		if !n.returns() || n.Service != u.job.Service || !n.has(spec.Label) {
+			continue
+		}
+		copies := n.Total.Copies(spec.Each, u.count)
+		if spec.MaxPerWorker > 0 {
+			copies = min(copies, spec.MaxPerWorker)
+		}
+		if tasks += copies; tasks >= u.count {
+			return true
+		}
+	}
+	return false
 }
 
 // stepRack returns the rack for the single tasks of a step: the one in which the step has begun, or else the one with the
@@ -83,7 +98,7 @@
 func (s *State) stepRack(u *unit, now time.Time) *rack {
 	if r := u.job.racks[u.step]; r != nil {
 		// Racks are built anew when the list of workers changes.
-		if r = s.rackOf(r.id); r != nil && s.couldHold(u, r, now) {
+		if r = s.rackOf(r.id); r != nil && s.couldHold(u, r) {
 			return r
 		}
 	}
@@ -173,7 +188,7 @@
 }
 
 // fitsOneRack reports whether some rack could hold the unit if nothing else ran there.
-func (s *State) fitsOneRack(u *unit, now time.Time) bool {
+func (s *State) fitsOneRack(u *unit) bool {
 	spec := u.spec()
 	key := shape{service: u.job.Service, label: spec.Label, each: spec.Each, count: u.count, perNode: spec.MaxPerWorker}
 	if fits, known := s.shapes[key]; known {
@@ -181,7 +196,7 @@
 	}
 	fits := false
 	for _, r := range s.racks {
-		fits = fits || s.couldHold(u, r, now)
+		fits = fits || s.couldHold(u, r)
 	}
 	s.shapes[key] = fits
 	return fits
--- a/internal/process/pool/place_test.go
+++ b/internal/process/pool/place_test.go
@@ -63,3 +63,64 @@
 	actions, _ = s.Decide(testStart.Add(time.Minute))
 	require.Len(t, actions, 2)
 }
+
+// A gang that failed on a worker waits for its rack rather than being spread over racks, where it would be slower. The
+// other rack has a worker in quarantine.
+func TestGangIsNotSpreadWhileItAvoidsAWorker(t *testing.T) {
+	s := testState(16, 8)
+	other := gangJob("a", 1, 6, 8, time.Minute)
+	s.accept(other, testStart)
+	actions, _ := s.Decide(testStart)
+	require.Len(t, actions, 6)
+	for _, a := range actions {
+		s.RunStarted(a.Worker, a.Run, testStart)
+	}
+	j := gangJob("b", 1, 8, 8, 10*time.Second)
+	s.accept(j, testStart)
+	actions, _ = s.Decide(testStart)
+	require.Len(t, actions, 8)
+	rack := s.nodes[actions[0].Worker].Rack
+	for i, a := range actions {
+		s.RunStarted(a.Worker, a.Run, testStart)
+		how := worker.EndBroken
+		if i == 0 {
+			how = worker.EndFailed
+		}
+		s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: a.Run, Number: 1, How: how}}}, testStart, testStart)
+	}
+	for _, n := range s.sortedNodes() {
+		if n.Rack != rack && len(n.runs) == 0 {
+			s.strike(n, "x", testStart)
+			s.strike(n, "y", testStart)
+			break
+		}
+	}
+	// The list of workers changes, so that what was known of racks is found anew.
+	var list []Worker
+	for _, n := range s.sortedNodes() {
+		list = append(list, n.Worker)
+	}
+	s.SetWorkers(list)
+	actions, _ = s.Decide(testStart)
+	for _, a := range actions {
+		require.Equal(t, StopRun, a.Kind, "there is room on two racks only")
+	}
+	actions, _ = s.Decide(testStart.Add(time.Second))
+	require.Empty(t, actions, "there is room on two racks only")
+	actions, _ = s.Decide(testStart.Add(avoidTime + lookInterval))
+	require.Len(t, actions, 8)
+	for _, a := range actions {
+		require.Equal(t, rack, s.nodes[a.Worker].Rack)
+	}
+}
+
+// A gang is spread over racks if each has a worker that is out for good.
+func TestGangIsSpreadIfEachRackLacksAWorker(t *testing.T) {
+	s := testState(16, 8)
+	j := gangJob("a", 1, 8, 8, 10*time.Second)
+	s.accept(j, testStart)
+	s.Silent("w0000", testStart)
+	s.Silent("w0008", testStart)
+	actions, _ := s.Decide(testStart)
+	require.Len(t, actions, 8)
+}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -17,6 +17,7 @@
 	}
 	if !n.known || !n.silentSince.IsZero() {
 		s.grow()
+		s.forgetShapes()
 	}
 	n.silentSince = time.Time{}
 	reborn := report.Incarnation != 0 && report.Incarnation != n.Incarnation
@@ -155,10 +156,10 @@
 			Cause: "ran " + now.Sub(u.startedAt).Round(time.Millisecond).String() + ", declared " + u.spec().Estimate.String(),
 		})
 		for _, r := range u.runs {
-			r.node.cleared()
+			s.cleared(r.node)
 		}
 	}
-	n.cleared()
+	s.cleared(n)
 	if u.phase == allocated {
 		s.unkeep(u)
 	}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -240,6 +240,7 @@
 	}
 	n.quarantine = min(maxQuarantine, max(firstQuarantine, 2*n.quarantine))
 	n.quarantined = now.Add(n.quarantine)
+	s.forgetShapes()
 	// One more failure after the quarantine brings the worker back into it.
 	n.strikes = strikesToQuarantine - 1
 	n.struckBy = ""
@@ -247,6 +248,9 @@
 }
 
 // cleared forgets the failures of a worker on which a task was done.
-func (n *node) cleared() {
+func (s *State) cleared(n *node) {
+	if n.quarantine > firstQuarantine {
+		s.forgetShapes()
+	}
 	n.strikes, n.struckBy, n.quarantine = 0, "", 0
 }
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -42,7 +42,7 @@
 		retryAt time.Time
 		// owedChanged tells that the jobs of priority 0 or the guarantees have changed.
 		owedChanged bool
-		// shapes remembers by shape whether a gang fits one rack, as long as the workers stay the same.
+		// shapes remembers by shape whether a gang fits one rack, as long as the same workers return.
 		shapes map[shape]bool
 		// unknown are workers on which jobs of an earlier owner may run, and until when.
 		unknown   map[ids.InstanceID]time.Time
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -49,6 +49,8 @@
 		key    string
 		cancel bool
 		answer chan Answer
+		// timeout bounds the wait; zero sets no bound.
+		timeout time.Duration
 	}
 )
 
@@ -72,6 +74,8 @@
 	// NoJob calls name a job that doesn't exist.
 	NoJob   Result = "NoJob"
 	Invalid Result = "Invalid"
+	// timedOut calls outlasted their queue's bound, and their outcome is not known.
+	timedOut Result = "TimedOut"
 	// NotNow calls can't be answered at this moment; nothing was done, and nothing is known of the job.
 	NotNow Result = "NotNow"
 )
@@ -104,9 +108,15 @@
 	if w == nil {
 		return answer, nil
 	}
+	var timeout <-chan time.Time
+	if w.timeout > 0 {
+		timeout = time.After(w.timeout)
+	}
 	select {
 	case answer = <-w.answer:
 		return answer, nil
+	case <-timeout:
+		return Answer{Result: timedOut}, nil
 	case <-t.ctx.Done():
 		return Answer{}, ErrUnknown
 	case <-ctx.Done():
@@ -159,6 +169,9 @@
 			answer = Answer{Result: OK, State: t.shown(j), Begun: j.Begun()}
 		}
 	}
+	if w != nil {
+		w.timeout = q.Timeout
+	}
 	return answer, w, nil
 }
 
--- a/internal/process/poolowner/gate.go
+++ b/internal/process/poolowner/gate.go
@@ -56,6 +56,9 @@
 	for ctx.Err() == nil {
 		answer, tried, err := g.try(ctx, c)
 		switch {
+		case err == nil && answer.Result == timedOut:
+			g.unknown(c)
+			return Answer{}, ErrUnknown
 		case err == nil && maybe && c.Kind == Submit && (answer.Result == NoKey || answer.Result == NoQueue):
 			// An earlier try may have handed the job in while its key or queue was still there.
 			g.unknown(c)
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -48,6 +48,23 @@
 	})
 }
 
+// A call is answered within its queue's bound, also if its client would wait longer.
+func TestQueueTimeout(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.catalog.Queues[1].Timeout = 300 * time.Millisecond
+		w.configure()
+		time.Sleep(time.Second)
+		w.define("a", jobSpec{steps: []pool.Step{gangStep(2, 4)}, runTime: time.Second})
+		w.store.SetOutage(true, true)
+		before := time.Now()
+		_, err := w.submit(w.ownerInstance(), 1, "a")
+		require.ErrorIs(t, err, ErrUnknown)
+		require.Equal(t, 300*time.Millisecond, time.Since(before))
+		w.store.SetOutage(false, true)
+		w.awaitState(1, "a", pool.Completed)
+	})
+}
+
 // What comes while the store is out is refused at once, and never runs.
 func TestRefusedDuringOutage(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
