--- a/internal/process/pool/place.go
+++ b/internal/process/pool/place.go
@@ -131,7 +131,7 @@
 			return true
 		}
 	}
-	if first := u.job.racks[u.step]; spec.SameRack && first != nil && first.id != place[0].Rack {
+	if first := u.job.racks[u.step]; u.count < spec.Tasks && spec.SameRack && first != nil && first.id != place[0].Rack {
 		return true
 	}
 	return false
--- a/internal/process/pool/place_test.go
+++ b/internal/process/pool/place_test.go
@@ -124,3 +124,22 @@
 	actions, _ := s.Decide(testStart)
 	require.Len(t, actions, 8)
 }
+
+// A gang that starts again on another rack is whole there, and no slower.
+func TestGangOnAnotherRackIsNotAway(t *testing.T) {
+	s := testState(16, 8)
+	j := gangJob("a", 1, 8, 8, 10*time.Second)
+	s.accept(j, testStart)
+	actions, _ := s.Decide(testStart)
+	require.Len(t, actions, 8)
+	rack := s.nodes[actions[0].Worker].Rack
+	for _, a := range actions {
+		s.RunStarted(a.Worker, a.Run, testStart)
+		s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: a.Run, Number: 1, How: worker.EndFailed}}}, testStart, testStart)
+	}
+	s.Decide(testStart.Add(time.Second))
+	u := j.units[0]
+	require.Equal(t, starting, u.phase)
+	require.NotEqual(t, rack, u.runs[0].node.Rack)
+	require.False(t, u.remote)
+}
