Send late orders only while they still hold, and tell a worker to forget only ends of the life that it is in

A start that waits behind others, or is tried again, went out after its run had been given up or was done; a worker that was restarted knows neither. mayStart asks the state before each late try, and that no newer owner can be there. 2. A worker was told to forget ends by the numbers of its former life, if it was restarted within the 1.4 s since its last answer. Numbers older than 50 ms are confirmed by asking for its life first. 3. An answer of a worker counted for 2.4 s as proof that no newer owner serves. It is 0.75 s now, less than the lease less a renewal, and the first answer of a restarted worker is no proof. 4. A gang was taken as broken on a silent worker though its start was not confirmed whole. 5. The end as done of a run whose worker had been silent was ignored when the task had been started elsewhere. TestEndOfAnEarlierRun fails before.

Keep the owner's books by changes instead of looking at all workers at each event

Now the state names the workers that have changed and those that are suspect; all links are looked at every 200 ms.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -43,7 +43,8 @@
 			s.notice(Notice{Kind: "WorkerGone", Worker: id, Cause: "it never reported, and leases of an earlier owner have ended"})
 		}
 	}
-	for id, n := range s.nodes {
+	for n := range s.suspects {
+		id := n.ID
 		if !n.quarantined.IsZero() && !now.Before(n.quarantined) {
 			n.quarantined = time.Time{}
 			s.grow()
@@ -54,14 +55,19 @@
 		if len(n.runs) > 0 && (!n.listed || !n.silentSince.IsZero()) && now.After(n.lapses) {
 			s.notice(Notice{Kind: "WorkerLapsed", Worker: id, Cause: "it does not answer and its lease has ended"})
 			n.known = false
+			s.mark(n)
 			for r := range n.runs {
 				s.runLost(r, "the worker's lease has ended", now)
 			}
 		}
 		if !n.listed && len(n.runs) == 0 && now.After(n.lapses) {
 			delete(s.nodes, id)
+			delete(s.suspects, n)
 			s.rebuildRacks()
 		}
+		if n.listed && n.silentSince.IsZero() && n.quarantined.IsZero() {
+			delete(s.suspects, n)
+		}
 	}
 }
 
@@ -117,7 +123,7 @@
 			u.phase = waiting
 			continue
 		}
-		if clear(u) {
+		if isClear(u) {
 			place := u.place
 			s.unkeep(u)
 			s.start(u, place, now)
@@ -134,8 +140,8 @@
 	return true
 }
 
-// clear reports whether a unit's workers have room for it beside all that may run there.
-func clear(u *unit) bool {
+// isClear reports whether a unit's workers have room for it beside all that may run there.
+func isClear(u *unit) bool {
 	need := make(map[*node]int)
 	for _, n := range u.place {
 		need[n]++
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -63,6 +63,8 @@
 		racks map[int]*rack
 		// version counts the changes that the store has to keep, and storedVersion is the one that it keeps.
 		version, storedVersion uint64
+		// endedOn are the workers with ends that wait for the store to keep the job.
+		endedOn []*node
 		// owed tells that the job is covered by its account's guarantee.
 		owed bool
 	}
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -131,6 +131,8 @@
 	for id, n := range s.nodes {
 		if !listed[id] {
 			n.listed = false
+			s.suspects[n] = true
+			s.mark(n)
 		}
 	}
 	s.rebuildRacks()
@@ -174,9 +176,9 @@
 	if n := s.nodes[id]; n != nil {
 		n.known = false
 		if n.silentSince.IsZero() {
-			n.silentSince = now
-			s.forgetShapes()
+			s.silence(n, now)
 		}
+		s.mark(n)
 		s.lose(n, cause, now)
 	}
 }
@@ -209,11 +211,17 @@
 // gone only once the worker's lease must have ended.
 func (s *State) Silent(id ids.InstanceID, now time.Time) {
 	if n := s.nodes[id]; n != nil && n.silentSince.IsZero() {
-		n.silentSince = now
-		s.forgetShapes()
+		s.silence(n, now)
 	}
 }
 
+func (s *State) silence(n *node, now time.Time) {
+	n.silentSince = now
+	s.suspects[n] = true
+	s.mark(n)
+	s.forgetShapes()
+}
+
 // Ordered takes note that a lease may last on a worker until a time.
 func (s *State) Ordered(id ids.InstanceID, until time.Time) {
 	if n := s.nodes[id]; n != nil && until.After(n.lapses) {
@@ -234,6 +242,28 @@
 	return n.acknowledged
 }
 
+// Suspects returns the workers whose runs are lost once their leases have ended: those that don't answer or are not listed.
+// What Ordered tells of them is taken into account by the next decision.
+func (s *State) Suspects() []ids.InstanceID {
+	var list []ids.InstanceID
+	for n := range s.suspects {
+		list = append(list, n.ID)
+	}
+	return list
+}
+
+func (s *State) mark(n *node) { s.changed[n.ID] = true }
+
+// Changed returns the workers for which Busy, Acknowledged, Seen or Incarnation may answer otherwise than at the last call.
+func (s *State) Changed() []ids.InstanceID {
+	list := make([]ids.InstanceID, 0, len(s.changed))
+	for id := range s.changed {
+		list = append(list, id)
+	}
+	clear(s.changed)
+	return list
+}
+
 // Busy reports whether something runs on a worker, or whether that or the worker's health is not known, so that it needs
 // renewals.
 func (s *State) Busy(id ids.InstanceID) bool {
@@ -269,5 +299,11 @@
 	return 0
 }
 
+// Starting reports whether a run is to be started on a worker and isn't known to be there yet.
+func (s *State) Starting(id ids.InstanceID, ref worker.Run) bool {
+	r := s.find(id, ref)
+	return r != nil && r.phase == runStarting && r.unit != nil && r.unit.phase == starting
+}
+
 // Has reports whether a run takes room on a worker.
 func (s *State) Has(id ids.InstanceID, ref worker.Run) bool { return s.find(id, ref) != nil }
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -61,6 +61,7 @@
 		}
 	}
 	n.known = true
+	s.mark(n)
 	delete(s.unknown, id)
 }
 
@@ -79,6 +80,10 @@
 	case u == nil || j.over():
 	case u.number == e.Run.Number || (u.number == 0 && j.restored):
 		s.unitEnded(u, n, e, now)
+	case e.How == worker.EndDone && e.Run.Number < u.number && u.phase != done:
+		// The worker was silent until its lease was taken as over, and the unit was started elsewhere.
+		s.abort(u, "an earlier run was done", now)
+		s.unitDone(u, n, now)
 	case e.How == worker.EndFailed && e.Run.Number < u.number:
 		// An earlier owner could start the next run before the store kept the failure.
 		s.countFailure(u, e.Run.Number)
@@ -90,6 +95,9 @@
 	p := pendingEnd{number: e.Number}
 	if j != nil && j.version > j.storedVersion {
 		p.job, p.version = j, j.version
+		if !slices.Contains(j.endedOn, n) {
+			j.endedOn = append(j.endedOn, n)
+		}
 	}
 	n.ends = append(n.ends, p)
 }
@@ -113,7 +121,8 @@
 		s.interrupted(u, "a task failed on "+string(n.ID), now)
 	case worker.EndStopped, worker.EndLapsed, worker.EndBroken, worker.EndAlone:
 		if u.phase != stopping {
-			u.broken = e.How == worker.EndBroken
+			// A gang whose start is not confirmed whole may yet get members that know nothing of the end.
+			u.broken = e.How == worker.EndBroken && u.phase == running
 			s.interrupted(u, "a run ended as "+string(e.How)+" on "+string(n.ID), now)
 		}
 	}
@@ -247,6 +256,7 @@
 		r.each = u.spec().Each
 	}
 	n.runs[r] = true
+	s.mark(n)
 	n.used = n.used.Plus(r.each)
 	if u != nil && j.restored && !j.over() && s.adopt(u, r, now) {
 		if a.Checkpoint != "" {
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -169,3 +169,30 @@
 		})
 	}
 }
+
+// A run whose worker fell silent and comes back with its end as done counts, and the run that replaced it is stopped.
+func TestEndOfAnEarlierRun(t *testing.T) {
+	s := testState(2, 1)
+	j := gangJob("a", 1, 1, 8, 4*time.Second)
+	s.accept(j, testStart)
+	actions, _ := s.Decide(testStart)
+	require.Len(t, actions, 1)
+	first := actions[0]
+	s.RunStarted(first.Worker, first.Run, testStart)
+	s.Ordered(first.Worker, testStart.Add(6*time.Second))
+	s.Silent(first.Worker, testStart.Add(time.Second))
+	now := testStart.Add(7 * time.Second)
+	s.Decide(now)
+	now = now.Add(time.Second)
+	actions, _ = s.Decide(now)
+	require.Len(t, actions, 1)
+	second := actions[0]
+	require.Equal(t, StartRun, second.Kind)
+	s.RunStarted(second.Worker, second.Run, now)
+	s.Reported(first.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: first.Run, Number: 1, How: worker.EndDone}}}, now, now)
+	require.Equal(t, Completed, j.State)
+	actions, _ = s.Decide(now)
+	require.Len(t, actions, 1)
+	require.Equal(t, StopRun, actions[0].Kind)
+	require.Equal(t, second.Run, actions[0].Run)
+}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -39,6 +39,7 @@
 		}
 		u.runs = append(u.runs, r)
 		n.runs[r] = true
+		s.mark(n)
 		n.used = n.used.Plus(r.each)
 		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint})
 	}
@@ -186,6 +187,7 @@
 	}
 	r.phase = runGone
 	delete(r.node.runs, r)
+	s.mark(r.node)
 	r.node.used = r.node.used.Minus(r.each)
 	if r.stray != nil {
 		r.stray.strays--
@@ -240,6 +242,7 @@
 	}
 	n.quarantine = min(maxQuarantine, max(firstQuarantine, 2*n.quarantine))
 	n.quarantined = now.Add(n.quarantine)
+	s.suspects[n] = true
 	s.forgetShapes()
 	// One more failure after the quarantine brings the worker back into it.
 	n.strikes = strikesToQuarantine - 1
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -44,6 +44,10 @@
 		owedChanged bool
 		// shapes remembers by shape whether a gang fits one rack, as long as the same workers return.
 		shapes map[shape]bool
+		// changed are the workers for which the answers of Busy, Acknowledged, Seen or Incarnation may have changed.
+		changed map[ids.InstanceID]bool
+		// suspects are the workers that are quarantined, silent or not listed.
+		suspects map[*node]bool
 		// unknown are workers on which jobs of an earlier owner may run, and until when.
 		unknown   map[ids.InstanceID]time.Time
 		estimates map[ids.QueueID]*runTimes
@@ -118,6 +122,8 @@
 	s.nodes = make(map[ids.InstanceID]*node)
 	s.jobs = make(map[ids.JobID]*Job)
 	s.dirty = make(map[ids.JobID]*Job)
+	s.changed = make(map[ids.InstanceID]bool)
+	s.suspects = make(map[*node]bool)
 	s.unknown = make(map[ids.InstanceID]time.Time)
 	s.estimates = make(map[ids.QueueID]*runTimes)
 	s.Times.Stop = cmp.Or(s.Times.Stop, 400*time.Millisecond)
@@ -202,6 +208,12 @@
 		}
 		j.stored = true
 		j.storedVersion = max(j.storedVersion, version)
+		for _, n := range j.endedOn {
+			s.mark(n)
+		}
+		if j.storedVersion >= j.version {
+			j.endedOn = nil
+		}
 	}
 }
 
--- a/internal/process/poolowner/follow.go
+++ b/internal/process/poolowner/follow.go
@@ -149,11 +149,12 @@
 	for id, w := range listed {
 		l := t.links[id]
 		if l != nil && l.address != w.Address {
-			l.close()
+			t.drop(l)
 			l = nil
 		}
 		if l == nil {
 			t.links[id] = t.newLink(w)
+			t.usedKept = false
 		}
 	}
 }
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -40,15 +40,26 @@
 	}
 )
 
+// errNotSent tells that an order was given up before it was sent.
+var errNotSent = errors.New("the order was not sent")
+
 const (
 	// workerCall bounds one call to a worker beyond the time that it may wait.
 	workerCall = 450 * time.Millisecond
 	// renewWait is how long a worker waits for an end before it answers a renewal: a sixth of its lease.
 	renewWait = time.Second
+	// ackWindow is how long after a report a worker is told to forget ends without being asked for its life again: less than
+	// a process takes to start.
+	ackWindow = 50 * time.Millisecond
+	// unconfirmedWait is that wait while the lease of ownership is not confirmed, and workers tell whether there is a newer owner.
+	unconfirmedWait = 300 * time.Millisecond
 	// renewPause is the pause after a renewal that failed.
 	renewPause = 150 * time.Millisecond
 	// startAttempts bounds the tries of a start that gets no answer; a gang's other members wait 3 s for it.
 	startAttempts = 3
+	// sweepInterval is the time between looks at all links, which find workers to probe: a fraction of the time after which
+	// the lease of ownership counts as not confirmed.
+	sweepInterval = 200 * time.Millisecond
 	// ordersAtOnce bounds the orders under way at one worker.
 	ordersAtOnce = 2
 	// goneAfter is the number of refused connections in a row after which a worker's process is taken as ended.
@@ -71,30 +82,57 @@
 	l.runs.Close()
 }
 
-// updateLinks tells the links what is wanted of them, and closes those of workers that are gone for good.
-func (t *term) updateLinks() {
-	probe := t.probed()
-	for id, l := range t.links {
-		if _, listed := t.listed[id]; !listed && !t.state.Busy(id) {
-			l.close()
-			delete(t.links, id)
-			continue
-		}
-		w := wanted{busy: t.state.Busy(id) || id == probe, acknowledge: t.state.Acknowledged(id), seen: t.state.Seen(id), incarnation: t.state.Incarnation(id)}
-		if old := l.wanted.Load(); *old != w {
-			l.wanted.Store(&w)
-			select {
-			case l.wake <- struct{}{}:
-			default:
+// updateLinks tells the links of workers that have changed what is wanted of them, and now and then all links.
+func (t *term) updateLinks(now time.Time) {
+	changed := t.state.Changed()
+	if now.Sub(t.swept) < sweepInterval {
+		for _, id := range changed {
+			if l := t.links[id]; l != nil {
+				t.updateLink(l, "")
 			}
 		}
+		return
+	}
+	t.swept = now
+	probe := t.probed()
+	for _, l := range t.links {
+		t.updateLink(l, probe)
+	}
+}
+
+// updateLink tells a link what is wanted of it, and closes it if its worker is gone for good.
+func (t *term) updateLink(l *link, probe ids.InstanceID) {
+	id := l.id
+	busy := t.state.Busy(id)
+	if _, listed := t.listed[id]; !listed && !busy {
+		t.drop(l)
+		return
+	}
+	w := wanted{busy: busy || id == probe, acknowledge: t.state.Acknowledged(id), seen: t.state.Seen(id), incarnation: t.state.Incarnation(id)}
+	if old := l.wanted.Load(); *old != w {
+		l.wanted.Store(&w)
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
+// drop closes a link. What it has ordered may still be in force.
+func (t *term) drop(l *link) {
+	t.noteLease(l)
+	l.close()
+	delete(t.links, l.id)
+	t.usedKept = false
+}
+
+// isConfirmed reports whether the lease of ownership was renewed lately.
+func (t *term) isConfirmed() bool { return t.owner.since(*t.kept.Load()) < t.owner.Times.Lease/2 }
+
 // probed returns a worker to ask although nothing runs there, while the lease is not confirmed: its answer tells that no newer
 // owner has come.
 func (t *term) probed() ids.InstanceID {
-	if t.owner.since(*t.kept.Load()) < t.owner.Times.Lease/2 {
+	if t.isConfirmed() {
 		return ""
 	}
 	var first ids.InstanceID
@@ -124,11 +162,15 @@
 			w = l.wanted.Load()
 		}
 		o := worker.RenewOrder{Epoch: l.term.claim.Epoch}
-		// A worker that may have been restarted numbers its ends anew: it is asked for its life before it is told to forget any.
 		if failures == 0 && w.incarnation == incarnation && time.Since(answered) < renewWait+workerCall {
-			o.Acknowledged = w.acknowledge
-			if w.acknowledge <= told && w.seen <= w.acknowledge {
+			switch {
+			case w.acknowledge > told && (time.Since(answered) < ackWindow || l.confirm(incarnation)):
+				o.Acknowledged = w.acknowledge
+			case w.acknowledge <= told && w.seen <= w.acknowledge:
 				o.Wait = renewWait
+				if !l.term.isConfirmed() {
+					o.Wait = unconfirmedWait
+				}
 			}
 		}
 		// A worker that doesn't answer gets no longer lease, so that its runs end in a time that is known.
@@ -147,10 +189,12 @@
 			}
 			failures, refused = 0, 0
 			answered = time.Now()
-			l.term.followed.Store(&sent)
 			told = max(told, o.Acknowledged)
 			if life := cmp.Or(report.Incarnation, w.incarnation); life != incarnation {
+				// A worker that was restarted follows any owner: it has seen no epoch.
 				told, incarnation = 0, life
+			} else {
+				l.term.followed.Store(&sent)
 			}
 			l.reported(report, sent.at)
 			continue
@@ -173,6 +217,13 @@
 	return l.runs.Renew(ctx, o)
 }
 
+// confirm reports whether the worker is still in the given life. A worker that was restarted numbers its ends anew, and
+// would forget others than those that are meant.
+func (l *link) confirm(incarnation uint64) bool {
+	report, err := l.call(worker.RenewOrder{Epoch: l.term.claim.Epoch})
+	return err == nil && cmp.Or(report.Incarnation, incarnation) == incarnation
+}
+
 func (l *link) markOrdered() {
 	now := time.Now()
 	l.ordered.Store(&now)
@@ -246,6 +297,7 @@
 
 // start starts a run and tells the term how that went.
 func (l *link) start(a pool.Action) {
+	queued := len(l.orders) == cap(l.orders)
 	if !l.acquire() {
 		return
 	}
@@ -253,7 +305,10 @@
 	t := l.term
 	o := worker.RunOrder{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Lease: t.owner.Times.WorkerLease, Checkpoint: a.Checkpoint}
 	unknown := false
-	for range startAttempts {
+	for try := range startAttempts {
+		if (try > 0 || queued) && !l.mayStart(a.Run) {
+			break
+		}
 		l.markOrdered()
 		ctx, cancel := context.WithTimeout(l.ctx, workerCall)
 		err := l.runs.Start(ctx, o)
@@ -282,9 +337,24 @@
 		t.log.Warn("orders: a start was not answered", zap.String("job", string(a.Run.Job)), zap.Int("step", a.Run.Step), zap.Int("task", a.Run.Index),
 			zap.Uint64("run", uint64(a.Run.Number)), zap.String("worker", string(l.id)), zap.Error(err))
 	}
+	if !unknown {
+		t.post(func() { t.state.RunRefused(l.id, a.Run, errNotSent, false, time.Now()) })
+		return
+	}
 	t.post(func() { t.state.RunUnknown(l.id, a.Run, time.Now()) })
 }
 
+// mayStart reports whether an order to start a run, decided some time ago, may still be sent. The run may have been given up,
+// or may have ended on a worker that was restarted since and knows of neither; and only the newest owner sends late orders,
+// since such a worker doesn't know the newest epoch either.
+func (l *link) mayStart(r worker.Run) bool {
+	wanted := false
+	if err := l.term.do(l.ctx, func() { wanted = l.term.state.Starting(l.id, r) && l.term.isNewest() }); err != nil {
+		return false
+	}
+	return wanted
+}
+
 // isRefusal reports whether an error of a start says that the run does not exist on the worker and never will by this order.
 func isRefusal(err error) bool {
 	return errors.IsAny(err, worker.ErrNoRoom, worker.ErrUnhealthy, worker.ErrReborn, worker.ErrInvalid, worker.ErrGone)
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -50,8 +50,13 @@
 	// storeFailing is when the store began to fail; zero if it answers.
 	storeFailing time.Time
 	// used is the list of workers that the store has as those that may run tasks.
-	used    []ids.InstanceID
-	usedAt  store.Revision
+	used   []ids.InstanceID
+	usedAt store.Revision
+	// usedKept tells that the list had been compared when unknownKept workers were unknown, and no link has come or gone since.
+	usedKept    bool
+	unknownKept int
+	// swept is when all links were last told what is wanted.
+	swept   time.Time
 	retired time.Time
 }
 
@@ -64,6 +69,9 @@
 	// leaseSlack is how long an owner that can't renew its lease goes on with what runs: longer than the store's usual outages.
 	// Orders stay fenced, and nothing is accepted meanwhile.
 	leaseSlack = 9 * time.Second
+	// followWindow is how long the answer of a worker shows that there is no newer owner: a renewal while the lease is not
+	// confirmed. It is shorter than the lease less the time between its renewals.
+	followWindow = unconfirmedWait + workerCall
 	// clockSlack is the part by which a worker's clock may be slow, 2% by the platform's word, with a margin.
 	clockSlack = 0.025
 	// clockStep covers the rounding of the worker's clock and of ours.
@@ -303,9 +311,9 @@
 // decide carries out what the state decides.
 func (t *term) decide() {
 	now := time.Now()
-	for id, l := range t.links {
-		if at := l.ordered.Load(); at != nil {
-			t.state.Ordered(id, at.Add(t.leaseBound()))
+	for _, id := range t.state.Suspects() {
+		if l := t.links[id]; l != nil {
+			t.noteLease(l)
 		}
 	}
 	actions, notices := t.state.Decide(now)
@@ -315,10 +323,17 @@
 	for _, a := range actions {
 		t.order(a)
 	}
-	t.updateLinks()
+	t.updateLinks(now)
 	t.write()
 }
 
+// noteLease tells the state until when the lease may last that a link has ordered.
+func (t *term) noteLease(l *link) {
+	if at := l.ordered.Load(); at != nil {
+		t.state.Ordered(l.id, at.Add(t.leaseBound()))
+	}
+}
+
 func (t *term) logNotice(n pool.Notice) {
 	t.log.Info("decision: "+n.Kind, zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("tasks", n.Tasks),
 		zap.Uint64("run", uint64(n.Number)), zap.String("worker", string(n.Worker)), zap.String("cause", n.Cause), zap.Duration("after", n.After), zap.Float64("lostCoreSeconds", n.Lost))
@@ -346,14 +361,14 @@
 }
 
 // isNewest reports whether no other instance serves as the pool's owner yet: the lease can't have ended, or a worker has
-// followed this owner a moment ago. A newer owner fences all workers before it serves.
+// followed this owner so short a time ago that no newer owner can have begun to serve in between, also if this process
+// stood still. A newer owner fences the workers before it serves.
 func (t *term) isNewest() bool {
-	const moment = 2*renewWait + workerCall
 	if t.owner.since(*t.kept.Load()) < t.owner.Times.Lease {
 		return true
 	}
 	followed := t.followed.Load()
-	return followed != nil && t.owner.since(*followed) < moment
+	return followed != nil && t.owner.since(*followed) < followWindow
 }
 
 // watchSuccessor ends the term once another instance has claimed the pool.
@@ -396,11 +411,20 @@
 // usedChanged returns the workers that may run tasks, and whether the store has another list of them. The next owner
 // needs it to miss none of them.
 func (t *term) usedChanged() ([]ids.InstanceID, bool) {
-	list := t.state.Unknown()
+	unknown := t.state.Unknown()
+	if t.usedKept && len(unknown) == t.unknownKept {
+		// The links are those of the list in the store, and unknown workers are never added.
+		return nil, false
+	}
+	list := unknown
 	for id := range t.links {
 		list = append(list, id)
 	}
 	slices.Sort(list)
 	list = slices.Compact(list)
-	return list, !slices.Equal(list, t.used)
+	if slices.Equal(list, t.used) {
+		t.usedKept, t.unknownKept = true, len(unknown)
+		return nil, false
+	}
+	return list, true
 }
