Run jobs at several times

Jobs with a schedule were refused. A unit now belongs to an occurrence, is due at its time of day, and has its steps, racks, bounds on a worker and objective by occurrence; records leave out leading occurrences that are done, and the task's name on the wire carries the occurrence. TestScheduledJob runs four occurrences over the loss of the owner; the soak draws schedules, and its ledger holds that nothing starts before its time.

Refuse as the newest owner only while most workers that are asked follow

--- a/internal/connection/worker/runs.go
+++ b/internal/connection/worker/runs.go
@@ -13,9 +13,11 @@
 type (
 	// Task names one task of one step of a job.
 	Task struct {
-		Job   ids.JobID
-		Step  int
-		Index int
+		Job ids.JobID
+		// Occurrence is the one of the job's schedule; zero for a job that runs once.
+		Occurrence int
+		Step       int
+		Index      int
 	}
 
 	// Run names one run of a task. Numbers rise with each start; the members of a gang share one.
@@ -121,5 +123,8 @@
 
 // String writes the task as job/step/index.
 func (t Task) String() string {
+	if t.Occurrence > 0 {
+		return string(t.Job) + "#" + strconv.Itoa(t.Occurrence) + "/" + strconv.Itoa(t.Step) + "/" + strconv.Itoa(t.Index)
+	}
 	return string(t.Job) + "/" + strconv.Itoa(t.Step) + "/" + strconv.Itoa(t.Index)
 }
--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -40,6 +40,10 @@
 			return &Refusal{Reason: "no set of workers could hold a step"}
 		}
 	}
+	if !j.units[0].isDue(now) {
+		// What the pool will have to do by then is not known.
+		return nil
+	}
 	s.judgeOwed()
 	j.owed = j.Priority == 0 && s.covered(j)
 	if j.owed {
@@ -126,7 +130,7 @@
 			break
 		}
 		for _, u := range other.units {
-			if u.phase == waiting || u.phase == allocated {
+			if (u.phase == waiting || u.phase == allocated) && u.isDue(now) {
 				sum += share(u.spec().Each.Times(u.count), total) * s.runTime(u).Seconds()
 			}
 		}
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -214,9 +214,9 @@
 		if u.phase != waiting || u.strays > 0 || u.step == full || !u.ready() || s.blocked(u) {
 			continue
 		}
-		if p.now.Before(u.notBefore) {
-			if s.retryAt.IsZero() || u.notBefore.Before(s.retryAt) {
-				s.retryAt = u.notBefore
+		if at := later(u.notBefore, u.job.Schedule.due(u.occurrence)); p.now.Before(at) {
+			if s.retryAt.IsZero() || at.Before(s.retryAt) {
+				s.retryAt = at
 			}
 			continue
 		}
@@ -239,6 +239,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // roomFor returns what a unit may use of a worker now.
 func (s *State) roomFor(u *unit, n *node, holds *reservations, now time.Time) ids.Resources {
 	if holds.against(s, u, n, now) {
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -42,6 +42,7 @@
 		Priority  int
 		Payload   string
 		Steps     []Step
+		Schedule  Schedule
 		Submitted time.Time
 		// MaxAttempts is how often a task or gang may fail.
 		MaxAttempts int
@@ -60,7 +61,7 @@
 		restored bool
 		units    []*unit
 		// racks are where the steps whose tasks want one rack have begun.
-		racks map[int]*rack
+		racks map[stepRun]*rack
 		// version counts the changes that the store has to keep, and storedVersion is the one that it keeps.
 		version, storedVersion uint64
 		// endedOn are the workers with ends that wait for the store to keep the job.
@@ -71,11 +72,13 @@
 
 	// unit is what is started and stopped as a whole: a gang, or one task.
 	unit struct {
-		job   *Job
-		step  int
-		first int
-		count int
-		phase phase
+		job *Job
+		// occurrence is the one of the job's schedule that the unit is of.
+		occurrence int
+		step       int
+		first      int
+		count      int
+		phase      phase
 		// failed are the numbers of the runs that failed.
 		failed     []ids.RunNumber
 		checkpoint string
@@ -102,6 +105,9 @@
 		movedAt time.Time
 	}
 
+	// stepRun is a step of one occurrence of a job.
+	stepRun struct{ occurrence, step int }
+
 	phase int
 
 	// run is one member of a unit's run on a worker. It takes room there until it is known to be gone.
@@ -159,23 +165,25 @@
 // Begun reports whether a task of the job was started at some time.
 func (j *Job) Begun() bool { return j.begun }
 
-// makeUnits splits the steps into units.
+// makeUnits splits the steps of each occurrence into units.
 func (j *Job) makeUnits() {
-	for i, s := range j.Steps {
-		if s.Gang {
-			j.units = append(j.units, &unit{job: j, step: i, count: s.Tasks})
-			continue
-		}
-		for k := range s.Tasks {
-			j.units = append(j.units, &unit{job: j, step: i, first: k, count: 1})
+	for occurrence := range j.Schedule.count() {
+		for i, s := range j.Steps {
+			if s.Gang {
+				j.units = append(j.units, &unit{job: j, occurrence: occurrence, step: i, count: s.Tasks})
+				continue
+			}
+			for k := range s.Tasks {
+				j.units = append(j.units, &unit{job: j, occurrence: occurrence, step: i, first: k, count: 1})
+			}
 		}
 	}
 }
 
-// stepDone reports whether all tasks of a step are done.
-func (j *Job) stepDone(step int) bool {
+// stepDone reports whether all tasks of a step are done in one occurrence.
+func (j *Job) stepDone(r stepRun) bool {
 	for _, u := range j.units {
-		if u.step == step && u.phase != done {
+		if u.stepRun() == r && u.phase != done {
 			return false
 		}
 	}
@@ -185,13 +193,15 @@
 // ready reports whether the steps that the unit waits for are done.
 func (u *unit) ready() bool {
 	for _, earlier := range u.spec().After {
-		if !u.job.stepDone(earlier) {
+		if !u.job.stepDone(stepRun{u.occurrence, earlier}) {
 			return false
 		}
 	}
 	return true
 }
 
+func (u *unit) stepRun() stepRun { return stepRun{u.occurrence, u.step} }
+
 func (u *unit) spec() *Step { return &u.job.Steps[u.step] }
 
 // accelerators returns what the job needs by its guarantee's measure: the accelerators of all its tasks.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -86,20 +86,20 @@
 	return label == "" || slices.Contains(n.Labels, label)
 }
 
-// tasksOn counts the tasks of a step of a job that run on a worker, or for which it is being cleared.
-func (s *State) tasksOn(n *node, j *Job, step int) int {
+// tasksOn counts the tasks of a unit's step that run on a worker, or for which it is being cleared.
+func (s *State) tasksOn(n *node, u *unit) int {
 	count := 0
 	for r := range n.runs {
-		if r.unit != nil && r.unit.job == j && r.unit.step == step {
+		if r.unit != nil && r.unit.job == u.job && r.unit.stepRun() == u.stepRun() {
 			count++
 		}
 	}
-	for _, u := range s.kept {
-		if u.job != j || u.step != step {
+	for _, other := range s.kept {
+		if other.job != u.job || other.stepRun() != u.stepRun() {
 			continue
 		}
-		for _, other := range u.place {
-			if other == n {
+		for _, kept := range other.place {
+			if kept == n {
 				count++
 			}
 		}
--- a/internal/process/pool/place.go
+++ b/internal/process/pool/place.go
@@ -96,7 +96,7 @@
 // stepRack returns the rack for the single tasks of a step: the one in which the step has begun, or else the one with the
 // most room for them.
 func (s *State) stepRack(u *unit, now time.Time) *rack {
-	if r := u.job.racks[u.step]; r != nil {
+	if r := u.job.racks[u.stepRun()]; r != nil {
 		// Racks are built anew when the list of workers changes.
 		if r = s.rackOf(r.id); r != nil && s.couldHold(u, r) {
 			return r
@@ -131,7 +131,7 @@
 			return true
 		}
 	}
-	if first := u.job.racks[u.step]; u.count < spec.Tasks && spec.SameRack && first != nil && first.id != place[0].Rack {
+	if first := u.job.racks[u.stepRun()]; u.count < spec.Tasks && spec.SameRack && first != nil && first.id != place[0].Rack {
 		return true
 	}
 	return false
@@ -156,7 +156,7 @@
 		free := room(n)
 		tasks := free.Copies(spec.Each, u.count)
 		if spec.MaxPerWorker > 0 {
-			tasks = min(tasks, spec.MaxPerWorker-s.tasksOn(n, u.job, u.step))
+			tasks = min(tasks, spec.MaxPerWorker-s.tasksOn(n, u))
 		}
 		if tasks <= 0 {
 			continue
--- a/internal/process/pool/reclaim.go
+++ b/internal/process/pool/reclaim.go
@@ -158,7 +158,7 @@
 	lost := s.workLost(u, now)
 	seconds := (lost + restartWait).Seconds()
 	whole := s.runTime(u)
-	due := u.job.Submitted.Add(s.objective(u.job))
+	due := u.begins().Add(s.objective(u.job))
 	if end := now.Add(s.remaining(u, now)); !end.After(due) && end.Add(lost+restartWait).After(due) {
 		seconds += whole.Seconds()
 	}
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -13,14 +13,17 @@
 	// Record is what the store keeps of a job.
 	Record struct {
 		// Format is the version of the record's format.
-		Format      int
-		ID          ids.JobID
-		Queue       ids.QueueID
-		Service     ids.ServiceID
-		Account     ids.AccountID
-		Priority    int    `json:",omitempty"`
-		Payload     string `json:",omitempty"`
-		Steps       []Step
+		Format   int
+		ID       ids.JobID
+		Queue    ids.QueueID
+		Service  ids.ServiceID
+		Account  ids.AccountID
+		Priority int    `json:",omitempty"`
+		Payload  string `json:",omitempty"`
+		Steps    []Step
+		Schedule Schedule `json:",omitzero"`
+		// Elapsed is the number of leading occurrences of the schedule that are done; Units leaves them out.
+		Elapsed     int `json:",omitempty"`
 		Submitted   time.Time
 		MaxAttempts int
 		Stretch     float64       `json:",omitempty"`
@@ -52,11 +55,11 @@
 func (j *Job) Encode(writer string) ([]byte, error) {
 	r := Record{
 		Format: recordFormat, ID: j.ID, Queue: j.Queue, Service: j.Service, Account: j.Account, Priority: j.Priority,
-		Payload: j.Payload, Steps: j.Steps, Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target,
+		Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule, Elapsed: j.elapsed(), Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target,
 		State: j.State, Finished: j.Finished, Writer: writer,
 	}
 	for i, u := range j.units {
-		if u.phase != done && len(u.failed) == 0 && u.checkpoint == "" {
+		if u.occurrence < r.Elapsed || (u.phase != done && len(u.failed) == 0 && u.checkpoint == "") {
 			continue
 		}
 		if r.Units == nil {
@@ -77,11 +80,15 @@
 		return nil, errors.Wrapf(ErrFormat, "format %d", r.Format)
 	}
 	j := &Job{
-		ID: r.ID, Queue: r.Queue, Service: r.Service, Account: r.Account, Priority: r.Priority, Payload: r.Payload, Steps: r.Steps,
+		ID: r.ID, Queue: r.Queue, Service: r.Service, Account: r.Account, Priority: r.Priority, Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule,
 		Submitted: r.Submitted, MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target, State: r.State, Finished: r.Finished,
 	}
 	j.makeUnits()
 	for i, u := range j.units {
+		if u.occurrence < r.Elapsed {
+			u.phase = done
+			j.begun = true
+		}
 		if stored, found := r.Units[i]; found {
 			u.failed, u.checkpoint = stored.Failed, stored.Checkpoint
 			if stored.Done {
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -189,7 +189,7 @@
 		return nil
 	}
 	for _, u := range j.units {
-		if u.step == t.Step && t.Index >= u.first && t.Index < u.first+u.count {
+		if u.occurrence == t.Occurrence && u.step == t.Step && t.Index >= u.first && t.Index < u.first+u.count {
 			return u
 		}
 	}
@@ -292,7 +292,7 @@
 	u.job.begun = true
 	u.runs = append(u.runs, r)
 	r.unit = u
-	u.job.beganIn(u.step, r.node.rack)
+	u.job.beganIn(u.stepRun(), r.node.rack)
 	if len(u.runs) < u.count {
 		return true
 	}
--- a/internal/process/pool/reservation.go
+++ b/internal/process/pool/reservation.go
@@ -81,7 +81,7 @@
 	copies := func(n *node) int {
 		fits := free[n].Copies(u.spec().Each, u.count)
 		if limit := u.spec().MaxPerWorker; limit > 0 {
-			fits = min(fits, limit-s.tasksOn(n, u.job, u.step))
+			fits = min(fits, limit-s.tasksOn(n, u))
 		}
 		return fits
 	}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -30,11 +30,11 @@
 	u.startedAt, u.movedAt = now, now
 	u.percent, u.broken, u.adopted = 0, false, false
 	u.remote = s.isRemote(u, place)
-	u.job.beganIn(u.step, place[0].rack)
+	u.job.beganIn(u.stepRun(), place[0].rack)
 	u.runs = u.runs[:0]
 	for i, n := range place {
 		r := &run{
-			Run:  worker.Run{Task: worker.Task{Job: u.job.ID, Step: u.step, Index: u.first + i}, Number: u.number},
+			Run:  worker.Run{Task: worker.Task{Job: u.job.ID, Occurrence: u.occurrence, Step: u.step, Index: u.first + i}, Number: u.number},
 			unit: u, node: n, each: u.spec().Each,
 		}
 		u.runs = append(u.runs, r)
@@ -51,9 +51,9 @@
 }
 
 // beganIn notes the rack in which a step has begun.
-func (j *Job) beganIn(step int, r *rack) {
+func (j *Job) beganIn(step stepRun, r *rack) {
 	if j.racks == nil {
-		j.racks = make(map[int]*rack)
+		j.racks = make(map[stepRun]*rack)
 	}
 	if j.racks[step] == nil {
 		j.racks[step] = r
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -24,6 +24,8 @@
 		Key        string
 		Payload    string      `json:",omitempty"`
 		Steps      []pool.Step `json:",omitempty"`
+		// Schedule lets the steps run at several times.
+		Schedule pool.Schedule `json:",omitzero"`
 		// Unsupported names a feature that the job asks for and this version doesn't offer; empty has none.
 		Unsupported string `json:",omitempty"`
 	}
@@ -215,7 +217,7 @@
 		return t.refuse(c, Refused, "the store does not answer", notNowAfter), nil
 	}
 	j = &pool.Job{
-		ID: id, Queue: q.ID, Service: q.Service, Account: account, Priority: q.Priority, Payload: c.Payload, Steps: c.Steps,
+		ID: id, Queue: q.ID, Service: q.Service, Account: account, Priority: q.Priority, Payload: c.Payload, Steps: c.Steps, Schedule: c.Schedule,
 		Submitted: now, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target,
 	}
 	if refusal := t.state.Admit(j, now); refusal != nil {
--- a/internal/process/poolowner/ledger_test.go
+++ b/internal/process/poolowner/ledger_test.go
@@ -29,6 +29,7 @@
 
 	ledgerJob struct {
 		steps       []pool.Step
+		schedule    pool.Schedule
 		maxAttempts int
 		// tries are the tries to hand the job in that are under way. unsure tells that one got no answer, and accepted that one
 		// was accepted.
@@ -51,11 +52,11 @@
 	return &ledger{starts: make(map[ids.JobID]int), jobs: make(map[ids.JobID]*ledgerJob), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
 }
 
-func (l *ledger) add(id ids.JobID, steps []pool.Step, maxAttempts int) {
+func (l *ledger) add(id ids.JobID, steps []pool.Step, schedule pool.Schedule, maxAttempts int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.jobs[id] = &ledgerJob{
-		steps: steps, maxAttempts: maxAttempts,
+		steps: steps, schedule: schedule, maxAttempts: maxAttempts,
 		done: make(map[worker.Task]bool), noted: make(map[worker.Task]bool), failed: make(map[worker.Task]map[ids.RunNumber]bool), notedFailed: make(map[worker.Task]map[ids.RunNumber]bool),
 	}
 }
@@ -142,10 +143,13 @@
 	if failed >= j.maxAttempts {
 		l.fault("%s was started after %d runs had failed", e.Run.Task, failed)
 	}
+	if due := j.schedule.First.Add(time.Duration(e.Run.Occurrence) * j.schedule.Interval); time.Now().Before(due) {
+		l.fault("%s was started %v before its time", e.Run.Task, time.Until(due))
+	}
 	step := j.steps[e.Run.Step]
 	for _, earlier := range step.After {
 		for i := range j.steps[earlier].Tasks {
-			if !j.done[worker.Task{Job: e.Run.Job, Step: earlier, Index: i}] {
+			if !j.done[worker.Task{Job: e.Run.Job, Occurrence: e.Run.Occurrence, Step: earlier, Index: i}] {
 				l.fault("%s was started before step %d was done", e.Run.Task, earlier)
 				return
 			}
@@ -250,12 +254,10 @@
 		l.fault("job %s was accepted and is not known: %+v", id, a)
 	}
 	if a.State == pool.Completed {
-		for step, s := range j.steps {
-			for i := range s.Tasks {
-				if !j.done[worker.Task{Job: id, Step: step, Index: i}] {
-					l.fault("job %s is shown as completed, and task %d of step %d is not done", id, i, step)
-					return
-				}
+		for _, t := range j.tasks(id) {
+			if !j.done[t] {
+				l.fault("job %s is shown as completed, and %s is not done", id, t)
+				return
 			}
 		}
 	}
@@ -269,6 +271,19 @@
 	}
 }
 
+// tasks returns all tasks of a job.
+func (j *ledgerJob) tasks(id ids.JobID) []worker.Task {
+	var list []worker.Task
+	for occurrence := range max(1, j.schedule.Occurrences) {
+		for step, s := range j.steps {
+			for i := range s.Tasks {
+				list = append(list, worker.Task{Job: id, Occurrence: occurrence, Step: step, Index: i})
+			}
+		}
+	}
+	return list
+}
+
 // verdict returns what was broken, and the last events before.
 func (l *ledger) verdict() string {
 	l.mu.Lock()
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -29,6 +29,8 @@
 		wake   chan struct{}
 		// ordered is when a lease was last ordered.
 		ordered atomic.Pointer[time.Time]
+		// followed is when the worker was last asked for a report that it gave in the same life as the one before.
+		followed atomic.Pointer[stamp]
 		// orders bounds the orders under way, and so the connections.
 		orders chan struct{}
 	}
@@ -194,7 +196,7 @@
 				// A worker that was restarted follows any owner: it has seen no epoch.
 				told, incarnation = 0, life
 			} else {
-				l.term.followed.Store(&sent)
+				l.followed.Store(&sent)
 			}
 			l.reported(report, sent.at)
 			continue
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -218,7 +218,7 @@
 		w.submit(w.instances[0], 1, "a")
 		w.store.SetOutage(true, true)
 		time.Sleep(5 * time.Second)
-		answer, err := w.ask(w.instances[0], Read, 1, "a", nil)
+		answer, err := w.ask(w.instances[0], Read, 1, "a", jobSpec{})
 		require.NoError(t, err)
 		require.Equal(t, NotNow, answer.Result)
 		w.store.SetOutage(false, true)
@@ -232,7 +232,7 @@
 		w.define("a", jobSpec{steps: []pool.Step{gangStep(3, 4)}, runTime: time.Minute})
 		w.submit(w.instances[0], 1, "a")
 		time.Sleep(time.Second)
-		answer, err := w.ask(w.instances[2], Cancel, 1, "a", nil)
+		answer, err := w.ask(w.instances[2], Cancel, 1, "a", jobSpec{})
 		w.ledger.cancelled("a", answer, err)
 		require.Equal(t, OK, answer.Result, answer.Reason)
 		time.Sleep(time.Second)
@@ -388,3 +388,21 @@
 		w.awaitState(1, "a", pool.Completed)
 	})
 }
+
+// The occurrences of a schedule run at their times, also over the loss of the owner, and each runs its steps in order.
+func TestScheduledJob(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		second := pool.Step{Tasks: 2, Each: ids.Resources{Accelerators: 1, Cores: 1000, Memory: 1}, Estimate: time.Second, After: []int{0}}
+		schedule := pool.Schedule{Occurrences: 4, First: time.Now().Add(2 * time.Second), Interval: 1500 * time.Millisecond}
+		w.define("a", jobSpec{steps: []pool.Step{gangStep(2, 4), second}, schedule: schedule, runTime: time.Second})
+		answer, err := w.submit(w.instances[0], 1, "a")
+		require.NoError(t, err)
+		require.Equal(t, OK, answer.Result, answer.Reason)
+		time.Sleep(5 * time.Second)
+		w.ownerInstance().kill(false)
+		w.awaitState(1, "a", pool.Completed)
+		last := schedule.First.Add(3 * schedule.Interval)
+		require.Less(t, time.Since(last), 2*time.Second+4*time.Second, "the last occurrence waits for a new owner at most")
+		require.Equal(t, 4*4, w.startsOf("a"), "each task was started once")
+	})
+}
--- a/internal/process/poolowner/soak_test.go
+++ b/internal/process/poolowner/soak_test.go
@@ -89,6 +89,12 @@
 			second.After = []int{0}
 			spec.steps = append(spec.steps, second)
 		}
+		if s.pick(6, "scheduled") == 0 {
+			spec.schedule = pool.Schedule{
+				Occurrences: 1 + s.pick(4, "occurrences"), First: time.Now().Add(time.Duration(s.pick(4000, "first")) * time.Millisecond),
+				Interval: time.Duration(s.pick(3000, "interval")) * time.Millisecond,
+			}
+		}
 		s.define(id, spec)
 		s.jobs = append(s.jobs, id)
 		s.priorities[id] = s.pick(3, "priority")
@@ -112,7 +118,7 @@
 	id := s.jobs[s.pick(len(s.jobs), "job")]
 	i, priority := s.instance(), s.priorities[id]
 	go func() {
-		answer, err := s.ask(i, Cancel, priority, id, nil)
+		answer, err := s.ask(i, Cancel, priority, id, jobSpec{})
 		s.ledger.cancelled(id, answer, err)
 	}()
 }
@@ -124,7 +130,7 @@
 	id := s.jobs[s.pick(len(s.jobs), "job")]
 	i, priority := s.instance(), s.priorities[id]
 	go func() {
-		answer, err := s.ask(i, Read, priority, id, nil)
+		answer, err := s.ask(i, Read, priority, id, jobSpec{})
 		s.ledger.shown(id, answer, err)
 	}()
 }
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -35,8 +35,6 @@
 	configSeen stamp
 	// kept is when the last renewal of the lease that succeeded was sent.
 	kept atomic.Pointer[stamp]
-	// followed is when a worker was last asked for a report that it gave.
-	followed atomic.Pointer[stamp]
 	listed   map[ids.InstanceID]Listed
 	// malformed are the entries of the instance list that could not be read, each logged once.
 	malformed map[string]bool
@@ -69,7 +67,7 @@
 	// leaseSlack is how long an owner that can't renew its lease goes on with what runs: longer than the store's usual outages.
 	// Orders stay fenced, and nothing is accepted meanwhile.
 	leaseSlack = 9 * time.Second
-	// followWindow is how long the answer of a worker shows that there is no newer owner: a renewal while the lease is not
+	// followWindow is how long the answers of workers show that there is no newer owner: a renewal while the lease is not
 	// confirmed. It is shorter than the lease less the time between its renewals.
 	followWindow = unconfirmedWait + workerCall
 	// clockSlack is the part by which a worker's clock may be slow, 2% by the platform's word, with a margin.
@@ -360,15 +358,24 @@
 	}
 }
 
-// isNewest reports whether no other instance serves as the pool's owner yet: the lease can't have ended, or a worker has
-// followed this owner so short a time ago that no newer owner can have begun to serve in between, also if this process
-// stood still. A newer owner fences the workers before it serves.
+// isNewest reports whether no other instance serves as the pool's owner yet: the lease can't have ended, or most of the
+// workers that are asked have followed this owner so short a time ago that no newer owner can have begun to serve in
+// between, also if this process stood still. A newer owner fences the workers that it reaches before it serves.
 func (t *term) isNewest() bool {
 	if t.owner.since(*t.kept.Load()) < t.owner.Times.Lease {
 		return true
 	}
-	followed := t.followed.Load()
-	return followed != nil && t.owner.since(*followed) < followWindow
+	asked, follow := 0, 0
+	for _, l := range t.links {
+		if !l.wanted.Load().busy {
+			continue
+		}
+		asked++
+		if at := l.followed.Load(); at != nil && t.owner.since(*at) < followWindow {
+			follow++
+		}
+	}
+	return 2*follow > asked
 }
 
 // watchSuccessor ends the term once another instance has claimed the pool.
--- a/internal/process/poolowner/world_test.go
+++ b/internal/process/poolowner/world_test.go
@@ -39,8 +39,9 @@
 
 	// jobSpec is what the workers know of a job.
 	jobSpec struct {
-		steps   []pool.Step
-		runTime time.Duration
+		steps    []pool.Step
+		schedule pool.Schedule
+		runTime  time.Duration
 		// poison jobs fail wherever they run.
 		poison bool
 	}
@@ -370,18 +371,18 @@
 	w.mu.Lock()
 	w.specs[id] = spec
 	w.mu.Unlock()
-	w.ledger.add(id, spec.steps, 2)
+	w.ledger.add(id, spec.steps, spec.schedule, 2)
 }
 
 // ask makes a call at one instance.
-func (w *world) ask(i *instance, kind CallKind, priority int, id ids.JobID, steps []pool.Step) (Answer, error) {
+func (w *world) ask(i *instance, kind CallKind, priority int, id ids.JobID, spec jobSpec) (Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	if i.isDead() {
 		return Answer{}, errors.New("no connection")
 	}
 	_, gate := i.current()
-	return gate.Ask(ctx, Call{Kind: kind, Host: "host", Path: fmt.Sprintf("/%d/%s", priority, id), Key: testKey, Steps: steps})
+	return gate.Ask(ctx, Call{Kind: kind, Host: "host", Path: fmt.Sprintf("/%d/%s", priority, id), Key: testKey, Steps: spec.steps, Schedule: spec.schedule})
 }
 
 // submit hands a job in once.
@@ -390,14 +391,14 @@
 	spec := w.specs[id]
 	w.mu.Unlock()
 	w.ledger.tried(id)
-	answer, err := w.ask(i, Submit, priority, id, spec.steps)
+	answer, err := w.ask(i, Submit, priority, id, spec)
 	w.ledger.answered(id, answer, err)
 	return answer, err
 }
 
 // state returns the state of a job.
 func (w *world) state(priority int, id ids.JobID) pool.JobState {
-	answer, err := w.ask(w.awaitOwner(), Read, priority, id, nil)
+	answer, err := w.ask(w.awaitOwner(), Read, priority, id, jobSpec{})
 	w.ledger.shown(id, answer, err)
 	return answer.State
 }
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -92,9 +92,10 @@
 	}
 
 	gangKey struct {
-		job    ids.JobID
-		step   int
-		number ids.RunNumber
+		job        ids.JobID
+		occurrence int
+		step       int
+		number     ids.RunNumber
 	}
 
 	gang struct {
@@ -322,7 +323,7 @@
 
 // join adds a run to its gang, which works once all are there.
 func (w *Worker) join(r *run, end worker.Ending, runTime time.Duration) {
-	key := gangKey{r.Job, r.Step, r.Number}
+	key := gangKey{r.Job, r.Occurrence, r.Step, r.Number}
 	g := w.fleet.gangs[key]
 	if g == nil {
 		g = &gang{members: make(map[*run]*Worker)}
@@ -364,7 +365,7 @@
 
 // breakGang ends the other members of a run's gang.
 func (w *Worker) breakGang(r *run) {
-	g := w.fleet.gangs[gangKey{r.Job, r.Step, r.Number}]
+	g := w.fleet.gangs[gangKey{r.Job, r.Occurrence, r.Step, r.Number}]
 	if r.spec.Gang == 0 || g == nil || g.over {
 		return
 	}
