--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -34,8 +34,8 @@
 	configAt   store.Revision
 	configSeen stamp
 	// kept is when the last renewal of the lease that succeeded was sent.
-	kept atomic.Pointer[stamp]
-	listed   map[ids.InstanceID]Listed
+	kept   atomic.Pointer[stamp]
+	listed map[ids.InstanceID]Listed
 	// malformed are the entries of the instance list that could not be read, each logged once.
 	malformed map[string]bool
 	links     map[ids.InstanceID]*link
