--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -106,7 +106,7 @@
 				next := w.ownerInstance()
 				require.NotNil(t, next, "nobody owns the pool 3 s after the loss")
 				w.awaitState(1, "a", pool.Completed)
-				require.Less(t, w.startsOf("a"), 4, "the gang was started again")
+				require.Less(t, w.ledger.Starts("a"), 4, "the gang was started again")
 			})
 		})
 	}
@@ -193,7 +193,7 @@
 		w.define("a", jobSpec{steps: []pool.Step{gangStep(3, 8)}, runTime: 10 * time.Second})
 		w.submit(w.instances[0], 1, "a")
 		time.Sleep(time.Second)
-		w.fleet.Worker(w.workersOf("a")[0]).SetCut(true)
+		w.fleet.Worker(w.ledger.Active("a")[0]).SetCut(true)
 		w.awaitState(1, "a", pool.Completed)
 	})
 }
@@ -233,10 +233,12 @@
 		w.submit(w.instances[0], 1, "a")
 		time.Sleep(time.Second)
 		answer, err := w.ask(w.instances[2], Cancel, 1, "a", jobSpec{})
-		w.ledger.cancelled("a", answer, err)
+		if err == nil && answer.Result == OK {
+			w.ledger.Cancelled("a")
+		}
 		require.Equal(t, OK, answer.Result, answer.Reason)
 		time.Sleep(time.Second)
-		require.Empty(t, w.workersOf("a"))
+		require.Empty(t, w.ledger.Active("a"))
 		w.ownerInstance().kill(false)
 		w.awaitState(1, "a", pool.Cancelled)
 	})
@@ -270,7 +272,7 @@
 		w.define("a", jobSpec{steps: []pool.Step{gangStep(2, 8)}, runTime: 20 * time.Second})
 		w.submit(w.instances[0], 1, "a")
 		time.Sleep(time.Second)
-		for _, id := range w.workersOf("a") {
+		for _, id := range w.ledger.Active("a") {
 			w.unlist(id)
 		}
 		w.ownerInstance().kill(false)
@@ -291,28 +293,6 @@
 	})
 }
 
-// startsOf counts the starts of a job's tasks.
-func (w *world) startsOf(id ids.JobID) int {
-	w.ledger.mu.Lock()
-	defer w.ledger.mu.Unlock()
-	return w.ledger.starts[id]
-}
-
-// workersOf returns the workers on which a job runs now.
-func (w *world) workersOf(id ids.JobID) []ids.InstanceID {
-	w.ledger.mu.Lock()
-	defer w.ledger.mu.Unlock()
-	var list []ids.InstanceID
-	for on, runs := range w.ledger.active {
-		for r := range runs {
-			if r.Job == id {
-				list = append(list, on)
-			}
-		}
-	}
-	return list
-}
-
 // A worker that was cut off while nothing ran there is used again once it answers.
 func TestIdleWorkerComesBack(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
@@ -340,7 +320,7 @@
 		}
 		for n := range 6 {
 			w.awaitState(1, ids.JobID(rune('a'+n)), pool.Completed)
-			require.Equal(t, 6, w.startsOf(ids.JobID(rune('a'+n))))
+			require.Equal(t, 6, w.ledger.Starts(ids.JobID(rune('a'+n))))
 		}
 	})
 }
@@ -352,7 +332,7 @@
 		w.define("a", jobSpec{steps: []pool.Step{gangStep(2, 8)}, runTime: 20 * time.Second})
 		w.submit(w.instances[0], 1, "a")
 		time.Sleep(time.Second)
-		busy := w.workersOf("a")
+		busy := w.ledger.Active("a")
 		for _, id := range busy {
 			w.unlist(id)
 		}
@@ -362,7 +342,7 @@
 			w.awaitOwner()
 			time.Sleep(500 * time.Millisecond)
 		}
-		require.Equal(t, 2, w.startsOf("a"), "the gang runs on workers that are not listed")
+		require.Equal(t, 2, w.ledger.Starts("a"), "the gang runs on workers that are not listed")
 		for _, id := range busy {
 			w.list(id)
 		}
@@ -403,6 +383,6 @@
 		w.awaitState(1, "a", pool.Completed)
 		last := schedule.First.Add(3 * schedule.Interval)
 		require.Less(t, time.Since(last), 2*time.Second+4*time.Second, "the last occurrence waits for a new owner at most")
-		require.Equal(t, 4*4, w.startsOf("a"), "each task was started once")
+		require.Equal(t, 4*4, w.ledger.Starts("a"), "each task was started once")
 	})
 }
--- a/internal/process/poolowner/soak_test.go
+++ b/internal/process/poolowner/soak_test.go
@@ -119,7 +119,9 @@
 	i, priority := s.instance(), s.priorities[id]
 	go func() {
 		answer, err := s.ask(i, Cancel, priority, id, jobSpec{})
-		s.ledger.cancelled(id, answer, err)
+		if err == nil && answer.Result == OK {
+			s.ledger.Cancelled(id)
+		}
 	}()
 }
 
@@ -131,7 +133,7 @@
 	i, priority := s.instance(), s.priorities[id]
 	go func() {
 		answer, err := s.ask(i, Read, priority, id, jobSpec{})
-		s.ledger.shown(id, answer, err)
+		s.shown(id, answer, err)
 	}()
 }
 
@@ -277,10 +279,7 @@
 	for range 600 {
 		left = ""
 		for _, id := range s.jobs {
-			s.ledger.mu.Lock()
-			accepted := s.ledger.jobs[id].accepted
-			s.ledger.mu.Unlock()
-			if !accepted {
+			if !s.ledger.IsAccepted(id) {
 				continue
 			}
 			if state := s.state(s.priorities[id], id); state != pool.Completed && state != pool.Failed && state != pool.Cancelled {
@@ -292,8 +291,5 @@
 		}
 		time.Sleep(time.Second)
 	}
-	s.ledger.mu.Lock()
-	defer s.ledger.mu.Unlock()
-	left += s.describePool()
-	require.Empty(s.t, left+s.ledger.text(), "jobs did not end after all faults were over")
+	require.Empty(s.t, left+s.describePool()+s.ledger.Text(), "jobs did not end after all faults were over")
 }
--- a/internal/process/poolowner/world_test.go
+++ b/internal/process/poolowner/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/internal/standin/ledger"
 	"github.com/jujubegrade/jujubegrade/internal/standin/runservice"
 	"github.com/jujubegrade/jujubegrade/internal/standin/storeservice"
 	"github.com/jujubegrade/jujubegrade/internal/version/catalog"
@@ -28,7 +29,7 @@
 		t         *testing.T
 		store     storeservice.Transactional
 		fleet     *runservice.Fleet
-		ledger    *ledger
+		ledger    *ledger.Ledger
 		instances []*instance
 		catalog   catalog.Catalog
 		listed    map[ids.InstanceID]Listed
@@ -74,8 +75,8 @@
 
 // newWorld starts instances and workers and waits until there is an owner.
 func newWorld(t *testing.T, instances, workers int) *world {
-	w := &world{t: t, ledger: newLedger(testTotal), specs: make(map[ids.JobID]jobSpec), listed: make(map[ids.InstanceID]Listed)}
-	w.fleet = &runservice.Fleet{Describe: w.describe, Observe: w.ledger.observe}
+	w := &world{t: t, ledger: ledger.New(testTotal), specs: make(map[ids.JobID]jobSpec), listed: make(map[ids.InstanceID]Listed)}
+	w.fleet = &runservice.Fleet{Describe: w.describe, Observe: w.ledger.Observe}
 	w.catalog = catalog.Catalog{
 		Version: 1, Keys: map[string]ids.AccountID{testKey: testAccount},
 		Accounts: map[ids.AccountID]pool.Account{testAccount: {Guaranteed: 16}},
@@ -159,13 +160,13 @@
 			return l, json.Unmarshal(value, &l)
 		},
 		Dial:      func(l Listed) worker.Runs { return life.runs(w.fleet.Worker(l.ID)) },
-		Log:       w.ledger.logger(i.name),
+		Log:       w.ledger.Logger(i.name),
 		Suspended: func() time.Duration { return 0 },
 		// Jobs are known for longer than any test lasts.
 		Pool: pool.Times{Retention: 24 * time.Hour},
 	}
 	i.mu.Lock()
-	i.owner, i.gate = owner, &Gate{Owner: owner, Log: w.ledger.logger(i.name), Call: w.call}
+	i.owner, i.gate = owner, &Gate{Owner: owner, Log: w.ledger.Logger(i.name), Call: w.call}
 	i.mu.Unlock()
 	go owner.Run(ctx)
 }
@@ -371,7 +372,7 @@
 	w.mu.Lock()
 	w.specs[id] = spec
 	w.mu.Unlock()
-	w.ledger.add(id, spec.steps, spec.schedule, 2)
+	w.ledger.Add(id, spec.steps, spec.schedule, 2)
 }
 
 // ask makes a call at one instance.
@@ -390,16 +391,34 @@
 	w.mu.Lock()
 	spec := w.specs[id]
 	w.mu.Unlock()
-	w.ledger.tried(id)
+	w.ledger.Tried(id)
 	answer, err := w.ask(i, Submit, priority, id, spec)
-	w.ledger.answered(id, answer, err)
+	switch {
+	case err != nil:
+		w.ledger.Answered(id, ledger.Unknown)
+	case answer.Result == OK:
+		w.ledger.Answered(id, ledger.Accepted)
+	default:
+		w.ledger.Answered(id, ledger.Refused)
+	}
 	return answer, err
 }
 
+// shown hands the answer to a question for a job's state to the ledger.
+func (w *world) shown(id ids.JobID, answer Answer, err error) {
+	switch {
+	case err != nil:
+	case answer.Result == NoJob:
+		w.ledger.Missing(id)
+	case answer.Result == OK:
+		w.ledger.Shown(id, answer.State)
+	}
+}
+
 // state returns the state of a job.
 func (w *world) state(priority int, id ids.JobID) pool.JobState {
 	answer, err := w.ask(w.awaitOwner(), Read, priority, id, jobSpec{})
-	w.ledger.shown(id, answer, err)
+	w.shown(id, answer, err)
 	return answer.State
 }
 
@@ -413,7 +432,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	w.t.Fatalf("job %s is %q instead of %q\n%s", id, last, want, w.ledger.events)
+	w.t.Fatalf("job %s is %q instead of %q\n%s", id, last, want, w.ledger.Text())
 }
 
 // stop ends all processes and checks the ledger.
@@ -424,10 +443,11 @@
 	}
 	// Lets calls and leases that are under way end.
 	time.Sleep(time.Minute)
-	if text := w.ledger.verdict(); text != "" {
-		w.t.Log(text)
+	broken := w.ledger.Broken()
+	if len(broken) > 0 {
+		w.t.Log(w.ledger.Text())
 	}
-	require.Empty(w.t, w.ledger.broken)
+	require.Empty(w.t, broken)
 }
 
 func gangStep(tasks, accelerators int) pool.Step {
--- a/internal/process/poolowner/ledger_test.go
+++ b/internal/standin/ledger/ledger.go
@@ -1,7 +1,9 @@
-package poolowner
+// Package ledger follows what stand-ins of workers do and what callers are told, and finds broken promises.
+package ledger
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,10 +18,13 @@
 )
 
 type (
-	// ledger follows what workers do and what callers are told, and finds broken promises.
-	ledger struct {
+	// Answer is what a caller was told of a submission.
+	Answer string
+
+	// Ledger is used by several goroutines at once.
+	Ledger struct {
 		mu     sync.Mutex
-		jobs   map[ids.JobID]*ledgerJob
+		jobs   map[ids.JobID]*job
 		active map[ids.InstanceID]map[worker.Run]bool
 		total  ids.Resources
 		starts map[ids.JobID]int
@@ -27,7 +32,7 @@
 		events []string
 	}
 
-	ledgerJob struct {
+	job struct {
 		steps       []pool.Step
 		schedule    pool.Schedule
 		maxAttempts int
@@ -45,54 +50,69 @@
 	}
 )
 
+// Answers to a submission.
+const (
+	Accepted Answer = "accepted"
+	// Refused tells that the job was not accepted and never runs.
+	Refused Answer = "refused"
+	Unknown Answer = "unknown"
+)
+
 // cancelBound is the time after the cancelling of a job in which its tasks may still be started, by the platform's word.
 const cancelBound = 3 * time.Second
 
-func newLedger(total ids.Resources) *ledger {
-	return &ledger{starts: make(map[ids.JobID]int), jobs: make(map[ids.JobID]*ledgerJob), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
+// New returns a ledger of workers that have the given resources each.
+func New(total ids.Resources) *Ledger {
+	return &Ledger{starts: make(map[ids.JobID]int), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
 }
 
-func (l *ledger) add(id ids.JobID, steps []pool.Step, schedule pool.Schedule, maxAttempts int) {
+// Add makes a job known before it is handed in.
+func (l *Ledger) Add(id ids.JobID, steps []pool.Step, schedule pool.Schedule, maxAttempts int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.jobs[id] = &ledgerJob{
+	l.jobs[id] = &job{
 		steps: steps, schedule: schedule, maxAttempts: maxAttempts,
 		done: make(map[worker.Task]bool), noted: make(map[worker.Task]bool), failed: make(map[worker.Task]map[ids.RunNumber]bool), notedFailed: make(map[worker.Task]map[ids.RunNumber]bool),
 	}
 }
 
-func (l *ledger) fault(format string, args ...any) {
+func (l *Ledger) fault(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	l.broken = append(l.broken, text)
 	l.log("BROKEN " + text)
 }
 
-func (l *ledger) log(text string) {
+func (l *Ledger) log(text string) {
 	l.events = append(l.events, time.Now().Format("15:04:05.000 ")+text)
 }
 
-// logger returns a log whose lines stand among the events, so that a broken rule can be traced.
-func (l *ledger) logger(instance string) *zap.Logger {
+// Note adds a line to the events.
+func (l *Ledger) Note(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.log(text)
+}
+
+// Logger returns a log whose lines stand among the events, so that a broken rule can be traced.
+func (l *Ledger) Logger(instance string) *zap.Logger {
 	encoder := zapcore.NewConsoleEncoder(zapcore.EncoderConfig{MessageKey: "msg", EncodeDuration: zapcore.StringDurationEncoder})
 	return zap.New(zapcore.NewCore(encoder, zapcore.AddSync(ledgerWriter{l, instance}), zap.InfoLevel))
 }
 
 // ledgerWriter writes an instance's log lines to the ledger.
 type ledgerWriter struct {
-	ledger   *ledger
+	ledger   *Ledger
 	instance string
 }
 
 // Write takes a line.
 func (w ledgerWriter) Write(line []byte) (int, error) {
-	w.ledger.mu.Lock()
-	defer w.ledger.mu.Unlock()
-	w.ledger.log(w.instance + ": " + strings.TrimSpace(string(line)))
+	w.ledger.Note(w.instance + ": " + strings.TrimSpace(string(line)))
 	return len(line), nil
 }
 
-// observe takes an event of a worker.
-func (l *ledger) observe(e runservice.Event) {
+// Observe takes an event of a worker.
+func (l *Ledger) Observe(e runservice.Event) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.log(fmt.Sprintf("%s %s %s run %d %s", e.Worker, e.Kind, e.Run.Task, e.Run.Number, e.How))
@@ -119,7 +139,7 @@
 	}
 }
 
-func (l *ledger) started(e runservice.Event, j *ledgerJob) {
+func (l *Ledger) started(e runservice.Event, j *job) {
 	if j == nil {
 		l.fault("%s was started, and nobody handed it in", e.Run.Task)
 		return
@@ -171,7 +191,7 @@
 	}
 }
 
-func (l *ledger) acknowledged(e runservice.Event, j *ledgerJob) {
+func (l *Ledger) acknowledged(e runservice.Event, j *job) {
 	switch e.How {
 	case worker.EndDone:
 		j.mark(j.noted, e.Run.Task)
@@ -180,14 +200,14 @@
 	}
 }
 
-// tried takes a try to hand a job in.
-func (l *ledger) tried(id ids.JobID) {
+// Tried takes a try to hand a job in.
+func (l *Ledger) Tried(id ids.JobID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.jobs[id].tries++
 }
 
-func (j *ledgerJob) countFailure(failures map[worker.Task]map[ids.RunNumber]bool, r worker.Run) {
+func (j *job) countFailure(failures map[worker.Task]map[ids.RunNumber]bool, r worker.Run) {
 	key := j.failureKey(r.Task)
 	if failures[key] == nil {
 		failures[key] = make(map[ids.RunNumber]bool)
@@ -196,7 +216,7 @@
 }
 
 // mark marks a task as done, and with a gang's member the whole gang: it ends as done together, and one end stands for all.
-func (j *ledgerJob) mark(tasks map[worker.Task]bool, t worker.Task) {
+func (j *job) mark(tasks map[worker.Task]bool, t worker.Task) {
 	step := j.steps[t.Step]
 	if !step.Gang {
 		tasks[t] = true
@@ -208,52 +228,55 @@
 }
 
 // failureKey returns the task by which failures are counted: the members of a gang share them.
-func (j *ledgerJob) failureKey(t worker.Task) worker.Task {
+func (j *job) failureKey(t worker.Task) worker.Task {
 	if j.steps[t.Step].Gang {
 		t.Index = 0
 	}
 	return t
 }
 
-// answered takes the answer to a submission.
-func (l *ledger) answered(id ids.JobID, a Answer, err error) {
+// Answered takes the answer to a submission.
+func (l *Ledger) Answered(id ids.JobID, a Answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	j := l.jobs[id]
-	l.log(fmt.Sprintf("caller: job %s: %s %s %v", id, a.Result, a.Reason, err))
+	l.log(fmt.Sprintf("caller: job %s: %s", id, a))
 	j.tries--
 	switch {
-	case err != nil:
+	case a == Unknown:
 		j.unsure = true
-	case a.Result == OK:
+	case a == Accepted:
 		j.accepted = true
 	case j.started:
-		l.fault("job %s was refused (%s) after it was started", id, a.Result)
+		l.fault("job %s was refused after it was started", id)
 	}
 }
 
-// cancelled takes the answer to a cancel.
-func (l *ledger) cancelled(id ids.JobID, a Answer, err error) {
+// Cancelled takes a cancel that was confirmed.
+func (l *Ledger) Cancelled(id ids.JobID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.log(fmt.Sprintf("caller: cancel of job %s: %s %v", id, a.Result, err))
-	if j := l.jobs[id]; err == nil && a.Result == OK && j.cancelled.IsZero() {
+	l.log(fmt.Sprintf("caller: job %s is cancelled", id))
+	if j := l.jobs[id]; j.cancelled.IsZero() {
 		j.cancelled = time.Now()
 	}
 }
 
-// shown takes a state that a caller was shown.
-func (l *ledger) shown(id ids.JobID, a Answer, err error) {
+// Missing takes an answer that a job doesn't exist.
+func (l *Ledger) Missing(id ids.JobID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	j := l.jobs[id]
-	if err != nil || a.Result == NotNow {
-		return
+	if l.jobs[id].accepted {
+		l.fault("job %s was accepted and is not known", id)
 	}
-	if a.Result == NoJob && j.accepted {
-		l.fault("job %s was accepted and is not known: %+v", id, a)
-	}
-	if a.State == pool.Completed {
+}
+
+// Shown takes a state that a caller was shown.
+func (l *Ledger) Shown(id ids.JobID, state pool.JobState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[id]
+	if state == pool.Completed {
 		for _, t := range j.tasks(id) {
 			if !j.done[t] {
 				l.fault("job %s is shown as completed, and %s is not done", id, t)
@@ -261,7 +284,7 @@
 			}
 		}
 	}
-	if a.State == pool.Failed {
+	if state == pool.Failed {
 		for _, numbers := range j.failed {
 			if len(numbers) >= j.maxAttempts {
 				return
@@ -272,7 +295,7 @@
 }
 
 // tasks returns all tasks of a job.
-func (j *ledgerJob) tasks(id ids.JobID) []worker.Task {
+func (j *job) tasks(id ids.JobID) []worker.Task {
 	var list []worker.Task
 	for occurrence := range max(1, j.schedule.Occurrences) {
 		for step, s := range j.steps {
@@ -284,18 +307,46 @@
 	return list
 }
 
-// verdict returns what was broken, and the last events before.
-func (l *ledger) verdict() string {
+// Broken returns the promises that were broken.
+func (l *Ledger) Broken() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.broken) == 0 {
-		return ""
+	return slices.Clone(l.broken)
+}
+
+// IsAccepted reports whether a caller was told that a job is accepted.
+func (l *Ledger) IsAccepted(id ids.JobID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.jobs[id].accepted
+}
+
+// Starts returns how many runs of a job's tasks were started.
+func (l *Ledger) Starts(id ids.JobID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.starts[id]
+}
+
+// Active returns the workers on which a job's runs are at work, one for each run.
+func (l *Ledger) Active(id ids.JobID) []ids.InstanceID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []ids.InstanceID
+	for on, runs := range l.active {
+		for r := range runs {
+			if r.Job == id {
+				list = append(list, on)
+			}
+		}
 	}
-	return l.text()
+	return list
 }
 
-// text returns all events, a line each. The ledger must be locked.
-func (l *ledger) text() string {
+// Text returns all events, a line each.
+func (l *Ledger) Text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	text := ""
 	for _, line := range l.events {
 		text += line + "\n"
--- a/test/e2e_test.go
+++ b/test/e2e_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
 	"github.com/jujubegrade/jujubegrade/internal/standin/workerservice"
+	"github.com/jujubegrade/jujubegrade/internal/testrun"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 	"github.com/jujubegrade/jujubegrade/pkg/operator"
@@ -103,7 +104,7 @@
 	build := exec.Command("go", "build", "-o", c.dir, "../cmd/...")
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, string(out))
-	addresses := freeAddresses(t, 30)
+	addresses := testrun.FreeAddresses(t, 30)
 	next := func() string {
 		a := addresses[0]
 		addresses = addresses[1:]
@@ -143,26 +144,6 @@
 	return c
 }
 
-// freeAddresses returns addresses that nobody listens on. The ports lie below those that the kernel gives to outgoing
-// connections, which may take a port before the process that it is meant for.
-func freeAddresses(t *testing.T, n int) []string {
-	const first, last = 10000, 32000
-	var list []string
-	for port := first + os.Getpid()*n%(last-first); len(list) < n; port++ {
-		if port >= last {
-			port = first
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if errors.Is(err, syscall.EADDRINUSE) {
-			continue
-		}
-		require.NoError(t, err)
-		defer func() { _ = l.Close() }()
-		list = append(list, l.Addr().String())
-	}
-	return list
-}
-
 func (c *cluster) run(program string, args ...string) *process {
 	p := &process{Cmd: exec.Command(filepath.Join(c.dir, program), args...), exited: make(chan struct{}), log: &bytes.Buffer{}}
 	p.Stderr = p.log
