--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -43,9 +43,10 @@
 		n.used = n.used.Plus(r.each)
 		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint})
 	}
+	first := !u.job.begun
 	u.job.begun = true
 	s.notice(Notice{
-		Kind: "Placed", Job: u.job.ID, Step: u.step, Tasks: u.count, Number: u.number, Worker: place[0].ID,
+		Kind: "Placed", Job: u.job.ID, Priority: u.job.Priority, First: first, Step: u.step, Tasks: u.count, Number: u.number, Worker: place[0].ID,
 		Cause: placedCause(u, place), After: now.Sub(u.job.Submitted),
 	})
 }
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -99,6 +99,10 @@
 		Number ids.RunNumber
 		Worker ids.InstanceID
 		Cause  string
+		// Priority is the job's. First tells that no task of it was started before, and Outcome how it ended.
+		Priority int
+		First    bool
+		Outcome  JobState
 		// After is the time since the job's submission, and Lost the core-seconds of work that a stop loses.
 		After time.Duration
 		Lost  float64
@@ -277,7 +281,7 @@
 	j.Finished = now
 	s.touch(j)
 	s.dropLive(j)
-	s.notice(Notice{Kind: "JobEnded", Job: j.ID, Cause: string(state) + ": " + cause, After: now.Sub(j.Submitted)})
+	s.notice(Notice{Kind: "JobEnded", Job: j.ID, Priority: j.Priority, Outcome: state, Cause: string(state) + ": " + cause, After: now.Sub(j.Submitted)})
 	for _, u := range j.units {
 		s.abort(u, cause, now)
 	}
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -2,6 +2,10 @@
 
 import (
 	"expvar"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +23,12 @@
 		Renewals, RenewalsFailed     expvar.Int
 		Starts, StartsUnknown, Stops expvar.Int
 		WriteTime                    Latency
-		counts                       atomic.Pointer[pool.Counts]
+		// CallTime is the time of a call at the instance that took it, by kind and result.
+		CallTime Latencies
+		// StartTime is the time from a job's submission to its first start, by priority, and EndTime that to its end, by priority
+		// and outcome.
+		StartTime, EndTime Latencies
+		counts             atomic.Pointer[pool.Counts]
 	}
 
 	// Latency is a histogram of durations, in microseconds. Its zero value is empty.
@@ -29,6 +38,51 @@
 	}
 )
 
+// Latencies are histograms by the labels of a series, such as kind="Submit",result="OK". Its zero value is empty.
+type Latencies struct {
+	mu      sync.Mutex
+	byLabel map[string]*Latency
+}
+
+// Observe adds a duration to the series of a label. Labels must come from a small set.
+func (l *Latencies) Observe(label string, d time.Duration) {
+	l.mu.Lock()
+	h := l.byLabel[label]
+	if h == nil {
+		if l.byLabel == nil {
+			l.byLabel = make(map[string]*Latency)
+		}
+		h = &Latency{}
+		l.byLabel[label] = h
+	}
+	l.mu.Unlock()
+	h.observe(d)
+}
+
+// Labels returns the labels that were observed, in order.
+func (l *Latencies) Labels() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Sorted(maps.Keys(l.byLabel))
+}
+
+// Of returns the histogram of a label that was observed.
+func (l *Latencies) Of(label string) *Latency {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byLabel[label]
+}
+
+// observeNotice counts what a decision tells of a job's times.
+func (m *Metrics) observeNotice(n pool.Notice) {
+	switch {
+	case n.First:
+		m.StartTime.Observe(fmt.Sprintf("priority=%q", strconv.Itoa(n.Priority)), n.After)
+	case n.Outcome != "":
+		m.EndTime.Observe(fmt.Sprintf("priority=%q,outcome=%q", strconv.Itoa(n.Priority), n.Outcome), n.After)
+	}
+}
+
 // Metrics returns the owner's numbers.
 func (o *Owner) Metrics() *Metrics { return &o.metrics }
 
@@ -56,6 +110,16 @@
 	_ = l.histogram.RecordValue(min(longest, d.Microseconds()))
 }
 
+// Count returns the number of durations.
+func (l *Latency) Count() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.histogram == nil {
+		return 0
+	}
+	return l.histogram.TotalCount()
+}
+
 // Quantile returns a quantile from 0 to 100.
 func (l *Latency) Quantile(q float64) time.Duration {
 	l.mu.Lock()
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -30,6 +30,11 @@
 		require.NoError(t, err)
 		require.Equal(t, OK, answer.Result, answer.Reason)
 		w.awaitState(1, "a", pool.Completed)
+		owner, _ := w.ownerInstance().current()
+		m := owner.Metrics()
+		require.Equal(t, []string{`priority="1"`}, m.StartTime.Labels())
+		require.Equal(t, []string{`priority="1",outcome="Completed"`}, m.EndTime.Labels())
+		require.InDelta(t, 4.0, m.EndTime.Of(`priority="1",outcome="Completed"`).Quantile(50).Seconds(), 0.5)
 	})
 }
 
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -317,6 +317,7 @@
 	actions, notices := t.state.Decide(now)
 	for _, n := range notices {
 		t.logNotice(n)
+		t.owner.metrics.observeNotice(n)
 	}
 	for _, a := range actions {
 		t.order(a)
