Keep what was learned of run times over owners

What an owner had learned of the queues' run times was lost with it; the next one judged slack, waits and stalls by declared times until it had seen ends of its own. The means now go along with a transaction of records that has room, every 2 s at most, under their own key, and the next owner begins with them.

--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -3,15 +3,17 @@
 import (
 	"math"
 	"time"
+
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
-// runTimes learns the run times of a queue's tasks from the declared ones: a line through the logarithms of both. Declared
+// RunTimes learns the run times of a queue's tasks from the declared ones: a line through the logarithms of both. Declared
 // times may say little, so the line is as steep as they were seen to tell.
-type runTimes struct {
-	// weight is the number of samples, and declared and real are their means.
-	weight, declared, real float64
-	// spread and joint are the sums of the squared deviations of declared, and of their products with those of real.
-	spread, joint float64
+type RunTimes struct {
+	// Weight is the number of samples, and Declared and Real are their means.
+	Weight, Declared, Real float64
+	// Spread and Joint are the sums of the squared deviations of Declared, and of their products with those of Real.
+	Spread, Joint float64
 }
 
 const (
@@ -35,30 +37,30 @@
 )
 
 // add takes a sample in; weights below one are for samples that resemble each other.
-func (r *runTimes) add(declared, real time.Duration, weight float64) {
+func (r *RunTimes) add(declared, real time.Duration, weight float64) {
 	x, y := logOf(declared), logOf(real)
-	if r.weight > maxSamples {
-		shrink := maxSamples / r.weight
-		r.weight, r.spread, r.joint = r.weight*shrink, r.spread*shrink, r.joint*shrink
+	if r.Weight > maxSamples {
+		shrink := maxSamples / r.Weight
+		r.Weight, r.Spread, r.Joint = r.Weight*shrink, r.Spread*shrink, r.Joint*shrink
 	}
-	r.weight += weight
-	dx := x - r.declared
-	r.declared += dx * weight / r.weight
-	r.real += (y - r.real) * weight / r.weight
-	r.spread += weight * dx * (x - r.declared)
-	r.joint += weight * dx * (y - r.real)
+	r.Weight += weight
+	dx := x - r.Declared
+	r.Declared += dx * weight / r.Weight
+	r.Real += (y - r.Real) * weight / r.Weight
+	r.Spread += weight * dx * (x - r.Declared)
+	r.Joint += weight * dx * (y - r.Real)
 }
 
 func logOf(d time.Duration) float64 { return math.Log(max(d, shortestRun).Seconds()) }
 
 // expect returns the run time to expect of a task with a declared one.
-func (r *runTimes) expect(declared time.Duration) time.Duration {
-	if r == nil || r.weight == 0 {
+func (r *RunTimes) expect(declared time.Duration) time.Duration {
+	if r == nil || r.Weight == 0 {
 		return declared
 	}
-	slope := (r.joint + priorSpread) / (r.spread + priorSpread)
-	shift := (r.real - r.declared) * r.weight / (r.weight + priorWeight)
-	log := r.declared + shift + slope*(logOf(declared)-r.declared)
+	slope := (r.Joint + priorSpread) / (r.Spread + priorSpread)
+	shift := (r.Real - r.Declared) * r.Weight / (r.Weight + priorWeight)
+	log := r.Declared + shift + slope*(logOf(declared)-r.Declared)
 	return time.Duration(math.Exp(log) * float64(time.Second))
 }
 
@@ -73,9 +75,10 @@
 	}
 	r := s.estimates[u.job.Queue]
 	if r == nil {
-		r = &runTimes{}
+		r = &RunTimes{}
 		s.estimates[u.job.Queue] = r
 	}
+	s.learned++
 	r.add(u.spec().Estimate, real, float64(u.count)/float64(u.spec().Tasks))
 }
 
@@ -159,3 +162,20 @@
 	m.count++
 	m.mean += (v - m.mean) * max(learnShare, 1/float64(m.count))
 }
+
+// Estimates returns what was learned of the queues' run times, and the number of samples that this owner took.
+func (s *State) Estimates() (map[ids.QueueID]RunTimes, int) {
+	all := make(map[ids.QueueID]RunTimes, len(s.estimates))
+	for id, r := range s.estimates {
+		all[id] = *r
+	}
+	return all, s.learned
+}
+
+// SetEstimates begins with what an earlier owner learned.
+func (s *State) SetEstimates(all map[ids.QueueID]RunTimes) {
+	s.init()
+	for id, r := range all {
+		s.estimates[id] = &r
+	}
+}
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -50,7 +50,9 @@
 		suspects map[*node]bool
 		// unknown are workers on which jobs of an earlier owner may run, and until when.
 		unknown   map[ids.InstanceID]time.Time
-		estimates map[ids.QueueID]*runTimes
+		estimates map[ids.QueueID]*RunTimes
+		// learned counts the samples of this owner.
+		learned int
 		// stops is the time that stopped runs took to end, in nanoseconds.
 		stops   mean
 		actions []Action
@@ -129,7 +131,7 @@
 	s.changed = make(map[ids.InstanceID]bool)
 	s.suspects = make(map[*node]bool)
 	s.unknown = make(map[ids.InstanceID]time.Time)
-	s.estimates = make(map[ids.QueueID]*runTimes)
+	s.estimates = make(map[ids.QueueID]*RunTimes)
 	s.Times.Stop = cmp.Or(s.Times.Stop, 400*time.Millisecond)
 	s.Times.Reclaim = cmp.Or(s.Times.Reclaim, 2900*time.Millisecond)
 	s.Times.Restore = cmp.Or(s.Times.Restore, 100*time.Millisecond)
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -89,7 +89,9 @@
 	keyOwner   = "Jujubegrade/Owner"
 	keyEpoch   = "Jujubegrade/Epoch"
 	keyWorkers = "Jujubegrade/Workers"
-	prefixJobs = "Jujubegrade/Job/"
+	// keyEstimates holds what was learned of run times.
+	keyEstimates = "Jujubegrade/Estimates"
+	prefixJobs   = "Jujubegrade/Job/"
 
 	// DefaultLease is a little above the shortest lease of the platform's store: one lost renewal doesn't end it, and an
 	// owner that is lost without a word is replaced soon.
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -1,6 +1,8 @@
 package poolowner
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -391,3 +393,26 @@
 		require.Equal(t, 4*4, w.ledger.Starts("a"), "each task was started once")
 	})
 }
+
+// What an owner has learned of run times is known to the next one.
+func TestEstimatesOutliveTheOwner(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for i := range 4 {
+			id := ids.JobID(fmt.Sprintf("job%d", i))
+			w.define(id, jobSpec{steps: []pool.Step{gangStep(2, 4)}, runTime: 6 * time.Second})
+			_, err := w.submit(w.instances[0], 1, id)
+			require.NoError(t, err)
+			w.awaitState(1, id, pool.Completed)
+		}
+		first := w.ownerInstance()
+		first.kill(true)
+		time.Sleep(3 * time.Second)
+		second := w.ownerInstance()
+		require.NotEqual(t, first, second)
+		owner, _ := second.current()
+		var learned map[ids.QueueID]pool.RunTimes
+		require.NoError(t, owner.term.Load().do(t.Context(), func() { learned, _ = owner.term.Load().state.Estimates() }))
+		require.GreaterOrEqual(t, learned["queue1"].Weight, 3.0)
+		require.InDelta(t, math.Log(6), learned["queue1"].Real, 0.2)
+	})
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -53,6 +53,11 @@
 	// usedKept tells that the list had been compared when unknownKept workers were unknown, and no link has come or gone since.
 	usedKept    bool
 	unknownKept int
+	// estimatesAt is the revision of the learned run times in the store, estimatesSaved when they were last written, and
+	// samples how many were taken in by then.
+	estimatesAt    store.Revision
+	estimatesSaved time.Time
+	samples        int
 	// swept is when all links were last told what is wanted.
 	swept   time.Time
 	retired time.Time
@@ -165,7 +170,7 @@
 	sent := t.owner.now()
 	var config, workers, records []store.Entry
 	var configRev, workersRev store.Revision
-	var used store.Entry
+	var used, learned store.Entry
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() (err error) {
 		config, configRev, err = t.owner.Store.List(ctx, t.owner.ConfigPrefix)
@@ -185,6 +190,12 @@
 		}
 		return errors.Wrap(err, "used workers")
 	})
+	g.Go(func() (err error) {
+		if learned, err = t.owner.Store.Get(ctx, keyEstimates); errors.Is(err, store.ErrNotFound) {
+			return nil
+		}
+		return errors.Wrap(err, "estimates")
+	})
 	if err := g.Wait(); err != nil {
 		return err
 	}
@@ -195,6 +206,7 @@
 			return errors.Wrap(err, "malformed list of used workers")
 		}
 	}
+	t.setEstimates(learned)
 	t.setConfig(config, sent)
 	t.setWorkers(workers)
 	var jobs []*pool.Job
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -13,6 +13,7 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -25,6 +26,10 @@
 		// used is the list of workers to store; nil leaves it.
 		used   []ids.InstanceID
 		usedAt store.Revision
+		// estimates are the learned run times after a number of samples; nil leaves them.
+		estimates   map[ids.QueueID]pool.RunTimes
+		estimatesAt store.Revision
+		samples     int
 	}
 
 	// record is one job's record at a version.
@@ -55,6 +60,9 @@
 // the configuration and the list of workers.
 const maxBatch = (store.MaxTransaction - 4) / 2
 
+// saveInterval is the least time between writes of what was learned of run times: an owner lasts for minutes at least.
+const saveInterval = 2 * time.Second
+
 // write stores what has changed, unless a batch is under way already.
 func (t *term) write() {
 	if t.writing || !t.serves() {
@@ -79,6 +87,7 @@
 	if len(b.records) == 0 && b.used == nil {
 		return
 	}
+	t.addEstimates(b)
 	t.writing = true
 	t.inFlight = b
 	go func() {
@@ -87,6 +96,33 @@
 	}()
 }
 
+// addEstimates adds the learned run times to a batch that has room for them, if they have changed and some time has passed.
+// They cost no transaction of their own.
+func (t *term) addEstimates(b *batch) {
+	now := time.Now()
+	if len(b.records) == maxBatch || now.Sub(t.estimatesSaved) < saveInterval {
+		return
+	}
+	if all, samples := t.state.Estimates(); samples > t.samples {
+		b.estimates, b.estimatesAt, b.samples = all, t.estimatesAt, samples
+		t.estimatesSaved = now
+	}
+}
+
+// setEstimates begins with what an earlier owner learned. Run times that can't be read are learned anew.
+func (t *term) setEstimates(e store.Entry) {
+	t.estimatesAt = e.Revision
+	if e.Revision == store.Absent {
+		return
+	}
+	var all map[ids.QueueID]pool.RunTimes
+	if err := json.Unmarshal(e.Value, &all); err != nil {
+		t.log.Error("owner: the learned run times can't be read, they are learned anew", zap.Error(err))
+		return
+	}
+	t.state.SetEstimates(all)
+}
+
 // transaction returns what a batch asks of the store.
 func (t *term) transaction(b *batch) store.Transaction {
 	tx := store.Transaction{Conditions: []store.Condition{{Key: keyOwner, Revision: t.claim.revision}}}
@@ -106,6 +142,15 @@
 		tx.Conditions = append(tx.Conditions, store.Condition{Key: keyWorkers, Revision: b.usedAt})
 		tx.Sets = append(tx.Sets, store.Set{Key: keyWorkers, Value: value})
 	}
+	if b.estimates != nil {
+		value, err := json.Marshal(b.estimates)
+		if err != nil {
+			t.log.Error("records: the learned run times can't be encoded", zap.Error(err))
+			return tx
+		}
+		tx.Conditions = append(tx.Conditions, store.Condition{Key: keyEstimates, Revision: b.estimatesAt})
+		tx.Sets = append(tx.Sets, store.Set{Key: keyEstimates, Value: value})
+	}
 	return tx
 }
 
@@ -197,6 +242,9 @@
 	if b.used != nil {
 		t.used, t.usedAt = b.used, revision
 	}
+	if b.estimates != nil {
+		t.estimatesAt, t.samples = revision, b.samples
+	}
 	for _, r := range b.records {
 		t.revisions[r.id] = revision
 		t.state.Stored(r.id, r.version)
