--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -18,9 +18,6 @@
 	leastRetryAfter = time.Second
 	// longestRetryAfter bounds that time: workers that can't be used now may be back by then.
 	longestRetryAfter = 10 * time.Second
-	// bulkWait is the part of the time between a job's own run time and its objective that it may spend waiting: run times
-	// are estimated badly, and a longer queue serves no more of them. Urgent jobs may spend all of it.
-	bulkWait = 0.5
 )
 
 // Admit decides whether a job that is not known is accepted. A job that would end after its objective is refused at once.
@@ -50,9 +47,6 @@
 		return nil
 	}
 	slack := s.objective(j) - s.chainTime(j)
-	if j.Priority > 0 {
-		slack = time.Duration(bulkWait * float64(slack))
-	}
 	if wait := s.expectedWait(j, now); wait > slack {
 		return &Refusal{
 			Reason: "it would wait " + wait.Round(time.Millisecond).String() + ", and may wait " + slack.Round(time.Millisecond).String(),
