Check the platform's settings with line, key and allowed values

A fault in the platform's settings was told one at a time, without its line, and check did not read that file.

--- a/cmd/jujubegrade/command_check.go
+++ b/cmd/jujubegrade/command_check.go
@@ -5,18 +5,20 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/jujubegrade/jujubegrade/internal/process/settings"
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
+	"github.com/jujubegrade/jujubegrade/platform"
 )
 
 // checkCommand checks a settings or configuration file.
 func (c console) checkCommand() *ffcli.Command {
 	return &ffcli.Command{
 		Name: "check", ShortUsage: "jujubegrade check FILE", ShortHelp: "Check a settings or configuration file", FlagSet: c.flagSet("check"),
-		LongHelp: "Prints each fault on a line as FILE:LINE: Section.Key: what is wrong, what is allowed, and exits with 2.\nA file with a section [Listen] or [Instance] without a title is taken as settings.\n\nExample:\n  jujubegrade check examples/kerotechni.ini",
+		LongHelp: "Prints each fault on a line as FILE:LINE: Section.Key: what is wrong, what is allowed, and exits with 2.\nA file with a section [Listen] or [Instance] without a title is taken as settings, and a file\nnamed .yaml or .yml as those of the users' platform.\n\nExample:\n  jujubegrade check examples/kerotechni.ini",
 		Exec: func(_ context.Context, args []string) error {
 			name, err := oneArgument(args, "file")
 			if err != nil {
@@ -37,6 +39,10 @@
 }
 
 func checkText(name string, text []byte) error {
+	if ext := filepath.Ext(name); ext == ".yaml" || ext == ".yml" {
+		_, err := platform.ParseSettings(name, text)
+		return err
+	}
 	if bytes.Contains(text, []byte("[Listen]")) || bytes.Contains(text, []byte("[Instance]")) {
 		_, err := settings.Parse(name, text)
 		return err
--- a/cmd/jujubegrade/command_test.go
+++ b/cmd/jujubegrade/command_test.go
@@ -29,6 +29,8 @@
 func TestExitCodes(t *testing.T) {
 	broken := filepath.Join(t.TempDir(), "broken.ini")
 	require.NoError(t, os.WriteFile(broken, []byte("[Policy]\nAgeingAfter = 3\n"), 0o600))
+	settings := filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, os.WriteFile(settings, []byte("node: a\norders: heartbeat\n"), 0o600))
 	cases := map[string]struct {
 		args []string
 		code int
@@ -37,6 +39,7 @@
 		"version":              {[]string{"version"}, exitOK, "jujubegrade " + version},
 		"valid file":           {[]string{"check", "../../examples/kerotechni.ini"}, exitOK, "valid"},
 		"broken file":          {[]string{"check", broken}, exitUsage, "broken.ini:2: Policy.AgeingAfter"},
+		"platform's settings":  {[]string{"check", settings}, exitUsage, "settings.yaml:2: orders: "},
 		"missing file":         {[]string{"check", "no-such-file"}, exitFailed, "no-such-file"},
 		"no instance":          {[]string{"config", "get", "-operators", "127.0.0.1:1"}, exitFailed, "jujubegrade: "},
 		"unknown report":       {[]string{"report", "weather"}, exitFailed, "allowed are lateness"},
