Tell a job's time line from the logs of several instances

The time line asked instances of our own deployments only. TestTimelineOfLogs holds order, filter and foreign lines.

--- a/cmd/jujubegrade/command_test.go
+++ b/cmd/jujubegrade/command_test.go
@@ -98,3 +98,25 @@
 	fmt.Fprintf(&b, "# %s\n\n%s.\n\n```\n%s\n```\n", strings.TrimPrefix(strings.Split(c.ShortUsage, " [")[0], ""), c.ShortHelp, strings.TrimSpace(ffcli.DefaultUsageFunc(c)))
 	return b.String()
 }
+
+// The logs of two instances tell a job's story in order of time; lines of other programs and of other jobs are left out.
+func TestTimelineOfLogs(t *testing.T) {
+	dir := t.TempDir()
+	first, second := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+	require.NoError(t, os.WriteFile(first, []byte(`{"level":"info","ts":"2026-12-01T08:00:02.000Z","msg":"decision: Done","instance":"a","epoch":2,"job":"j1","worker":"w1","cause":"ran 1s"}
+not a log line
+{"level":"info","ts":"2026-12-01T08:00:03.000Z","msg":"decision: Done","instance":"a","epoch":2,"job":"j2","worker":"w1","cause":"ran 1s"}
+`), 0o600))
+	require.NoError(t, os.WriteFile(second, []byte(`   0.5 b {"level":"info","ts":"2026-12-01T08:00:01.000Z","msg":"call: refused","instance":"b","path":"/queue/j1","result":"Refused","cause":"it would wait 6s"}
+`), 0o600))
+	code, out := runCommand(t, "timeline", "-logs", first+","+second, "-job", "j1")
+	require.Equal(t, exitOK, code, out)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	require.Len(t, lines, 2, out)
+	require.Contains(t, lines[0], "call: refused")
+	require.Contains(t, lines[0], "Refused; it would wait 6s")
+	require.Contains(t, lines[1], "decision: Done")
+	require.Contains(t, lines[1], "ran 1s; w1")
+	code, out = runCommand(t, "timeline", "-logs", filepath.Join(dir, "none.log"))
+	require.Equal(t, exitFailed, code, out)
+}
--- a/cmd/jujubegrade/command_timeline.go
+++ b/cmd/jujubegrade/command_timeline.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -17,12 +18,20 @@
 	job := set.String("job", "", "only events of a job")
 	account := set.String("account", "", "only events of a client account")
 	request := set.String("request", "", "only events of a request")
+	logs := set.String("logs", "", "log files of instances, separated by commas, to read in place of asking instances")
 	html := set.String("html", "", "file to write a self-contained page to, with a lane for each process")
 	return &ffcli.Command{
 		Name: "timeline", ShortUsage: "jujubegrade timeline [flags]", ShortHelp: "Print the events of all entry instances in order", FlagSet: set, Options: options(),
-		LongHelp: "Example:\n  jujubegrade timeline -job 3f0c9d",
+		LongHelp: "Example:\n  jujubegrade timeline -job 3f0c9d\n  jujubegrade timeline -logs a.log,b.log -job 3f0c9d",
 		Exec: func(ctx context.Context, _ []string) error {
-			t, err := r.operator().Timeline(ctx, operator.Filter{Job: ids.JobID(*job), Account: ids.AccountID(*account), Request: ids.RequestID(*request)})
+			filter := operator.Filter{Job: ids.JobID(*job), Account: ids.AccountID(*account), Request: ids.RequestID(*request)}
+			var t operator.Timeline
+			var err error
+			if *logs != "" {
+				t, err = readLogs(strings.Split(*logs, ","), filter)
+			} else {
+				t, err = r.operator().Timeline(ctx, filter)
+			}
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/cmd/jujubegrade/timeline_logs.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+	"github.com/jujubegrade/jujubegrade/pkg/operator"
+)
+
+type (
+	// logLine holds the fields of a log line that a time line shows.
+	logLine struct {
+		TS       string           `json:"ts"`
+		Msg      string           `json:"msg"`
+		Instance string           `json:"instance"`
+		Job      ids.JobID        `json:"job"`
+		Account  ids.AccountID    `json:"account"`
+		Path     string           `json:"path"`
+		Worker   ids.InstanceID   `json:"worker"`
+		Epoch    ids.Epoch        `json:"epoch"`
+		Cause    string           `json:"cause"`
+		Error    string           `json:"error"`
+		Result   string           `json:"result"`
+		Owner    ids.InstanceID   `json:"owner"`
+		Centre   ids.DataCentreID `json:"dataCentre"`
+	}
+)
+
+const (
+	// logTime is the format of the time in a log line.
+	logTime = "2006-01-02T15:04:05.000Z0700"
+	// longestLogLine bounds a line; longer ones end the reading with an error.
+	longestLogLine = 1 << 20
+)
+
+// readLogs returns the events of log files in order of time. What stands before a line's first brace is left out.
+func readLogs(files []string, f operator.Filter) (operator.Timeline, error) {
+	var t operator.Timeline
+	for _, name := range files {
+		if err := readLog(name, f, &t); err != nil {
+			return t, err
+		}
+	}
+	slices.SortStableFunc(t.Events, func(a, b operator.Event) int { return a.Time.Compare(b.Time) })
+	return t, nil
+}
+
+func readLog(name string, f operator.Filter, t *operator.Timeline) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return errors.Wrap(scanLog(file, f, t), name)
+}
+
+func scanLog(r io.Reader, f operator.Filter, t *operator.Timeline) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, longestLogLine)
+	for number := 1; lines.Scan(); number++ {
+		at := bytes.IndexByte(lines.Bytes(), '{')
+		if at < 0 {
+			continue
+		}
+		var l logLine
+		if err := json.Unmarshal(lines.Bytes()[at:], &l); err != nil || l.Msg == "" {
+			continue // another program's line
+		}
+		when, err := time.Parse(logTime, l.TS)
+		if err != nil {
+			return errors.Wrapf(err, "line %d", number)
+		}
+		if e := l.event(when); (f.Job == "" || e.Job == f.Job) && (f.Account == "" || e.Account == f.Account) && !when.Before(f.Since) {
+			t.Events = append(t.Events, e)
+		}
+	}
+	return lines.Err()
+}
+
+// event returns what a line tells. Lines of calls name the job at the end of their path.
+func (l logLine) event(when time.Time) operator.Event {
+	job := l.Job
+	if job == "" && strings.HasPrefix(l.Msg, "call:") {
+		job = ids.JobID(path.Base(l.Path))
+	}
+	var words []string
+	for _, w := range []string{l.Result, l.Cause, l.Error, string(l.Worker), string(l.Owner)} {
+		if w != "" {
+			words = append(words, w)
+		}
+	}
+	return operator.Event{
+		Time: when, Instance: l.Instance, Kind: l.Msg, DataCentre: l.Centre, Job: job, Account: l.Account, Target: l.Worker, Epoch: l.Epoch, Cause: strings.Join(words, "; "),
+	}
+}
