--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -34,10 +34,19 @@
 				})
 			}
 		}
+		count := func() (large, small int) {
+			mu.Lock()
+			defer mu.Unlock()
+			return served["large"], served["small"]
+		}
+		// The first to come have all places until the others ask; between two ends nobody is being counted.
+		time.Sleep(450 * time.Millisecond)
+		synctest.Wait()
+		largeBefore, smallBefore := count()
 		time.Sleep(4 * time.Second)
-		mu.Lock()
-		require.InDelta(t, 3, float64(served["large"])/float64(served["small"]), 0.3)
-		mu.Unlock()
+		synctest.Wait()
+		large, small := count()
+		require.InDelta(t, 3, float64(large-largeBefore)/float64(small-smallBefore), 0.3, "%d and %d after %d and %d", large, small, largeBefore, smallBefore)
 		wait.Wait()
 		require.Zero(t, g.Running())
 		require.Zero(t, g.Waiting())
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -460,16 +460,23 @@
 		}
 		return look()
 	})
-	if err != nil || o.Wait == 0 || len(report.Ended) > 0 {
-		return report, err
+	if err != nil {
+		// The order may be carried out later, and then writes the report.
+		return worker.RunReport{}, err
+	}
+	if o.Wait == 0 || len(report.Ended) > 0 {
+		return report, nil
 	}
 	select {
 	case <-changed:
 	case <-time.After(o.Wait):
 	case <-ctx.Done():
-		return report, errors.New("no answer")
+		return worker.RunReport{}, errors.New("no answer")
+	}
+	if err := w.order(ctx, "renewed", look); err != nil {
+		return worker.RunReport{}, err
 	}
-	return report, w.order(ctx, "renewed", look)
+	return report, nil
 }
 
 // percent returns the part of a run that is done.
