--- a/internal/process/pool/pattern_test.go
+++ b/internal/process/pool/pattern_test.go
@@ -103,15 +103,7 @@
 }
 
 // submit hands a job in, and counts it if it is refused.
-func (s *sim) submit(j *Job, runTime time.Duration) {
-	j.Submitted = s.now
-	if s.Admit(j, s.now) != nil {
-		s.refused++
-		return
-	}
-	s.runTimes[j.ID] = runTime
-	s.accept(j, s.now)
-}
+func (s *sim) submit(j *Job, runTime time.Duration) { s.offer(offer{job: j, runTime: runTime}, 0) }
 
 func (s *sim) decide() {
 	actions, _ := s.Decide(s.now)
