Give two gangs of each priority a reservation

Cause: of the wide gangs in the load of wide jobs among small ones, one in six was late: only the first waiting gang of a priority had a reservation, so racks were emptied one after the other, and small jobs filled the next rack in the meantime.

Conclusion: kept, with two.

--- a/internal/process/pool/reservation.go
+++ b/internal/process/pool/reservation.go
@@ -22,19 +22,15 @@
 	}
 )
 
-// maxReservations bounds the gangs that have a reservation at a time: one of each priority.
-const maxReservations = 3
+// reservationsEach bounds the gangs of one priority that have a reservation at a time. With one, wide gangs get their
+// racks one after the other and the last ones are late; a third one gained nothing in the load tests.
+const reservationsEach = 2
 
 // add reserves the workers on which a gang is expected to fit first.
 func (h *reservations) add(s *State, u *unit, now time.Time) {
-	if u.count == 1 || len(h.list) >= maxReservations {
+	if u.count == 1 || h.count(u.job.Priority) >= reservationsEach {
 		return
 	}
-	for _, other := range h.list {
-		if other.unit.job.Priority == u.job.Priority {
-			return
-		}
-	}
 	at, place := s.soonest(u, now, func(n *node) bool { return !h.against(s, u, n, now) })
 	if place == nil {
 		return
@@ -46,6 +42,17 @@
 	h.list = append(h.list, r)
 }
 
+// count returns the number of reservations of a priority.
+func (h *reservations) count(priority int) int {
+	count := 0
+	for _, r := range h.list {
+		if r.unit.job.Priority == priority {
+			count++
+		}
+	}
+	return count
+}
+
 // against reports whether a worker is reserved for another unit that goes first. What ends before the reservation
 // begins may use it.
 func (h *reservations) against(s *State, u *unit, n *node, now time.Time) bool {
