--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -305,7 +305,7 @@
 // Counts are the numbers of a pool that operators watch.
 type Counts struct {
 	Workers, Open, Slower, Runs, LiveJobs, WaitingUnits, Unknown int
-	Accelerators, UsedAccelerators                       ids.Accelerators
+	Accelerators, UsedAccelerators                               ids.Accelerators
 }
 
 // Counts returns the pool's numbers.
