Take a worker as silent when a stop gets no answer

Now the stop of the lost member, which is sent at once, tells it too, unless the worker has reported since.

Ruled out: a restart before the worker is known as silent, since its report may name a failed attempt as the cause.

--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -34,6 +34,8 @@
 		known bool
 		// silentSince is when the worker last began not to answer; zero if it answers.
 		silentSince time.Time
+		// heard is when the worker last reported.
+		heard time.Time
 		// lapses is when the last lease that was ordered has ended on the worker, whatever its clock does.
 		lapses time.Time
 		used   ids.Resources
@@ -226,11 +228,11 @@
 	s.stop(r, now)
 }
 
-// Silent takes note that a worker doesn't answer. Its units are given up after a while; their runs there are taken as
-// gone only once the worker's lease must have ended.
-func (s *State) Silent(id ids.InstanceID, now time.Time) {
-	if n := s.nodes[id]; n != nil && n.silentSince.IsZero() {
-		s.silence(n, now)
+// Silent takes note that a worker left a call that was sent at a time without an answer, unless it has reported since. Its
+// units are given up after a while; their runs there are taken as gone only once the worker's lease must have ended.
+func (s *State) Silent(id ids.InstanceID, sent time.Time) {
+	if n := s.nodes[id]; n != nil && n.silentSince.IsZero() && !n.heard.After(sent) {
+		s.silence(n, sent)
 	}
 }
 
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -19,7 +19,7 @@
 		s.grow()
 		s.forgetShapes()
 	}
-	n.silentSince = time.Time{}
+	n.silentSince, n.heard = time.Time{}, now
 	reborn := report.Incarnation != 0 && report.Incarnation != n.Incarnation
 	if reborn {
 		if n.Incarnation != 0 {
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -371,6 +371,7 @@
 	t := l.term
 	refused := 0
 	for l.ctx.Err() == nil {
+		sent := time.Now()
 		ctx, cancel := context.WithTimeout(l.ctx, workerCall)
 		err := l.runs.Stop(ctx, t.claim.Epoch, a.Run)
 		cancel()
@@ -396,6 +397,10 @@
 			t.post(func() { t.state.Dead(l.id, "its process has ended", time.Now()) })
 			return
 		}
+		if !isRefusal(err) {
+			// The renewal under way may wait a second longer before it tells so.
+			t.post(func() { t.state.Silent(l.id, sent) })
+		}
 		if !t.has(l.id, a.Run) {
 			break
 		}
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -205,6 +205,26 @@
 	})
 }
 
+// A gang that lost a member with its worker starts again elsewhere as soon as the worker has left one call without an answer,
+// however long its last renewal still waits.
+func TestGangOfDarkWorker(t *testing.T) {
+	for _, offset := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(offset.String(), func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				w.define("a", jobSpec{steps: []pool.Step{gangStep(3, 8)}, runTime: 10 * time.Second})
+				_, err := w.submit(w.instances[0], 1, "a")
+				require.NoError(t, err)
+				time.Sleep(time.Second + offset)
+				require.Equal(t, 3, w.ledger.Starts("a"))
+				w.fleet.Worker(w.ledger.Active("a")[0]).Crash()
+				time.Sleep(workerCall + 400*time.Millisecond)
+				require.Equal(t, 6, w.ledger.Starts("a"))
+				w.awaitState(1, "a", pool.Completed)
+			})
+		})
+	}
+}
+
 // A key that was taken away opens nothing once the configuration has changed.
 func TestRevokedKey(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
