Log a worker's pace when it changes, and that of the place of an ended run

An urgent job that was late could not be told from one on slower workers by its logs. Cost: at most a line for each change of a worker's class.

--- a/internal/process/pool/pace.go
+++ b/internal/process/pool/pace.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -70,6 +71,7 @@
 			best = max(best, other.rate*other.node.slowness())
 		}
 	}
+	was := r.node.slower()
 	bound := math.Log(harmfulBound)
 	if best > 0 {
 		wrong := 1 / moved / paceSpread
@@ -83,6 +85,12 @@
 	if least := math.Log(best * took.Seconds() / (moved + 0.5)); least >= bound {
 		r.node.setPace(max(r.node.pace, least))
 	}
+	if is := r.node.slower(); is != was {
+		s.notice(Notice{
+			Kind: "WorkerPace", Worker: r.node.ID, Job: u.job.ID, Step: u.step, Tasks: u.count,
+			Cause: fmt.Sprintf("tasks take %.2f times as long as on the fast workers", r.node.slowness()),
+		})
+	}
 	if moved > paceWindow {
 		r.paceAt, r.pacePercent = now, r.percent
 	}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -162,7 +163,7 @@
 		s.learn(u, now)
 		s.notice(Notice{
 			Kind: "Done", Job: u.job.ID, Step: u.step, Tasks: u.count, Number: u.number, Worker: n.ID, After: now.Sub(u.job.Submitted),
-			Cause: "ran " + now.Sub(u.startedAt).Round(time.Millisecond).String() + ", declared " + u.spec().Estimate.String(),
+			Cause: u.ranCause(now),
 		})
 		for _, r := range u.runs {
 			s.cleared(r.node)
@@ -183,6 +184,14 @@
 	s.end(u.job, Completed, "all tasks are done", now)
 }
 
+func (u *unit) ranCause(now time.Time) string {
+	cause := "ran " + now.Sub(u.startedAt).Round(time.Millisecond).String() + ", declared " + u.spec().Estimate.String()
+	if slowness := u.slowness(); slowness >= slowerBound {
+		cause += fmt.Sprintf(", on workers that take %.2f times as long", slowness)
+	}
+	return cause
+}
+
 // unitOf returns the unit of a task, or nil.
 func (j *Job) unitOf(t worker.Task) *unit {
 	if j == nil {
