--- a/internal/process/pool/pace.go
+++ b/internal/process/pool/pace.go
@@ -87,7 +87,7 @@
 	}
 	if is := r.node.slower(); is != was {
 		s.notice(Notice{
-			Kind: "WorkerPace", Worker: r.node.ID, Job: u.job.ID, Step: u.step, Tasks: u.count,
+			Kind: "WorkerPace", Worker: r.node.ID, Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count,
 			Cause: fmt.Sprintf("tasks take %.2f times as long as on the fast workers", r.node.slowness()),
 		})
 	}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -162,7 +162,7 @@
 	if u.phase == running || u.phase == starting {
 		s.learn(u, now)
 		s.notice(Notice{
-			Kind: "Done", Job: u.job.ID, Step: u.step, Tasks: u.count, Number: u.number, Worker: n.ID, After: now.Sub(u.job.Submitted),
+			Kind: "Done", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: n.ID, After: now.Sub(u.job.Submitted),
 			Cause: u.ranCause(now),
 		})
 		for _, r := range u.runs {
@@ -278,7 +278,7 @@
 		r.stray = u
 		u.strays++
 	}
-	s.notice(Notice{Kind: "UnknownRunStopped", Job: a.Job, Step: a.Step, Number: a.Number, Worker: n.ID, Cause: "this owner did not order it"})
+	s.notice(Notice{Kind: "UnknownRunStopped", Job: a.Job, Step: a.Step, Task: a.Index, Tasks: 1, Number: a.Number, Worker: n.ID, Cause: "this owner did not order it"})
 	s.stop(r, now)
 }
 
@@ -307,7 +307,7 @@
 		return true
 	}
 	u.phase = running
-	s.notice(Notice{Kind: "TakenOver", Job: u.job.ID, Step: u.step, Tasks: u.count, Number: u.number, Worker: r.node.ID, Cause: "found at work on its workers"})
+	s.notice(Notice{Kind: "TakenOver", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: r.node.ID, Cause: "found at work on its workers"})
 	return true
 }
 
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -47,7 +47,7 @@
 	first := !u.job.begun
 	u.job.begun = true
 	s.notice(Notice{
-		Kind: "Placed", Job: u.job.ID, Priority: u.job.Priority, First: first, Step: u.step, Tasks: u.count, Number: u.number, Worker: place[0].ID,
+		Kind: "Placed", Job: u.job.ID, Priority: u.job.Priority, First: first, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: place[0].ID,
 		Cause: placedCause(u, place), After: now.Sub(u.job.Submitted),
 	})
 }
@@ -164,7 +164,7 @@
 	case starting, running:
 		u.phase = stopping
 		s.notice(Notice{
-			Kind: "Stopped", Job: u.job.ID, Step: u.step, Tasks: u.count, Number: u.number, Cause: cause, After: now.Sub(u.job.Submitted),
+			Kind: "Stopped", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Cause: cause, After: now.Sub(u.job.Submitted),
 			Lost: s.workLost(u, now).Seconds() * s.size(u),
 		})
 		for _, r := range slices.Clone(u.runs) {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -100,9 +100,11 @@
 
 	// Notice tells of a decision and what decided it.
 	Notice struct {
-		Kind   string
-		Job    ids.JobID
-		Step   int
+		Kind string
+		Job  ids.JobID
+		Step int
+		// Task is the first of the Tasks that it is about.
+		Task   int
 		Tasks  int
 		Number ids.RunNumber
 		Worker ids.InstanceID
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -346,7 +346,7 @@
 }
 
 func (t *term) logNotice(n pool.Notice) {
-	t.log.Info("decision: "+n.Kind, zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("tasks", n.Tasks),
+	t.log.Info("decision: "+n.Kind, zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("task", n.Task), zap.Int("tasks", n.Tasks),
 		zap.Uint64("run", uint64(n.Number)), zap.String("worker", string(n.Worker)), zap.String("cause", n.Cause), zap.Duration("after", n.After), zap.Float64("lostCoreSeconds", n.Lost))
 }
 
