Measure decisions on a pool that stays full, and remember whether a unit fits one rack

Cause: the benchmark of decisions ended the gangs of the first moment again and again, so that after some hundred rounds nothing ended any more. Now each round ends a unit that is at work and hands a new job in.

--- a/internal/process/pool/bench_test.go
+++ b/internal/process/pool/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,39 +18,44 @@
 	} {
 		b.Run(name, func(b *testing.B) {
 			s := testState(size.workers, size.perRack)
-			now := testStart
-			for i := range size.jobs {
-				j := gangJob(fmt.Sprintf("job%05d", i), 1+i%2, size.tasks, 4, 10*time.Second)
-				if size.tasks > 20 {
-					j.Steps[0].Gang = false
-				}
+			now, jobs, ends := testStart, 0, uint64(0)
+			submit := func() {
+				j := gangJob(fmt.Sprintf("job%07d", jobs), 1+jobs%2, size.tasks, 4, 10*time.Second)
+				j.Steps[0].Gang = size.tasks <= 20
+				jobs++
 				s.accept(j, now)
 			}
-			actions, _ := s.Decide(now)
-			for _, a := range actions {
-				s.RunStarted(a.Worker, a.Run, now)
-			}
-			units := make(map[*unit][]Action)
-			var order []*unit
-			for _, a := range actions {
-				u := s.jobs[a.Run.Job].unitOf(a.Run.Task)
-				if units[u] == nil {
-					order = append(order, u)
+			// running are the units at work, in the order of their starts.
+			var running []*unit
+			decide := func() {
+				actions, _ := s.Decide(now)
+				for _, a := range actions {
+					s.RunStarted(a.Worker, a.Run, now)
+					if u := s.jobs[a.Run.Job].unitOf(a.Run.Task); a.Run.Index == u.first {
+						running = append(running, u)
+					}
 				}
-				units[u] = append(units[u], a)
 			}
-			ends := uint64(0)
+			for range size.jobs {
+				submit()
+			}
+			decide()
 			b.ResetTimer()
-			for i := range b.N {
+			for range b.N {
 				now = now.Add(10 * time.Millisecond)
-				// A gang ends, and another one takes its place.
-				u := order[i%len(order)]
-				for _, a := range units[u] {
+				// A unit ends, and another one takes its place.
+				u := running[0]
+				running = running[1:]
+				for _, r := range slices.Clone(u.runs) {
 					ends++
-					s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: a.Run, Number: ends, How: worker.EndDone}}}, now.Add(-time.Hour), now)
+					s.Reported(r.node.ID, worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: r.Run, Number: ends, How: worker.EndDone}}}, now.Add(-time.Hour), now)
+				}
+				if u.job.over() {
+					submit()
 				}
-				s.Decide(now)
+				decide()
 			}
+			b.ReportMetric(float64(len(s.live)), "jobs")
 		})
 	}
 }
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -100,6 +100,9 @@
 		remote bool
 		// strays are runs of the unit that are being stopped although they are not part of its newest run. It starts after them.
 		strays int
+		// oneRack tells whether some rack could hold the unit, as found with the shapes of number oneRackOf.
+		oneRack   bool
+		oneRackOf uint64
 		// avoid are the workers on which the unit failed, and until when it is kept off them.
 		avoid map[ids.InstanceID]time.Time
 		// percent is the least progress of the members, and movedAt when it last rose.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -184,7 +184,10 @@
 }
 
 // forgetShapes drops what was found of gangs and racks, since other workers return now.
-func (s *State) forgetShapes() { s.shapes = make(map[shape]bool) }
+func (s *State) forgetShapes() {
+	s.shapes = make(map[shape]bool)
+	s.shapesOf++
+}
 
 func (s *State) sortedNodes() []*node {
 	all := make([]*node, 0, len(s.nodes))
--- a/internal/process/pool/place.go
+++ b/internal/process/pool/place.go
@@ -201,16 +201,20 @@
 
 // fitsOneRack reports whether some rack could hold the unit if nothing else ran there.
 func (s *State) fitsOneRack(u *unit) bool {
+	if u.oneRackOf == s.shapesOf {
+		return u.oneRack
+	}
 	spec := u.spec()
 	key := shape{service: u.job.Service, label: spec.Label, each: spec.Each, count: u.count, perNode: spec.MaxPerWorker}
-	if fits, known := s.shapes[key]; known {
-		return fits
-	}
-	fits := false
+	fits, known := s.shapes[key]
 	for _, r := range s.racks {
-		fits = fits || s.couldHold(u, r)
+		if known || fits {
+			break
+		}
+		fits = s.couldHold(u, r)
 	}
 	s.shapes[key] = fits
+	u.oneRack, u.oneRackOf = fits, s.shapesOf
 	return fits
 }
 
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -50,6 +50,8 @@
 		owedChanged bool
 		// shapes remembers by shape whether a gang fits one rack, as long as the same workers return.
 		shapes map[shape]bool
+		// shapesOf numbers the shapes; it rises when they are forgotten.
+		shapesOf uint64
 		// changed are the workers for which the answers of Busy, Acknowledged, Seen or Incarnation may have changed.
 		changed map[ids.InstanceID]bool
 		// suspects are the workers that are quarantined, silent or not listed.
