Allow for the distance of data when a single task tells of its worker

Cause: a single task away from its data or rack takes three times as long, and was compared with the run times of its queue near the data: its worker could be taken as slow, be left out, and the task be stopped.

What was never stored, or was cancelled before it began, costs an account none of its turns now.

Before, after: TestSingleTaskTellsOfSlowWorker/away_from_its_data and TestTurnsOfWithdrawnJobs fail, pass.

--- a/internal/process/pool/compare_test.go
+++ b/internal/process/pool/compare_test.go
@@ -279,7 +279,7 @@
 				}
 				for _, o := range offers {
 					require.True(t, s.jobs[o.job.ID] == nil || s.jobs[o.job.ID].over(), "seed %d: %s has not ended", seed, o.job.ID)
-					if o.job.Priority == 0 && o.isOwed() && pattern.accounts == nil && pattern.restart == 0 {
+					if o.job.Priority == 0 && o.isOwed() {
 						most := o.objective()
 						if pattern.slowness != nil {
 							// A worker is known as slow only after something has run there.
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -156,8 +156,8 @@
 	return true
 }
 
-// placeWaiting starts the waiting units that fit: by priority, the covered ones first, then by submission. Urgent units
-// that don't fit stop others; the first unit of each priority that doesn't fit gets a reservation.
+// placeWaiting starts the waiting units that fit: the covered ones first, then by priority, turn and submission. Urgent
+// units that don't fit stop others; the first units of each priority that don't fit get reservations.
 func (s *State) placeWaiting(now time.Time) {
 	p := &pass{now: now, most: s.sumRoom(now)}
 	for _, covered := range []bool{true, false} {
--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -102,6 +102,14 @@
 	return s.estimates[u.job.Queue].expect(u.spec().Estimate)
 }
 
+// runTimeThere returns the expected run time of a unit where it runs, on fast workers.
+func (s *State) runTimeThere(u *unit) time.Duration {
+	if u.remote {
+		return time.Duration(float64(s.runTime(u)) * s.Times.Remote)
+	}
+	return s.runTime(u)
+}
+
 // chainTime returns the expected run time of the longest chain of a job's steps.
 func (s *State) chainTime(j *Job) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
@@ -124,11 +132,7 @@
 
 // remaining returns the expected time until a unit ends.
 func (s *State) remaining(u *unit, now time.Time) time.Duration {
-	whole := s.runTime(u)
-	if u.remote {
-		whole = time.Duration(float64(whole) * s.Times.Remote)
-	}
-	whole = time.Duration(float64(whole) * u.slowness())
+	whole := time.Duration(float64(s.runTimeThere(u)) * u.slowness())
 	switch u.phase {
 	case stopping:
 		return s.Times.Stop
--- a/internal/process/pool/fair.go
+++ b/internal/process/pool/fair.go
@@ -36,7 +36,7 @@
 
 // take gives a job its turn. work is the time that the account's guarantee alone would take for it.
 func (f *fairness) take(j *Job, work time.Duration) {
-	j.turn = f.turn(j)
+	j.turn, j.charged = f.turn(j), work
 	if f.ends == nil {
 		f.ends, f.reached = make(map[accountLevel]time.Duration), make(map[int]time.Duration)
 	}
@@ -44,6 +44,13 @@
 	f.ends[key] = max(f.reached[j.Priority], f.ends[key]) + work
 }
 
+// giveBack takes back what a job was charged that has ended without a start.
+func (f *fairness) giveBack(j *Job) {
+	if f.ends != nil {
+		f.ends[accountLevel{j.Account, j.Priority}] -= j.charged
+	}
+}
+
 // started notes that a job is started.
 func (f *fairness) started(j *Job) {
 	if j.Priority > 0 && j.turn > f.reached[j.Priority] {
--- a/internal/process/pool/fair_test.go
+++ b/internal/process/pool/fair_test.go
@@ -10,6 +10,27 @@
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
+// What was cancelled before it began, or never stored, costs an account none of its turns.
+func TestTurnsOfWithdrawnJobs(t *testing.T) {
+	for name, drop := range map[string]func(s *State, id ids.JobID){
+		"cancelled": func(s *State, id ids.JobID) { s.Cancel(id, testStart) },
+		"withdrawn": func(s *State, id ids.JobID) { s.Withdraw(id) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(4, 4)
+			for i := range 20 {
+				j := gangJob(fmt.Sprintf("job%02d", i), 1, 2, 8, 5*time.Second)
+				j.Submitted = testStart
+				s.Offer(j)
+				drop(s, j.ID)
+			}
+			j := gangJob("last", 1, 2, 8, 5*time.Second)
+			s.accept(j, testStart)
+			require.Zero(t, j.turn)
+		})
+	}
+}
+
 // A job of an account that has asked for little goes before what an account has queued beyond its burst, and after that as
 // long as this is within it. Higher priorities go first in any case, and urgent jobs by submission.
 func TestTurns(t *testing.T) {
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -68,6 +68,8 @@
 		endedOn []*node
 		// turn orders the jobs of one priority.
 		turn time.Duration
+		// charged is the time of its account's guarantee that the job was counted for.
+		charged time.Duration
 		// owed tells that the job is covered by its account's guarantee.
 		owed bool
 	}
--- a/internal/process/pool/pace.go
+++ b/internal/process/pool/pace.go
@@ -74,11 +74,12 @@
 	was := r.node.slower()
 	bound := math.Log(harmfulBound)
 	if best > 0 {
+		// The comparison counts the less, the more whole percent may hide.
 		wrong := 1 / moved / paceSpread
 		r.node.setPace(r.node.pace + (math.Log(best/r.rate)-r.node.pace)/(1+wrong*wrong))
 	} else {
 		// Nothing works beside it: the queue's other tasks tell what to expect.
-		best = 100 / s.runTime(u).Seconds()
+		best = 100 / s.runTimeThere(u).Seconds()
 		bound = max(bound, outlier*s.estimates[u.job.Queue].deviation())
 	}
 	// What is certain in spite of whole percent tells at once, also of a worker on which nothing moves.
--- a/internal/process/pool/pace_test.go
+++ b/internal/process/pool/pace_test.go
@@ -117,10 +117,12 @@
 func TestSingleTaskTellsOfSlowWorker(t *testing.T) {
 	for name, test := range map[string]struct {
 		off  func(i int) float64
+		away bool
 		slow bool
 	}{
-		"declared times say little": {func(i int) float64 { return []float64{0.1, 10}[i%2] }, false},
-		"declared times are true":   {func(int) float64 { return 1 }, true},
+		"declared times say little": {off: func(i int) float64 { return []float64{0.1, 10}[i%2] }},
+		"declared times are true":   {off: func(int) float64 { return 1 }, slow: true},
+		"away from its data":        {off: func(int) float64 { return 1 }, away: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := testState(2, 2)
@@ -130,13 +132,18 @@
 			}
 			s.SetEstimates(map[ids.QueueID]RunTimes{"queue": *r})
 			j := gangJob("a", 1, 1, 1, 10*time.Second)
+			slowness := 8
+			if test.away {
+				j.Steps[0].DataRack = "elsewhere"
+				slowness = 4
+			}
 			s.accept(j, testStart)
 			runs := s.confirm(testStart)
 			require.Len(t, runs, 1)
 			for second := 1; second <= 4; second++ {
 				percent := make(map[ids.InstanceID]int)
 				for id := range runs {
-					percent[id] = 100 * second / 10 / 8
+					percent[id] = 100 * second / 10 / slowness
 				}
 				s.progress(runs, percent, testStart.Add(time.Duration(second)*time.Second))
 			}
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -30,12 +30,14 @@
 		racks    []*rack
 		// whole stands for all workers together.
 		whole *rack
+		// total is what all workers have.
 		total ids.Resources
 		// looks counts the looks ahead.
 		looks uint64
 		jobs  map[ids.JobID]*Job
 		// live are the jobs that have not ended, by priority, turn and submission.
 		live []*Job
+		// fair gives the jobs their turns.
 		fair fairness
 		// recovering keeps everything from being started until the workers have reported.
 		recovering bool
@@ -198,6 +200,9 @@
 	if at, found := slices.BinarySearchFunc(s.live, j, compareJobs); found {
 		s.live = slices.Delete(s.live, at, at+1)
 	}
+	if !j.begun {
+		s.fair.giveBack(j)
+	}
 	s.owedChanged = s.owedChanged || j.Priority == 0
 	s.grow()
 }
