Wait for a silent worker's word if its gang's next failure is the last one allowed

Now such a run may be taken as ended only if one failure more is allowed; runs that were taken so count as failures until their ends are known. Otherwise the gang waits for the worker, or for the end of its lease.

Ruled out: that the stop without an answer alone brought it about: the renewals had none either, as before.

Not mended: a worker that comes back after its lease has ended, with a failure that was the last one allowed.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -84,12 +84,34 @@
 			// Its start may still be carried out.
 			continue
 		}
+		if !r.unit.mayFailUnseen(r.Number) {
+			continue
+		}
 		s.notice(Notice{Kind: "RunGone", Job: r.Job, Step: r.Step, Number: r.Number, Worker: n.ID, Cause: "its gang is broken, and the worker is silent"})
 		s.gone(r)
 		s.settle(r.unit)
 	}
 }
 
+// mayFailUnseen reports whether the unit may start again although a run of it may have failed on a worker that has not said
+// so. It may not if that would be the last failure that its queue allows. The run is noted if it may.
+func (u *unit) mayFailUnseen(number ids.RunNumber) bool {
+	if slices.Contains(u.unsure, number) || slices.Contains(u.failed, number) {
+		return true
+	}
+	failures := len(u.failed) + 1
+	for _, earlier := range u.unsure {
+		if !slices.Contains(u.failed, earlier) {
+			failures++
+		}
+	}
+	if failures >= u.job.MaxAttempts {
+		return false
+	}
+	u.unsure = append(u.unsure, number)
+	return true
+}
+
 // onlyOn reports whether the runs of a unit that are left are all on one worker.
 func (u *unit) onlyOn(n *node) bool {
 	for _, r := range u.runs {
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -84,7 +84,9 @@
 		count      int
 		phase      phase
 		// failed are the numbers of the runs that failed.
-		failed     []ids.RunNumber
+		failed []ids.RunNumber
+		// unsure are the numbers of the runs that may have failed on workers that did not say how they ended.
+		unsure     []ids.RunNumber
 		checkpoint string
 		// number is that of the newest run.
 		number ids.RunNumber
