--- a/internal/process/pool/bench_test.go
+++ b/internal/process/pool/bench_test.go
@@ -28,9 +28,7 @@
 			// running are the units at work, in the order of their starts.
 			var running []*unit
 			decide := func() {
-				actions, _ := s.Decide(now)
-				for _, a := range actions {
-					s.RunStarted(a.Worker, a.Run, now)
+				for _, a := range s.startAll(now) {
 					if u := s.jobs[a.Run.Job].unitOf(a.Run.Task); a.Run.Index == u.first {
 						running = append(running, u)
 					}
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -84,32 +84,22 @@
 			// Its start may still be carried out.
 			continue
 		}
-		if !r.unit.mayFailUnseen(r.Number) {
+		if r.unit.failuresWith(r.Number) >= r.unit.job.MaxAttempts {
+			// It may have failed there for the last time that its queue allows.
 			continue
 		}
+		r.unit.unsure = append(r.unit.unsure, r.Number)
 		s.notice(Notice{Kind: "RunGone", Job: r.Job, Step: r.Step, Number: r.Number, Worker: n.ID, Cause: "its gang is broken, and the worker is silent"})
 		s.gone(r)
 		s.settle(r.unit)
 	}
 }
 
-// mayFailUnseen reports whether the unit may start again although a run of it may have failed on a worker that has not said
-// so. It may not if that would be the last failure that its queue allows. The run is noted if it may.
-func (u *unit) mayFailUnseen(number ids.RunNumber) bool {
-	if slices.Contains(u.unsure, number) || slices.Contains(u.failed, number) {
-		return true
-	}
-	failures := len(u.failed) + 1
-	for _, earlier := range u.unsure {
-		if !slices.Contains(u.failed, earlier) {
-			failures++
-		}
-	}
-	if failures >= u.job.MaxAttempts {
-		return false
-	}
-	u.unsure = append(u.unsure, number)
-	return true
+// failuresWith returns how often the unit has failed, with the runs that may have failed unseen and a further one.
+func (u *unit) failuresWith(number ids.RunNumber) int {
+	all := slices.Concat(u.failed, u.unsure, []ids.RunNumber{number})
+	slices.Sort(all)
+	return len(slices.Compact(all))
 }
 
 // onlyOn reports whether the runs of a unit that are left are all on one worker.
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -85,7 +85,7 @@
 		phase      phase
 		// failed are the numbers of the runs that failed.
 		failed []ids.RunNumber
-		// unsure are the numbers of the runs that may have failed on workers that did not say how they ended.
+		// unsure are the numbers, maybe repeated, of the runs that may have failed on workers that did not say how they ended.
 		unsure     []ids.RunNumber
 		checkpoint string
 		// number is that of the newest run.
--- a/internal/process/pool/pace_test.go
+++ b/internal/process/pool/pace_test.go
@@ -11,15 +11,11 @@
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
-// confirm decides and confirms all starts, and returns the runs by worker.
-func (s *State) confirm(now time.Time) map[ids.InstanceID][]worker.Run {
-	actions, _ := s.Decide(now)
+// startedOn is startAll with the runs by worker.
+func (s *State) startedOn(now time.Time) map[ids.InstanceID][]worker.Run {
 	started := make(map[ids.InstanceID][]worker.Run)
-	for _, a := range actions {
-		if a.Kind == StartRun {
-			s.RunStarted(a.Worker, a.Run, now)
-			started[a.Worker] = append(started[a.Worker], a.Run)
-		}
+	for _, a := range s.startAll(now) {
+		started[a.Worker] = append(started[a.Worker], a.Run)
 	}
 	return started
 }
@@ -41,7 +37,7 @@
 	s := testState(4, 4)
 	s.SetAccounts(map[ids.AccountID]Account{"account": {Guaranteed: 32}})
 	s.accept(gangJob("a", 1, 4, 5, 10*time.Second), testStart)
-	runs := s.confirm(testStart)
+	runs := s.startedOn(testStart)
 	require.Len(t, runs, 4)
 	now := testStart
 	for second := 1; second <= 3; second++ {
@@ -54,7 +50,7 @@
 	}
 
 	s.accept(gangJob("b", 1, 3, 3, 10*time.Second), now)
-	runs = s.confirm(now)
+	runs = s.startedOn(now)
 	require.Len(t, runs, 3)
 	require.NotContains(t, runs, ids.InstanceID("w0001"))
 
@@ -81,7 +77,7 @@
 			s := testState(2, 2)
 			s.nodes[test.slower].setPace(0.3)
 			s.accept(gangJob("a", test.priority, 1, 1, time.Second), testStart)
-			require.Contains(t, s.confirm(testStart), ids.InstanceID("w0001"))
+			require.Contains(t, s.startedOn(testStart), ids.InstanceID("w0001"))
 		})
 	}
 }
@@ -91,7 +87,7 @@
 	s := testState(4, 4)
 	j := gangJob("a", 1, 2, 8, 10*time.Second)
 	s.accept(j, testStart)
-	runs := s.confirm(testStart)
+	runs := s.startedOn(testStart)
 	require.Len(t, runs, 2)
 	for second := 1; second <= 3; second++ {
 		s.progress(runs, map[ids.InstanceID]int{"w0000": 10 * second, "w0001": 5 * second / 2}, testStart.Add(time.Duration(second)*time.Second))
@@ -102,7 +98,7 @@
 	for id, list := range runs {
 		s.Reported(id, worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: list[0], Number: 1, How: worker.EndStopped}}}, now, now)
 	}
-	runs = s.confirm(now)
+	runs = s.startedOn(now)
 	require.Len(t, runs, 2)
 	require.NotContains(t, runs, ids.InstanceID("w0001"))
 
@@ -138,7 +134,7 @@
 				slowness = 4
 			}
 			s.accept(j, testStart)
-			runs := s.confirm(testStart)
+			runs := s.startedOn(testStart)
 			require.Len(t, runs, 1)
 			for second := 1; second <= 4; second++ {
 				percent := make(map[ids.InstanceID]int)
--- a/internal/process/pool/place_test.go
+++ b/internal/process/pool/place_test.go
@@ -17,10 +17,7 @@
 	s.SetAccounts(map[ids.AccountID]Account{"account": {Guaranteed: 16}})
 	bulk := gangJob("a", 1, 2, 8, time.Second)
 	s.accept(bulk, testStart)
-	actions, _ := s.Decide(testStart)
-	for _, a := range actions {
-		s.RunStarted(a.Worker, a.Run, testStart)
-	}
+	s.startAll(testStart)
 	urgent := gangJob("b", 0, 2, 2, time.Second)
 	urgent.Steps[0].Gang, urgent.Steps[0].MaxPerWorker = false, 1
 	s.accept(urgent, testStart)
@@ -49,11 +46,8 @@
 	s := testState(2, 2)
 	j := gangJob("a", 1, 2, 8, time.Second)
 	s.accept(j, testStart)
-	actions, _ := s.Decide(testStart)
+	actions := s.startAll(testStart)
 	require.Len(t, actions, 2)
-	for _, a := range actions {
-		s.RunStarted(a.Worker, a.Run, testStart)
-	}
 	for i, how := range []worker.Ending{worker.EndFailed, worker.EndBroken} {
 		s.Reported(actions[i].Worker, worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: actions[i].Run, Number: 1, How: how}}}, testStart, testStart)
 	}
@@ -70,14 +64,10 @@
 	s := testState(16, 8)
 	other := gangJob("a", 1, 6, 8, time.Minute)
 	s.accept(other, testStart)
-	actions, _ := s.Decide(testStart)
-	require.Len(t, actions, 6)
-	for _, a := range actions {
-		s.RunStarted(a.Worker, a.Run, testStart)
-	}
+	require.Len(t, s.startAll(testStart), 6)
 	j := gangJob("b", 1, 8, 8, 10*time.Second)
 	s.accept(j, testStart)
-	actions, _ = s.Decide(testStart)
+	actions, _ := s.Decide(testStart)
 	require.Len(t, actions, 8)
 	rack := s.nodes[actions[0].Worker].Rack
 	for i, a := range actions {
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -95,11 +95,8 @@
 	j := gangJob("a", 1, 2, 8, time.Second)
 	j.MaxAttempts = 1
 	s.accept(j, testStart)
-	actions, _ := s.Decide(testStart)
+	actions := s.startAll(testStart)
 	require.Len(t, actions, 2)
-	for _, a := range actions {
-		s.RunStarted(a.Worker, a.Run, testStart)
-	}
 	s.Reported("w0000", worker.RunReport{Incarnation: 1, Ended: []worker.End{{Run: actions[0].Run, Number: 1, How: worker.EndFailed}}}, testStart, testStart)
 	require.Equal(t, Failed, j.State)
 	require.NotEmpty(t, s.nodes["w0001"].runs, "the other member takes its room until it has ended")
@@ -123,11 +120,8 @@
 	s := testState(4, 2)
 	j := gangJob("a", 1, 2, 8, 4*time.Second)
 	s.accept(j, testStart)
-	actions, _ := s.Decide(testStart)
+	actions := s.startAll(testStart)
 	require.Len(t, actions, 2)
-	for _, a := range actions {
-		s.RunStarted(a.Worker, a.Run, testStart)
-	}
 	now := testStart
 	for range 8 {
 		now = now.Add(500 * time.Millisecond)
--- a/internal/process/pool/world_test.go
+++ b/internal/process/pool/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -44,3 +45,13 @@
 	s.Offer(j)
 	s.Stored(j.ID, j.Version())
 }
+
+// startAll decides and confirms all starts, and returns these.
+func (s *State) startAll(now time.Time) []Action {
+	actions, _ := s.Decide(now)
+	actions = slices.DeleteFunc(actions, func(a Action) bool { return a.Kind != StartRun })
+	for _, a := range actions {
+		s.RunStarted(a.Worker, a.Run, now)
+	}
+	return actions
+}
