--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -92,8 +92,7 @@
 func (s *State) expectedWait(j *Job, now time.Time) time.Duration {
 	wait := s.backlog(j, now)
 	u := j.units[0]
-	s.sumFree(now)
-	if placement := s.findPlacement(u, now, func(n *node) ids.Resources { return n.free() }); placement != nil {
+	if placement := s.findPlacement(u, now, 0); placement != nil {
 		return wait
 	}
 	if j.Priority == 0 {
@@ -101,7 +100,7 @@
 			return wait + s.expectedStopTime()
 		}
 	}
-	at, placement := s.earliestFit(u, now, func(*node) bool { return true })
+	at, placement := s.earliestFit(u, now, 0)
 	if placement == nil {
 		return wait + s.objective(j)
 	}
@@ -112,7 +111,7 @@
 func (s *State) backlog(j *Job, now time.Time) time.Duration {
 	var total ids.Resources
 	for _, n := range s.nodes {
-		if n.schedulable(now) {
+		if n.schedulable() {
 			total = total.Plus(n.Total)
 		}
 	}
@@ -124,9 +123,9 @@
 		if other.Priority > j.Priority || (other.Priority == j.Priority && other.startTag > startTag) {
 			break
 		}
-		for _, u := range other.units {
-			if (u.phase == waiting || u.phase == preempting) && u.isDue(now) {
-				sum += dominantShare(u.spec().Each.Times(u.count), total) * s.runTime(u).Seconds()
+		for _, st := range other.stages {
+			if queued := st.inPhase[waiting] + st.inPhase[preempting]; queued > 0 && st.units[0].isDue(now) {
+				sum += float64(queued) * dominantShare(st.step().Each.Times(st.units[0].count), total) * s.stepRunTime(other, st.stepKey.step).Seconds()
 			}
 		}
 	}
--- a/internal/process/pool/compare_test.go
+++ b/internal/process/pool/compare_test.go
@@ -202,7 +202,8 @@
 // submit submits a job. The client of a refused job resubmits it after the requested delay, at most retries times.
 func (s *sim) submit(o submission, retries int) {
 	o.job.Submitted = s.now
-	refusal := s.Admit(o.job, s.now)
+	var refusal *Refusal
+	s.measure("Admit", func() { refusal = s.Admit(o.job, s.now) })
 	switch {
 	case refusal == nil:
 		s.runTimes[o.job.ID] = o.runTime
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -13,6 +13,8 @@
 	preemptionTimeout = 1500 * time.Millisecond
 	// maxPassInterval is the longest time between scheduling passes: estimates change with time even without events.
 	maxPassInterval = 250 * time.Millisecond
+	// preemptionCheckInterval is the time between checks of the units that wait for preempted runs while no worker changes.
+	preemptionCheckInterval = 50 * time.Millisecond
 )
 
 // Decide places waiting units, preempts others where needed, and returns the actions and notices since the last call.
@@ -47,6 +49,7 @@
 		id := n.ID
 		if !n.quarantinedUntil.IsZero() && !now.Before(n.quarantinedUntil) {
 			n.quarantinedUntil = time.Time{}
+			s.roomChanged(n)
 			// The worker counts as slower until its progress shows otherwise.
 			n.setLogSlowdown(min(n.logSlowdown, logSlowerThreshold))
 			s.requestPass()
@@ -58,7 +61,8 @@
 			s.notice(Notice{Kind: "WorkerLapsed", Worker: id, Cause: "it does not answer and its lease has expired"})
 			n.reported = false
 			s.markChanged(n)
-			for r := range n.runs {
+			s.roomChanged(n)
+			for _, r := range slices.Clone(n.runs) {
 				s.runLost(r, "the worker's lease has expired", now)
 			}
 		}
@@ -76,7 +80,7 @@
 // expireBrokenRuns removes the runs of broken gangs on a silent worker. A gang is broken on all workers once one member has
 // ended. If the other workers report only that another member was lost, the member that ended was on the silent worker.
 func (s *State) expireBrokenRuns(n *node) {
-	for r := range n.runs {
+	for _, r := range slices.Clone(n.runs) {
 		if r.unit == nil || !r.unit.broken || r.unit.phase != stopping || !r.unit.runsOnlyOn(n) {
 			continue
 		}
@@ -130,10 +134,13 @@
 
 // startPreempting starts the units whose reserved workers have enough free resources.
 func (s *State) startPreempting(now time.Time) {
+	if len(s.preempting) == 0 || (s.preemptingChanges == s.roomChanges && now.Sub(s.preemptingCheckedAt) < preemptionCheckInterval) {
+		return
+	}
 	for _, u := range slices.Clone(s.preempting) {
-		if !s.placementSchedulable(u, now) || now.Sub(u.preemptingSince) > preemptionTimeout {
+		if !placementSchedulable(u) || now.Sub(u.preemptingSince) > preemptionTimeout {
 			s.releasePlacement(u)
-			u.phase = waiting
+			u.setPhase(waiting)
 			continue
 		}
 		if placementFree(u) {
@@ -142,27 +149,31 @@
 			s.startUnit(u, placement, now)
 		}
 	}
+	s.preemptingChanges, s.preemptingCheckedAt = s.roomChanges, now
 }
 
-func (s *State) placementSchedulable(u *unit, now time.Time) bool {
+func placementSchedulable(u *unit) bool {
 	for _, n := range u.placement {
-		if !n.schedulable(now) {
+		if !n.schedulable() {
 			return false
 		}
 	}
 	return true
 }
 
-// placementFree reports whether a unit's reserved workers have enough unused resources for it.
+// placementFree reports whether a unit's reserved workers have enough unused resources for it. The tasks on one worker are
+// adjacent in a placement.
 func placementFree(u *unit) bool {
-	need := make(map[*node]int)
-	for _, n := range u.placement {
-		need[n]++
-	}
-	for n, tasks := range need {
+	tasks := 0
+	for i, n := range u.placement {
+		tasks++
+		if i+1 < len(u.placement) && u.placement[i+1] == n {
+			continue
+		}
 		if !n.Total.Minus(n.used).Contains(u.spec().Each.Times(tasks)) {
 			return false
 		}
+		tasks = 0
 	}
 	return true
 }
@@ -170,107 +181,61 @@
 // placeWaiting starts the waiting units that fit, guaranteed jobs first, then by priority, start tag and submission time.
 // Units of priority 0 that don't fit preempt others; the first gangs of each priority that don't fit get reservations.
 func (s *State) placeWaiting(now time.Time) {
-	p := &pass{now: now, maxRackFree: s.sumFree(now)}
+	s.reserved.refresh(now)
 	for _, guaranteed := range []bool{true, false} {
 		for _, j := range s.live {
 			if guaranteed && j.Priority != 0 {
 				break
 			}
 			if j.stored && guaranteed == j.guaranteed {
-				s.placeJob(j, p)
+				s.placeJob(j, now)
 			}
 		}
 	}
 }
 
-// pass is the state of one scheduling pass.
-type pass struct {
-	now time.Time
-	// maxRackFree is an upper bound on the free resources of any single rack.
-	maxRackFree ids.Resources
-	reserved    reservations
-}
-
-// sumFree sums the free resources of each rack and of the pool, and returns an upper bound for any single rack.
-func (s *State) sumFree(now time.Time) ids.Resources {
-	for _, r := range s.racks {
-		r.sumFree(now)
-	}
-	return s.sumRacksFree()
-}
-
-// updateFree does the same as sumFree after changes on the given workers, which are grouped by rack.
-func (s *State) updateFree(changed []*node, now time.Time) ids.Resources {
-	for i, n := range changed {
-		if i == 0 || n.rack != changed[i-1].rack {
-			n.rack.sumFree(now)
+// placeJob places the waiting units of a job.
+func (s *State) placeJob(j *Job, now time.Time) {
+	for _, st := range j.stages {
+		if st.inPhase[waiting] == 0 || !st.dependenciesDone() {
+			continue
 		}
-	}
-	return s.sumRacksFree()
-}
-
-func (s *State) sumRacksFree() ids.Resources {
-	var most, all ids.Resources
-	for _, r := range s.racks {
-		most = maxOfEach(most, r.freeSum)
-		all = all.Plus(r.freeSum)
-	}
-	s.wholePool.freeSum = all
-	return most
-}
-
-func (r *rack) sumFree(now time.Time) {
-	r.freeSum = ids.Resources{}
-	for _, n := range r.nodes {
-		if n.schedulable(now) {
-			r.freeSum = r.freeSum.Plus(n.free().ClampToZero())
+		for _, u := range st.units {
+			if u.phase != waiting || u.staleRuns > 0 || s.blocked(u) {
+				continue
+			}
+			if at := laterOf(u.notBefore, j.Schedule.due(u.occurrence)); now.Before(at) {
+				s.retryBy(at)
+				continue
+			}
+			if !s.placeUnit(u, now) && len(u.avoidUntil) == 0 {
+				// The step's other tasks need the same resources.
+				break
+			}
 		}
 	}
 }
 
-func maxOfEach(a, b ids.Resources) ids.Resources {
-	return ids.Resources{Accelerators: max(a.Accelerators, b.Accelerators), Cores: max(a.Cores, b.Cores), Memory: max(a.Memory, b.Memory)}
-}
-
-// mayFit reports whether the unit's needs are within the upper bound on free resources.
-func (p *pass) mayFit(s *State, u *unit) bool {
-	need := u.spec().Each.Times(u.count)
-	if u.count > 1 && u.spec().SameRack && s.fitsOneRack(u) {
-		return p.maxRackFree.Contains(need)
+// retryBy requests a scheduling pass at the given time at the latest.
+func (s *State) retryBy(at time.Time) {
+	if s.retryAt.IsZero() || at.Before(s.retryAt) {
+		s.retryAt = at
 	}
-	return s.wholePool.freeSum.Contains(need)
 }
 
-// placeJob places the waiting units of a job.
-func (s *State) placeJob(j *Job, p *pass) {
-	fullStep := -1
-	for _, u := range j.units {
-		if u.phase != waiting || u.staleRuns > 0 || u.step == fullStep || !u.dependenciesDone() || s.blocked(u) {
-			continue
-		}
-		if at := laterOf(u.notBefore, u.job.Schedule.due(u.occurrence)); p.now.Before(at) {
-			if s.retryAt.IsZero() || at.Before(s.retryAt) {
-				s.retryAt = at
-			}
-			continue
-		}
-		if p.mayFit(s, u) {
-			if placement := s.findPlacement(u, p.now, func(n *node) ids.Resources { return s.availableTo(u, n, &p.reserved, p.now) }); placement != nil {
-				s.startUnit(u, placement, p.now)
-				p.maxRackFree = s.updateFree(placement, p.now)
-				continue
-			}
-		}
-		if j.Priority == 0 && s.preempt(u, p.now) {
-			p.maxRackFree = s.updateFree(u.placement, p.now)
-			continue
-		}
-		// The step's other tasks need the same resources.
-		if len(u.avoidUntil) == 0 {
-			fullStep = u.step
+// placeUnit starts a unit or preempts others for it. It returns false if the unit has to wait for room.
+func (s *State) placeUnit(u *unit, now time.Time) bool {
+	if s.mayFit(u) {
+		if placement := s.findPlacement(u, now, s.conflicts(u, now)); placement != nil {
+			s.startUnit(u, placement, now)
+			return true
 		}
-		p.reserved.add(s, u, p.now)
 	}
+	if u.job.Priority == 0 && s.preempt(u, now) {
+		return true
+	}
+	s.reserve(u, now)
+	return false
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -279,11 +244,3 @@
 	}
 	return b
 }
-
-// availableTo returns the resources of a worker that a unit may use now.
-func (s *State) availableTo(u *unit, n *node, reserved *reservations, now time.Time) ids.Resources {
-	if reserved.conflicts(s, u, n, now) {
-		return ids.Resources{}
-	}
-	return n.free()
-}
--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -16,6 +16,9 @@
 	Spread, Joint float64
 	// Residual is the sum of squared prediction errors of the logarithms of the real run times.
 	Residual float64
+
+	// samples counts the changes of the estimates.
+	samples uint64
 }
 
 const (
@@ -44,6 +47,7 @@
 
 // add adds a sample; tasks of the same step resemble each other and get weights below one.
 func (r *RunTimes) add(declared, actual time.Duration, weight float64) {
+	r.samples++
 	x, y := logOf(declared), logOf(actual)
 	if r.Weight > maxWeight {
 		decay := maxWeight / r.Weight
@@ -89,18 +93,36 @@
 	if u.remote {
 		actual = time.Duration(float64(actual) / s.Times.RemoteSlowdown)
 	}
-	r := s.estimates[u.job.Queue]
-	if r == nil {
-		r = &RunTimes{}
-		s.estimates[u.job.Queue] = r
-	}
 	s.samples++
-	r.add(u.spec().Estimate, actual, float64(u.count)/float64(u.spec().Tasks))
+	s.learnedFor(u.job).add(u.spec().Estimate, actual, float64(u.count)/float64(u.spec().Tasks))
 }
 
 // runTime returns the expected run time of a unit on fast workers near its data.
 func (s *State) runTime(u *unit) time.Duration {
-	return s.estimates[u.job.Queue].expect(u.spec().Estimate)
+	return s.stepRunTime(u.job, u.step)
+}
+
+// stepRunTime returns the expected run time of a step's tasks on fast workers near their data.
+func (s *State) stepRunTime(j *Job, step int) time.Duration {
+	learned := s.learnedFor(j)
+	if j.runTimes == nil || j.runTimesSamples != learned.samples {
+		j.runTimes, j.runTimesSamples = j.runTimes[:0], learned.samples
+		for i := range j.Steps {
+			j.runTimes = append(j.runTimes, learned.expect(j.Steps[i].Estimate))
+		}
+	}
+	return j.runTimes[step]
+}
+
+// learnedFor returns the learned run times of a job's queue.
+func (s *State) learnedFor(j *Job) *RunTimes {
+	if j.learned == nil {
+		if j.learned = s.estimates[j.Queue]; j.learned == nil {
+			j.learned = &RunTimes{}
+			s.estimates[j.Queue] = j.learned
+		}
+	}
+	return j.learned
 }
 
 // placedRunTime returns the expected run time of a unit at its current placement, on fast workers.
@@ -120,7 +142,7 @@
 		for _, earlier := range step.After {
 			begin = max(begin, ends[earlier])
 		}
-		ends[i] = begin + s.estimates[j.Queue].expect(step.Estimate)
+		ends[i] = begin + s.stepRunTime(j, i)
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -188,7 +210,9 @@
 func (s *State) Estimates() (map[ids.QueueID]RunTimes, int) {
 	all := make(map[ids.QueueID]RunTimes, len(s.estimates))
 	for id, r := range s.estimates {
-		all[id] = *r
+		if r.Weight > 0 {
+			all[id] = *r
+		}
 	}
 	return all, s.samples
 }
@@ -197,6 +221,10 @@
 func (s *State) SetEstimates(all map[ids.QueueID]RunTimes) {
 	s.init()
 	for id, r := range all {
-		s.estimates[id] = &r
+		if s.estimates[id] == nil {
+			s.estimates[id] = &RunTimes{}
+		}
+		r.samples = s.estimates[id].samples + 1
+		*s.estimates[id] = r
 	}
 }
--- a/internal/process/pool/fairqueue.go
+++ b/internal/process/pool/fairqueue.go
@@ -63,9 +63,10 @@
 func (s *State) serviceTime(j *Job) time.Duration {
 	guaranteedShare := float64(max(1, s.accounts[j.Account].Guaranteed)) / float64(max(1, s.total.Accelerators))
 	sum := time.Duration(0)
-	for _, u := range j.units {
-		if u.phase != done {
-			sum += time.Duration(dominantShare(u.spec().Each.Times(u.count), s.total) / guaranteedShare * float64(s.runTime(u)))
+	for _, st := range j.stages {
+		if open := len(st.units) - st.inPhase[done]; open > 0 {
+			share := dominantShare(st.step().Each.Times(st.units[0].count), s.total)
+			sum += time.Duration(float64(open) * share / guaranteedShare * float64(s.stepRunTime(j, st.stepKey.step)))
 		}
 	}
 	return sum
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -60,6 +60,13 @@
 		// recovered is set if the job was accepted under an earlier owner.
 		recovered bool
 		units     []*unit
+		// stages holds the units by step and occurrence, in the order of units.
+		stages []*stage
+		// learned holds the run times of the job's queue; nil until it is first needed.
+		learned *RunTimes
+		// runTimes caches the expected run times of the steps; it is valid while runTimesSamples equals learned.samples.
+		runTimes        []time.Duration
+		runTimesSamples uint64
 		// stepRacks maps each step to the rack in which it was first started.
 		stepRacks map[stepKey]*rack
 		// version counts the changes that have to be stored, and storedVersion is the version that is stored.
@@ -76,7 +83,8 @@
 
 	// unit is a gang or a single task, which is started and stopped as a whole.
 	unit struct {
-		job *Job
+		job   *Job
+		stage *stage
 		// occurrence is the index of the occurrence in the job's schedule.
 		occurrence int
 		step       int
@@ -110,6 +118,14 @@
 		// fitsRack caches the result of fitsOneRack; it is valid while fitsRackVersion equals State.rackFitsVersion.
 		fitsRack        bool
 		fitsRackVersion uint64
+		// nextPlanAt is the earliest time at which a further preemption plan is made after one that failed.
+		nextPlanAt time.Time
+		// costAt is the time of the cached preemptionCost, and endAt that of the cached expected end.
+		costAt, endAt time.Time
+		cost          float64
+		expectedEnd   time.Time
+		// victimOf is the number of the latest projection that listed the unit as a victim.
+		victimOf uint64
 		// avoidUntil maps the workers on which the unit failed to the time until which it avoids them.
 		avoidUntil map[ids.InstanceID]time.Time
 		// percent is the progress of the slowest member, and progressedAt is when it last changed.
@@ -117,6 +133,18 @@
 		progressedAt time.Time
 	}
 
+	// stage is a step of one occurrence of a job.
+	stage struct {
+		stepKey
+		job   *Job
+		units []*unit
+		// inPhase counts the units in each phase.
+		inPhase [phaseCount]int
+		// room caches the room for the step's tasks; it is valid while roomsVersion equals State.roomsVersion.
+		room         *room
+		roomsVersion uint64
+	}
+
 	// stepKey identifies a step of one occurrence of a job.
 	stepKey struct{ occurrence, step int }
 
@@ -125,6 +153,8 @@
 	// run is a run of one task. It holds resources on its worker until it is known to have ended.
 	run struct {
 		worker.Run
+		// seq increases with each run of this owner.
+		seq  uint64
 		unit *unit
 		// staleOf is the unit of a run that doesn't belong to the unit's latest run.
 		staleOf   *unit
@@ -166,6 +196,7 @@
 	running
 	stopping
 	done
+	phaseCount
 )
 
 const (
@@ -185,31 +216,37 @@
 func (j *Job) makeUnits() {
 	for occurrence := range j.Schedule.count() {
 		for i, s := range j.Steps {
+			st := &stage{stepKey: stepKey{occurrence, i}, job: j}
 			if s.Gang {
-				j.units = append(j.units, &unit{job: j, occurrence: occurrence, step: i, count: s.Tasks})
-				continue
-			}
-			for k := range s.Tasks {
-				j.units = append(j.units, &unit{job: j, occurrence: occurrence, step: i, first: k, count: 1})
+				st.units = []*unit{{job: j, stage: st, occurrence: occurrence, step: i, count: s.Tasks}}
+			} else {
+				for k := range s.Tasks {
+					st.units = append(st.units, &unit{job: j, stage: st, occurrence: occurrence, step: i, first: k, count: 1})
+				}
 			}
+			st.inPhase[waiting] = len(st.units)
+			j.stages = append(j.stages, st)
+			j.units = append(j.units, st.units...)
 		}
 	}
 }
 
-// stepDone reports whether all tasks of a step are done in one occurrence.
-func (j *Job) stepDone(key stepKey) bool {
-	for _, u := range j.units {
-		if u.stepKey() == key && u.phase != done {
-			return false
-		}
-	}
-	return true
+// setPhase changes the unit's phase.
+func (u *unit) setPhase(phase unitPhase) {
+	u.stage.inPhase[u.phase]--
+	u.phase = phase
+	u.stage.inPhase[phase]++
 }
 
-// dependenciesDone reports whether the steps that the unit depends on are done.
-func (u *unit) dependenciesDone() bool {
-	for _, earlier := range u.spec().After {
-		if !u.job.stepDone(stepKey{u.occurrence, earlier}) {
+func (st *stage) step() *Step { return &st.job.Steps[st.stepKey.step] }
+
+// done reports whether all tasks of the stage are done.
+func (st *stage) done() bool { return st.inPhase[done] == len(st.units) }
+
+// dependenciesDone reports whether the steps that the stage depends on are done.
+func (st *stage) dependenciesDone() bool {
+	for _, earlier := range st.step().After {
+		if !st.job.stages[st.occurrence*len(st.job.Steps)+earlier].done() {
 			return false
 		}
 	}
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -41,7 +41,7 @@
 		used        ids.Resources
 		// held is the sum of the resources reserved here for units in phase preempting.
 		held ids.Resources
-		runs map[*run]bool
+		runs []*run
 		// failures counts consecutive failures of different jobs.
 		failures         int
 		lastFailedJob    ids.JobID
@@ -50,7 +50,9 @@
 		// measuredSlowdown is how many times as long tasks take here as on the fast workers, and logSlowdown is its
 		// logarithm; zero if unknown.
 		logSlowdown, measuredSlowdown float64
-		// projectedFree is the projected free capacity; it is valid only in the earliestFitOn call with the number projection.
+		// reservedFor is a set of indexes of State.reserved.list: those whose reservations include the worker.
+		reservedFor uint64
+		// projectedFree is the projected free capacity; it is valid only in the projection with the number projection.
 		projectedFree ids.Resources
 		projection    uint64
 		// handledEnd is the number of the last end handled, and pendingEnds holds the ends not acknowledged yet.
@@ -72,11 +74,15 @@
 		// index is the rack's position among all racks, sorted by id.
 		index int
 		nodes []*node
-		// freeSum is the sum of the free capacity of schedulable workers, as of the last call of sumFree.
-		freeSum ids.Resources
-		// expectedEnds lists the runs by expected end, as computed at expectedEndsAt, which is zero if they are out of date.
+		// changedAt is the value of State.roomChanges at the last change of a worker's room.
+		changedAt uint64
+		// freeAccelerators is the sum of the workers' free accelerators when roomChanges was summedAt.
+		freeAccelerators ids.Accelerators
+		summedAt         uint64
+		// expectedEnds lists the runs by expected end, as computed at expectedEndsAt; endsChanged is set if any has changed.
 		expectedEnds   []expectedEnd
 		expectedEndsAt time.Time
+		endsChanged    bool
 	}
 
 	// expectedEnd is the time at which a run is expected to release its resources.
@@ -92,8 +98,8 @@
 }
 
 // schedulable reports whether new runs may be placed on the worker.
-func (n *node) schedulable(now time.Time) bool {
-	return n.listed && n.reported && !n.Draining && n.silentSince.IsZero() && !now.Before(n.quarantinedUntil)
+func (n *node) schedulable() bool {
+	return n.listed && n.reported && !n.Draining && n.silentSince.IsZero() && n.quarantinedUntil.IsZero()
 }
 
 // schedulableSoon reports whether the worker takes new runs now or after a quarantine of the shortest length.
@@ -108,7 +114,7 @@
 // tasksOn counts the tasks of a unit's step that run on a worker, or for which the worker is reserved.
 func (s *State) tasksOn(n *node, u *unit) int {
 	count := 0
-	for r := range n.runs {
+	for _, r := range n.runs {
 		if r.unit != nil && r.unit.job == u.job && r.unit.stepKey() == u.stepKey() {
 			count++
 		}
@@ -134,7 +140,7 @@
 		listed[w.ID] = true
 		n := s.nodes[w.ID]
 		if n == nil {
-			n = &node{runs: make(map[*run]bool)}
+			n = &node{}
 			s.nodes[w.ID] = n
 		}
 		if n.Incarnation != 0 {
@@ -159,14 +165,18 @@
 
 func (s *State) rebuildRacks() {
 	s.invalidateRackFits()
+	s.reserved.clear()
+	s.rooms = make(map[taskShape]*room)
+	s.roomsVersion++
 	s.requestPass()
-	byID := make(map[ids.RackID]*rack)
+	s.racksByID = make(map[ids.RackID]*rack)
 	s.racks = nil
 	for _, n := range s.sortedNodes() {
-		r := byID[n.Rack]
+		r := s.racksByID[n.Rack]
 		if r == nil {
-			r = &rack{id: n.Rack}
-			byID[n.Rack] = r
+			s.roomChanges++
+			r = &rack{id: n.Rack, changedAt: s.roomChanges}
+			s.racksByID[n.Rack] = r
 			s.racks = append(s.racks, r)
 		}
 		n.rack = r
@@ -206,6 +216,7 @@
 			s.setSilent(n, now)
 		}
 		s.markChanged(n)
+		s.roomChanged(n)
 		s.loseRuns(n, cause, now)
 	}
 }
@@ -213,7 +224,7 @@
 // loseRuns removes the runs of a worker whose process has ended. An unanswered start may still be carried out by the
 // worker's next incarnation; it is stopped there before the task may start elsewhere.
 func (s *State) loseRuns(n *node, cause string, now time.Time) {
-	for r := range n.runs {
+	for _, r := range slices.Clone(n.runs) {
 		switch {
 		case r.reported && !r.startUnanswered:
 			s.runLost(r, cause, now)
@@ -246,6 +257,7 @@
 	n.silentSince = now
 	s.suspects[n] = true
 	s.markChanged(n)
+	s.roomChanged(n)
 	s.invalidateRackFits()
 }
 
@@ -286,9 +298,9 @@
 
 // invalidateExpectedEnds records that a worker's runs, or their expected ends, have changed.
 func (s *State) invalidateExpectedEnds(n *node) {
-	s.wholePool.expectedEndsAt = time.Time{}
+	s.wholePool.endsChanged = true
 	if n.rack != nil {
-		n.rack.expectedEndsAt = time.Time{}
+		n.rack.endsChanged = true
 	}
 }
 
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -16,73 +16,78 @@
 	leftover int64
 }
 
-// findPlacement returns the worker for each task of a unit, or nil. available returns the usable resources of a worker.
-func (s *State) findPlacement(u *unit, now time.Time, available func(n *node) ids.Resources) []*node {
+// mayFit reports whether a unit may fit into the free resources, regardless of reservations.
+func (s *State) mayFit(u *unit) bool {
+	room := s.roomFor(u.stage)
+	if u.count > 1 && u.spec().SameRack && s.fitsOneRack(u) {
+		return room.most.all >= u.count
+	}
+	return room.sum.all >= u.count
+}
+
+// findPlacement returns the worker for each task of a unit outside the given reservations, or nil.
+func (s *State) findPlacement(u *unit, now time.Time, conflicts uint64) []*node {
 	if u.count > 1 {
 		// One slower worker slows the whole gang down.
-		if placement := s.bestPlacement(u, now, withoutSlower(available)); placement != nil {
+		if placement := s.bestPlacement(u, now, conflicts, true); placement != nil {
 			return placement
 		}
 	}
-	return s.bestPlacement(u, now, available)
+	return s.bestPlacement(u, now, conflicts, false)
 }
 
-// bestPlacement returns a best-fit placement: the one in the rack with the fewest free accelerators. The racks' freeSum must
-// be up to date.
-func (s *State) bestPlacement(u *unit, now time.Time, available func(n *node) ids.Resources) []*node {
-	var best []*node
-	bestLeft := int64(0)
-	need := u.spec().Each.Times(u.count)
-	for _, group := range s.candidateRacks(u, now) {
-		if !group.freeSum.Contains(need) {
-			continue
-		}
-		placement := s.fill(u, s.candidates(u, group.nodes, now, available))
-		if placement == nil {
-			continue
+// bestPlacement returns a best-fit placement: the one in the rack with the fewest free accelerators. With fastOnly set it
+// uses no slower workers.
+func (s *State) bestPlacement(u *unit, now time.Time, conflicts uint64, fastOnly bool) []*node {
+	room := s.roomFor(u.stage)
+	if room.sum.of(fastOnly) < u.count {
+		return nil
+	}
+	racks, spread := s.candidateRacks(u, now)
+	if spread {
+		if conflicts != 0 && room.unreserved(s, conflicts, fastOnly) < u.count {
+			return nil
 		}
-		left := int64(0)
-		for _, n := range group.nodes {
-			left += int64(n.free().Accelerators)
+		return fill(u, s.candidates(u, racks, now, conflicts, fastOnly))
+	}
+	fitting := s.fittingRacks[:0]
+	for _, r := range racks {
+		if room.byRack[r.index].of(fastOnly) >= u.count {
+			fitting = append(fitting, r)
 		}
-		if best == nil || left < bestLeft {
-			best, bestLeft = placement, left
+	}
+	s.fittingRacks = fitting
+	slices.SortStableFunc(fitting, func(a, b *rack) int {
+		return cmp.Compare(s.freeAcceleratorsIn(a), s.freeAcceleratorsIn(b))
+	})
+	for i := range fitting {
+		if placement := fill(u, s.candidates(u, fitting[i:i+1], now, conflicts, fastOnly)); placement != nil {
+			return placement
 		}
 	}
-	return best
+	return nil
 }
 
-// candidateRacks returns the sets of workers of which a unit uses one, so that its tasks run at full speed: the rack of its
-// data, the rack in which its step started, or each rack if the step should stay in one rack and fits into some empty rack.
-func (s *State) candidateRacks(u *unit, now time.Time) []*rack {
+// candidateRacks returns the racks on which a unit's tasks run at full speed: the rack of its data, the rack in which its
+// step started, or each rack if the step should stay in one rack and fits into some empty rack. The unit uses one of them,
+// or any workers of all of them if spread is set.
+func (s *State) candidateRacks(u *unit, now time.Time) (racks []*rack, spread bool) {
 	spec := u.spec()
 	if spec.DataRack != "" {
-		if r := s.rackByID(spec.DataRack); r != nil && s.fitsEmptyRack(u, r) {
-			return []*rack{r}
+		if r := s.racksByID[spec.DataRack]; r != nil && s.fitsEmptyRack(u, r) {
+			return s.racks[r.index : r.index+1], false
 		}
 	}
 	if !spec.SameRack || spec.Tasks == 1 {
-		return []*rack{s.wholePool}
+		return s.racks, true
 	}
 	if u.count == 1 {
 		if r := s.stepRack(u, now); r != nil {
-			return []*rack{r}
-		}
-		return []*rack{s.wholePool}
-	}
-	if !s.fitsOneRack(u) {
-		return []*rack{s.wholePool}
-	}
-	return s.racks
-}
-
-func (s *State) rackByID(id ids.RackID) *rack {
-	for _, r := range s.racks {
-		if r.id == id {
-			return r
+			return s.racks[r.index : r.index+1], false
 		}
+		return s.racks, true
 	}
-	return nil
+	return s.racks, !s.fitsOneRack(u)
 }
 
 // fitsEmptyRack reports whether the unit would fit into the rack if nothing else ran there. Workers in a short quarantine
@@ -110,20 +115,22 @@
 func (s *State) stepRack(u *unit, now time.Time) *rack {
 	if r := u.job.stepRacks[u.stepKey()]; r != nil {
 		// Racks are rebuilt when the list of workers changes.
-		if r = s.rackByID(r.id); r != nil && s.fitsEmptyRack(u, r) {
+		if r = s.racksByID[r.id]; r != nil && s.fitsEmptyRack(u, r) {
 			return r
 		}
 	}
 	var best *rack
 	most := 0
-	for _, r := range s.racks {
-		slots := 0
-		for _, c := range s.candidates(u, r.nodes, now, (*node).free) {
-			free := c.node.free().Copies(u.spec().Each, u.spec().Tasks)
-			if limit := u.spec().MaxPerWorker; limit > 0 {
-				free = min(free, limit)
+	room := s.roomFor(u.stage)
+	for i, r := range s.racks {
+		slots := room.byRack[i].all
+		if limit := u.spec().MaxPerWorker; limit > 0 && slots > 0 {
+			slots = 0
+			for _, n := range r.nodes {
+				if s.eligible(u, n, now) {
+					slots += min(limit-s.tasksOn(n, u), room.tasksOn(n))
+				}
 			}
-			slots += free
 		}
 		if slots = min(slots, u.spec().Tasks); slots > most {
 			best, most = r, slots
@@ -149,45 +156,66 @@
 	return false
 }
 
-// candidates returns the eligible workers with room for the unit, best fit first.
-func (s *State) candidates(u *unit, nodes []*node, now time.Time, available func(n *node) ids.Resources) []candidate {
+// candidates returns the eligible workers with room for the unit outside the given reservations, best fit first. For a
+// single task it returns only the best one.
+func (s *State) candidates(u *unit, racks []*rack, now time.Time, conflicts uint64, fastOnly bool) []candidate {
 	spec := u.spec()
-	var list []candidate
-	for _, n := range nodes {
-		if !s.eligible(u, n, now) {
-			continue
-		}
-		free := available(n)
-		tasks := free.Copies(spec.Each, u.count)
-		if spec.MaxPerWorker > 0 {
-			tasks = min(tasks, spec.MaxPerWorker-s.tasksOn(n, u))
-		}
-		if tasks <= 0 {
+	room := s.roomFor(u.stage)
+	list := s.candidateList[:0]
+	for _, r := range racks {
+		if room.byRack[r.index].of(fastOnly) == 0 {
 			continue
 		}
-		left := free.Minus(spec.Each.Times(tasks))
-		list = append(list, candidate{node: n, tasks: tasks, leftover: int64(left.Accelerators)<<32 + int64(left.Cores)})
-	}
-	// Single tasks use the slower workers first, unless they are urgent.
-	preferSlower := u.job.Priority > 0
-	slices.SortStableFunc(list, func(a, b candidate) int {
-		if u.count == 1 && a.node.slower() != b.node.slower() {
-			if a.node.slower() == preferSlower {
-				return -1
+		for _, n := range r.nodes {
+			if n.reservedFor&conflicts != 0 || (fastOnly && n.slower()) || !s.eligible(u, n, now) {
+				continue
+			}
+			free := n.free()
+			tasks := free.Copies(spec.Each, u.count)
+			if spec.MaxPerWorker > 0 {
+				tasks = min(tasks, spec.MaxPerWorker-s.tasksOn(n, u))
+			}
+			if tasks <= 0 {
+				continue
 			}
-			return 1
+			c := newCandidate(u, n, tasks, free)
+			if u.count == 1 && len(list) == 1 {
+				if compareCandidates(u, c, list[0]) < 0 {
+					list[0] = c
+				}
+				continue
+			}
+			list = append(list, c)
 		}
-		return cmp.Or(cmp.Compare(a.leftover, b.leftover), cmp.Compare(b.tasks, a.tasks))
-	})
+	}
+	s.candidateList = list
+	slices.SortStableFunc(list, func(a, b candidate) int { return compareCandidates(u, a, b) })
 	return list
 }
 
+func newCandidate(u *unit, n *node, tasks int, free ids.Resources) candidate {
+	left := free.Minus(u.spec().Each.Times(tasks))
+	return candidate{node: n, tasks: tasks, leftover: int64(left.Accelerators)<<32 + int64(left.Cores)}
+}
+
+// compareCandidates orders workers for a unit, best fit first. Single tasks use the slower workers first, unless they are
+// urgent.
+func compareCandidates(u *unit, a, b candidate) int {
+	if u.count == 1 && a.node.slower() != b.node.slower() {
+		if a.node.slower() == (u.job.Priority > 0) {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.leftover, b.leftover), cmp.Compare(b.tasks, a.tasks))
+}
+
 func (s *State) eligible(u *unit, n *node, now time.Time) bool {
-	return n.schedulable(now) && n.Service == u.job.Service && n.hasLabel(u.spec().Label) && !now.Before(u.avoidUntil[n.ID])
+	return n.schedulable() && n.Service == u.job.Service && n.hasLabel(u.spec().Label) && !now.Before(u.avoidUntil[n.ID])
 }
 
 // fill assigns a unit's tasks to candidates in order, or returns nil if there are too few.
-func (s *State) fill(u *unit, list []candidate) []*node {
+func fill(u *unit, list []candidate) []*node {
 	placement := make([]*node, 0, u.count)
 	for _, c := range list {
 		for range c.tasks {
@@ -229,18 +257,20 @@
 
 // holdPlacement reserves workers for a unit until the runs being stopped there have ended.
 func (s *State) holdPlacement(u *unit, placement []*node, now time.Time) {
-	u.phase = preempting
+	u.setPhase(preempting)
 	u.placement = placement
 	u.preemptingSince = now
 	s.preempting = append(s.preempting, u)
 	for _, n := range placement {
 		n.held = n.held.Plus(u.spec().Each)
+		s.roomChanged(n)
 	}
 }
 
 func (s *State) releasePlacement(u *unit) {
 	for _, n := range u.placement {
 		n.held = n.held.Minus(u.spec().Each)
+		s.roomChanged(n)
 	}
 	u.placement = nil
 	s.preempting = slices.DeleteFunc(s.preempting, func(other *unit) bool { return other == u })
--- a/internal/process/pool/preempt.go
+++ b/internal/process/pool/preempt.go
@@ -5,14 +5,16 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
 // victim is a unit that may be preempted, with the cost of preempting it in core-seconds of the lowest priority.
 type victim struct {
 	unit *unit
 	cost float64
+	// density is the cost per core held.
+	density float64
+	// seq orders victims of equal density.
+	seq uint64
 }
 
 const (
@@ -22,6 +24,8 @@
 	maxWeightedPriority = 4
 	// restartDelay is how long a stopped unit waits for its next start: a stop and a scheduling pass.
 	restartDelay = time.Second
+	// failedPlanInterval is the time after which a unit that no preemption would make room for is planned again.
+	failedPlanInterval = 50 * time.Millisecond
 	// coresPerAccelerator is the weight of an accelerator in cores.
 	coresPerAccelerator = 8
 )
@@ -29,8 +33,13 @@
 // preempt stops the cheapest units that must yield to make room for a unit, and reserves their workers for it. It returns
 // false and stops nothing if that would not suffice.
 func (s *State) preempt(u *unit, now time.Time) bool {
+	if now.Before(u.nextPlanAt) {
+		return false
+	}
 	placement, victims := s.preemptionPlan(u, now)
 	if placement == nil {
+		u.nextPlanAt = now.Add(failedPlanInterval)
+		s.retryBy(u.nextPlanAt)
 		return false
 	}
 	for _, v := range victims {
@@ -46,9 +55,12 @@
 	value := s.runTime(u).Seconds() * s.weightedCores(u) * priorityWeight(u.job.Priority)
 	var best []*node
 	var bestVictims []victim
-	bestCost := 0.0
-	consider := func(nodes []*node) {
-		placement, victims := s.preemptionPlanOn(u, nodes, now)
+	bestCost := math.Inf(1)
+	if !u.job.guaranteed {
+		bestCost = math.Nextafter(value, math.Inf(1))
+	}
+	consider := func(group *rack, fastOnly bool) {
+		placement, victims := s.preemptionPlanOn(u, group, now, fastOnly, bestCost)
 		if placement == nil {
 			return
 		}
@@ -56,92 +68,114 @@
 		for _, v := range victims {
 			cost += v.cost
 		}
-		if !u.job.guaranteed && cost > value {
-			return
-		}
-		if best == nil || cost < bestCost {
+		if cost < bestCost {
 			best, bestVictims, bestCost = placement, victims, cost
 		}
 	}
-	for _, group := range s.candidateRacks(u, now) {
-		consider(group.nodes)
-		if slices.ContainsFunc(group.nodes, (*node).slower) {
-			consider(slices.DeleteFunc(slices.Clone(group.nodes), (*node).slower))
+	racks, spread := s.candidateRacks(u, now)
+	if spread {
+		racks = []*rack{s.wholePool}
+	}
+	for _, r := range racks {
+		consider(r, false)
+		if slices.ContainsFunc(r.nodes, (*node).slower) {
+			consider(r, true)
 		}
 	}
 	return best, bestVictims
 }
 
 // preemptionPlanOn looks for a placement on some workers: it adds victims, cheapest first, until the unit fits, and then
-// drops those that turn out not to be needed.
-func (s *State) preemptionPlanOn(u *unit, nodes []*node, now time.Time) ([]*node, []victim) {
-	freed := make(map[*node]ids.Resources)
-	// The resources of runs that are already being stopped will be free soon.
-	for _, n := range nodes {
-		for r := range n.runs {
+// drops those that turn out not to be needed. It gives up if the victims can't cost less than limit.
+func (s *State) preemptionPlanOn(u *unit, group *rack, now time.Time, fastOnly bool, limit float64) ([]*node, []victim) {
+	s.projections++
+	plan := preemptionPlan{state: s, unit: u}
+	for _, n := range group.nodes {
+		if (fastOnly && n.slower()) || !s.eligible(u, n, now) {
+			continue
+		}
+		free := n.free()
+		// The resources of runs that are already being stopped will be free soon.
+		for _, r := range n.runs {
 			if r.phase == runStopping || (r.unit != nil && r.unit.phase == done) {
-				freed[n] = freed[n].Plus(r.resources)
+				free = free.Plus(r.resources)
 			}
 		}
+		n.projectedFree, n.projection = free, s.projections
+		plan.fitting += s.projectedTasks(u, n)
 	}
-	available := func(n *node) ids.Resources { return n.free().Plus(freed[n]) }
-	fits := func() []*node { return s.fill(u, s.candidates(u, nodes, now, available)) }
-	if placement := fits(); placement != nil {
-		return placement, nil
-	}
-	var taken []victim
-	var placement []*node
-	for _, v := range s.victims(u, nodes, now) {
-		addFreed(freed, v.unit, 1)
-		taken = append(taken, v)
-		if placement = fits(); placement != nil {
-			break
+	var needed []victim
+	if plan.fitting < u.count {
+		list := s.victims(u, group.nodes, now)
+		taken := 0
+		for ; plan.fitting < u.count; taken++ {
+			if taken == len(list) {
+				return nil, nil
+			}
+			plan.free(list[taken].unit, 1)
+		}
+		cost := 0.0
+		for _, v := range slices.Backward(list[:taken]) {
+			if plan.free(v.unit, -1); plan.fitting >= u.count {
+				continue
+			}
+			plan.free(v.unit, 1)
+			needed = append(needed, v)
+			if cost += v.cost; cost >= limit {
+				return nil, nil
+			}
 		}
 	}
-	if placement == nil {
-		return nil, nil
-	}
-	var needed []victim
-	for _, v := range slices.Backward(taken) {
-		addFreed(freed, v.unit, -1)
-		if smaller := fits(); smaller != nil {
-			placement = smaller
+	var placeable []candidate
+	for _, n := range group.nodes {
+		if n.projection != s.projections {
 			continue
 		}
-		addFreed(freed, v.unit, 1)
-		needed = append(needed, v)
+		if tasks := s.projectedTasks(u, n); tasks > 0 {
+			placeable = append(placeable, newCandidate(u, n, tasks, n.projectedFree))
+		}
 	}
-	return placement, needed
+	slices.SortStableFunc(placeable, func(a, b candidate) int { return compareCandidates(u, a, b) })
+	return fill(u, placeable), needed
 }
 
-// addFreed adds the resources of a unit's runs to freed, or subtracts them with sign -1.
-func addFreed(freed map[*node]ids.Resources, u *unit, sign int) {
-	for _, r := range u.runs {
-		if r.phase != runGone {
-			freed[r.node] = freed[r.node].Plus(r.resources.Times(sign))
+// preemptionPlan counts the tasks of a unit that fit while the resources of victims are added to its projection.
+type preemptionPlan struct {
+	state   *State
+	unit    *unit
+	fitting int
+}
+
+// free adds the resources of a victim's runs to the projection, or subtracts them with sign -1.
+func (p *preemptionPlan) free(victim *unit, sign int) {
+	for _, r := range victim.runs {
+		if n := r.node; r.phase != runGone && n.projection == p.state.projections {
+			p.fitting -= p.state.projectedTasks(p.unit, n)
+			n.projectedFree = n.projectedFree.Plus(r.resources.Times(sign))
+			p.fitting += p.state.projectedTasks(p.unit, n)
 		}
 	}
 }
 
 // victims returns the units on some workers that may be preempted for a unit, ordered by cost per core held.
 func (s *State) victims(u *unit, nodes []*node, now time.Time) []victim {
-	found := make(map[*unit]bool)
+	list := s.victimList[:0]
 	for _, n := range nodes {
-		for r := range n.runs {
-			if r.unit != nil && s.preemptible(r.unit, u) {
-				found[r.unit] = true
+		if n.projection != s.projections {
+			continue
+		}
+		for _, r := range n.runs {
+			// A gang has runs on several workers.
+			if other := r.unit; other != nil && other.victimOf != s.projections && s.preemptible(other, u) {
+				other.victimOf = s.projections
+				cost := s.preemptionCost(other, now)
+				list = append(list, victim{unit: other, cost: cost, density: cost / s.weightedCores(other), seq: r.seq})
 			}
 		}
 	}
-	list := make([]victim, 0, len(found))
-	for other := range found {
-		list = append(list, victim{unit: other, cost: s.preemptionCost(other, now)})
-	}
+	s.victimList = list
 	slices.SortFunc(list, func(a, b victim) int {
-		return cmp.Or(
-			cmp.Compare(a.cost/s.weightedCores(a.unit), b.cost/s.weightedCores(b.unit)),
-			cmp.Compare(a.unit.job.ID, b.unit.job.ID), cmp.Compare(a.unit.step, b.unit.step), cmp.Compare(a.unit.first, b.unit.first),
-		)
+		return cmp.Or(cmp.Compare(a.density, b.density), cmp.Compare(a.seq, b.seq))
 	})
 	return list
 }
@@ -160,14 +194,17 @@
 // preemptionCost returns the cost of stopping a unit: the work lost, the restart delay, and the unit's whole run time if
 // the job would then miss its objective. Checkpointed work resumes elsewhere.
 func (s *State) preemptionCost(u *unit, now time.Time) float64 {
+	if u.costAt.Equal(now) {
+		return u.cost
+	}
 	lost := s.lostWork(u, now)
 	seconds := (lost + restartDelay).Seconds()
-	runTime := s.runTime(u)
 	due := u.releaseTime().Add(s.objective(u.job))
 	if end := now.Add(s.remaining(u, now)); !end.After(due) && end.Add(lost+restartDelay).After(due) {
-		seconds += runTime.Seconds()
+		seconds += s.runTime(u).Seconds()
 	}
-	return seconds * s.weightedCores(u) * priorityWeight(u.job.Priority)
+	u.costAt, u.cost = now, seconds*s.weightedCores(u)*priorityWeight(u.job.Priority)
+	return u.cost
 }
 
 // lostWork returns the run time that a stop of the unit would lose.
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -86,13 +86,13 @@
 	j.makeUnits()
 	for i, u := range j.units {
 		if u.occurrence < r.Elapsed {
-			u.phase = done
+			u.setPhase(done)
 			j.started = true
 		}
 		if stored, found := r.Units[i]; found {
 			u.failedRuns, u.checkpoint = stored.Failed, stored.Checkpoint
 			if stored.Done {
-				u.phase = done
+				u.setPhase(done)
 			}
 			j.started = true
 		}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -17,7 +17,9 @@
 		return
 	}
 	if !n.reported || !n.silentSince.IsZero() {
+		n.reported = true
 		s.requestPass()
+		s.roomChanged(n)
 		s.invalidateRackFits()
 	}
 	n.silentSince, n.reportedAt = time.Time{}, now
@@ -40,7 +42,7 @@
 		listed[a.Run] = true
 		s.handleActive(n, a, now)
 	}
-	for r := range n.runs {
+	for _, r := range slices.Clone(n.runs) {
 		if listed[r.Run] {
 			continue
 		}
@@ -61,7 +63,6 @@
 			s.runLost(r, "the worker no longer lists the run", now)
 		}
 	}
-	n.reported = true
 	s.markChanged(n)
 	delete(s.unknown, id)
 }
@@ -173,11 +174,11 @@
 	if u.phase == preempting {
 		s.releasePlacement(u)
 	}
-	u.phase = done
+	u.setPhase(done)
 	s.requestPass()
 	s.markDirty(u.job)
-	for _, other := range u.job.units {
-		if other.phase != done {
+	for _, st := range u.job.stages {
+		if !st.done() {
 			return
 		}
 	}
@@ -261,13 +262,12 @@
 func (s *State) handleUnexpected(n *node, a worker.ActiveRun, now time.Time) {
 	j := s.jobs[a.Job]
 	u := j.unitOf(a.Task)
-	r := &run{Run: a.Run, node: n, phase: runActive, reported: true, confirmedAt: now, percent: a.Percent}
+	s.lastRunSeq++
+	r := &run{seq: s.lastRunSeq, Run: a.Run, node: n, phase: runActive, reported: true, confirmedAt: now, percent: a.Percent}
 	if u != nil {
 		r.resources = u.spec().Each
 	}
-	n.runs[r] = true
-	s.markChanged(n)
-	n.used = n.used.Plus(r.resources)
+	s.addRun(r)
 	if u != nil && j.recovered && !j.ended() && s.adopt(u, r, now) {
 		if a.Checkpoint != "" {
 			u.checkpoint = a.Checkpoint
@@ -287,7 +287,7 @@
 	switch {
 	case u.phase == waiting && u.number == 0:
 		u.number = r.Number
-		u.phase = starting
+		u.setPhase(starting)
 		u.startedAt, u.progressedAt = now, now
 		u.adopted = true
 		u.runs = u.runs[:0]
@@ -306,7 +306,7 @@
 	if len(u.runs) < u.count {
 		return true
 	}
-	u.phase = running
+	u.setPhase(running)
 	s.notice(Notice{Kind: "TakenOver", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: r.node.ID, Cause: "found running on its workers"})
 	return true
 }
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -26,21 +26,21 @@
 // startUnit orders the start of a unit, one task on each entry of the placement.
 func (s *State) startUnit(u *unit, placement []*node, now time.Time) {
 	u.number = max(u.number, ids.RunNumber(s.Epoch)*runsPerEpoch) + 1
-	u.phase = starting
+	u.setPhase(starting)
 	u.startedAt, u.progressedAt = now, now
 	u.percent, u.broken, u.adopted = 0, false, false
 	u.remote = s.isRemote(u, placement)
 	u.job.recordRack(u.stepKey(), placement[0].rack)
 	u.runs = u.runs[:0]
 	for i, n := range placement {
+		s.lastRunSeq++
 		r := &run{
+			seq:  s.lastRunSeq,
 			Run:  worker.Run{Task: worker.Task{Job: u.job.ID, Occurrence: u.occurrence, Step: u.step, Index: u.first + i}, Number: u.number},
 			unit: u, node: n, resources: u.spec().Each,
 		}
 		u.runs = append(u.runs, r)
-		n.runs[r] = true
-		s.markChanged(n)
-		n.used = n.used.Plus(r.resources)
+		s.addRun(r)
 		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint})
 	}
 	s.fairQueue.advance(u.job)
@@ -75,7 +75,7 @@
 
 // findRun returns a worker's run, or nil.
 func (n *node) findRun(ref worker.Run) *run {
-	for r := range n.runs {
+	for _, r := range n.runs {
 		if r.Run == ref {
 			return r
 		}
@@ -110,7 +110,7 @@
 			return
 		}
 	}
-	u.phase = running
+	u.setPhase(running)
 	u.startedAt, u.progressedAt = now, now
 	if u.checkpoint == "" {
 		u.resetRates(now)
@@ -162,9 +162,9 @@
 	switch u.phase {
 	case preempting:
 		s.releasePlacement(u)
-		u.phase = waiting
+		u.setPhase(waiting)
 	case starting, running:
-		u.phase = stopping
+		u.setPhase(stopping)
 		s.notice(Notice{
 			Kind: "Stopped", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Cause: cause, After: now.Sub(u.job.Submitted),
 			Lost: s.lostWork(u, now).Seconds() * s.weightedCores(u),
@@ -188,14 +188,24 @@
 	s.actions = append(s.actions, Action{Kind: StopRun, Worker: r.node.ID, Run: r.Run})
 }
 
+// addRun adds a run to its worker, whose resources it holds.
+func (s *State) addRun(r *run) {
+	n := r.node
+	n.runs = append(n.runs, r)
+	n.used = n.used.Plus(r.resources)
+	s.markChanged(n)
+	s.roomChanged(n)
+}
+
 // removeRun removes a run from its worker and releases its resources.
 func (s *State) removeRun(r *run) {
 	if r.phase == runGone {
 		return
 	}
 	r.phase = runGone
-	delete(r.node.runs, r)
+	r.node.runs = slices.DeleteFunc(r.node.runs, func(other *run) bool { return other == r })
 	s.markChanged(r.node)
+	s.roomChanged(r.node)
 	r.node.used = r.node.used.Minus(r.resources)
 	if r.staleOf != nil {
 		r.staleOf.staleRuns--
@@ -228,7 +238,7 @@
 		}
 	}
 	u.runs = u.runs[:0]
-	u.phase = waiting
+	u.setPhase(waiting)
 	s.requestPass()
 }
 
@@ -258,6 +268,7 @@
 	n.quarantineTime = min(maxQuarantine, max(minQuarantine, 2*n.quarantineTime))
 	n.quarantinedUntil = now.Add(n.quarantineTime)
 	s.suspects[n] = true
+	s.roomChanged(n)
 	s.invalidateRackFits()
 	// One more failure after the quarantine starts the next one.
 	n.failures = failuresToQuarantine - 1
--- a/internal/process/pool/simulator_test.go
+++ b/internal/process/pool/simulator_test.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -33,15 +35,37 @@
 		hanging map[ids.InstanceID]bool
 		// slowdown returns how many times as long a worker's tasks take, by the worker's number; nil means 1 for all.
 		slowdown func(worker int) float64
-		active   map[ids.InstanceID]map[worker.Run]time.Time
+		active   map[ids.InstanceID]map[worker.Run]simRun
 		refused  int
 		// poison jobs fail halfway.
 		poison map[ids.JobID]bool
+		// list is the instance list; nil means that it doesn't change.
+		list []Worker
+		// lostWork is the work in core-seconds of runs that ended without a result or a checkpoint.
+		lostWork float64
+		// starts and stops count the units that were started and stopped.
+		starts, stops int
+		// spent is the time spent in the calls of each kind, and decisions is the time of each call of Decide; measured is
+		// set if they are recorded.
+		measured  bool
+		spent     map[string]time.Duration
+		decisions []time.Duration
 	}
 
+	// simRun is a run that is active on a worker.
+	simRun struct {
+		since time.Time
+		// from is the progress from which the run resumed, and whole is how long the whole task takes at this placement.
+		from  float64
+		whole time.Duration
+		unit  *unit
+	}
+
+	// simGang identifies a start of a gang or of a single task, by the index of its first task.
 	simGang struct {
-		job    ids.JobID
-		number ids.RunNumber
+		job         ids.JobID
+		step, first int
+		number      ids.RunNumber
 	}
 
 	simEvent struct {
@@ -53,8 +77,12 @@
 	simEvents []simEvent
 )
 
-// simStopTime is how long a stopped run takes to end.
-const simStopTime = 200 * time.Millisecond
+const (
+	// simStopTime is how long a stopped run takes to end.
+	simStopTime = 200 * time.Millisecond
+	// simCheckpointInterval is the work after which a task saves a checkpoint.
+	simCheckpointInterval = 500 * time.Millisecond
+)
 
 func (e simEvents) Len() int { return len(e) }
 func (e simEvents) Less(i, j int) bool {
@@ -79,7 +107,7 @@
 		runTimes: make(map[ids.JobID]time.Duration), startedAt: make(map[ids.JobID]time.Time), finishedAt: make(map[ids.JobID]time.Time),
 		startedMembers: make(map[simGang]int), endedGangs: make(map[simGang]bool), hanging: make(map[ids.InstanceID]bool),
 		poison: make(map[ids.JobID]bool),
-		active: make(map[ids.InstanceID]map[worker.Run]time.Time),
+		active: make(map[ids.InstanceID]map[worker.Run]simRun), spent: make(map[string]time.Duration),
 	}
 	s.SetAccounts(map[ids.AccountID]Account{"account": {Guaranteed: 64}})
 	return s
@@ -114,29 +142,92 @@
 	s.submit(submission{job: j, runTime: runTime}, 0)
 }
 
+// measure runs a call of the state and records the time that it takes.
+func (s *sim) measure(kind string, call func()) {
+	if !s.measured {
+		call()
+		return
+	}
+	began := time.Now()
+	call()
+	took := time.Since(began)
+	s.spent[kind] += took
+	if kind == "Decide" {
+		s.decisions = append(s.decisions, took)
+	}
+}
+
 func (s *sim) decide() {
-	actions, _ := s.Decide(s.now)
+	var actions []Action
+	var notices []Notice
+	s.measure("Decide", func() { actions, notices = s.Decide(s.now) })
+	for _, n := range notices {
+		switch n.Kind {
+		case "Placed":
+			s.starts++
+		case "Stopped":
+			s.stops++
+		}
+	}
 	for _, a := range actions {
 		if a.Kind == StopRun {
 			s.at(simStopTime, func() { s.finish(a.Worker, a.Run, worker.EndStopped) })
 			continue
 		}
 		if s.active[a.Worker] == nil {
-			s.active[a.Worker] = make(map[worker.Run]time.Time)
+			s.active[a.Worker] = make(map[worker.Run]simRun)
 		}
-		s.active[a.Worker][a.Run] = s.now
-		s.RunStarted(a.Worker, a.Run, s.now)
+		u := s.jobs[a.Run.Job].unitOf(a.Run.Task)
+		s.active[a.Worker][a.Run] = simRun{
+			since: s.now, from: simProgress(a.Checkpoint), unit: u,
+			whole: time.Duration(s.slowdownOf(a.Worker) * s.remoteFactor(u) * float64(s.runTimes[a.Run.Job])),
+		}
+		s.measure("RunStarted", func() { s.RunStarted(a.Worker, a.Run, s.now) })
 		if s.startedAt[a.Run.Job].IsZero() {
 			s.startedAt[a.Run.Job] = s.now
 		}
-		s.startWork(a)
+		s.startWork(a, u)
+	}
+}
+
+// simProgress returns the progress that a checkpoint saves.
+func simProgress(checkpoint string) float64 {
+	if checkpoint == "" {
+		return 0
+	}
+	progress, err := strconv.ParseFloat(checkpoint, 64)
+	if err != nil {
+		panic(err)
 	}
+	return progress
+}
+
+// remoteFactor returns how many times as long a gang takes that should be in one rack and is not.
+func (s *sim) remoteFactor(u *unit) float64 {
+	for _, r := range u.runs {
+		if u.spec().SameRack && r.node.Rack != u.runs[0].node.Rack {
+			return s.Times.RemoteSlowdown
+		}
+	}
+	return 1
+}
+
+// progress returns the progress of a run, and saved the part of it that a checkpoint saves.
+func (r simRun) progress(now time.Time) float64 {
+	return min(1, r.from+now.Sub(r.since).Seconds()/r.whole.Seconds())
+}
+
+func (r simRun) saved(now time.Time) float64 {
+	if !r.unit.spec().Checkpoints {
+		return 0
+	}
+	interval := simCheckpointInterval.Seconds() / r.whole.Seconds()
+	return max(r.from, math.Floor(r.progress(now)/interval)*interval)
 }
 
 // startWork starts the work of a gang once all its members have started.
-func (s *sim) startWork(a Action) {
-	u := s.jobs[a.Run.Job].unitOf(a.Run.Task)
-	key := simGang{a.Run.Job, a.Run.Number}
+func (s *sim) startWork(a Action, u *unit) {
+	key := gangOf(u)
 	s.startedMembers[key]++
 	if s.startedMembers[key] < u.count {
 		return
@@ -147,12 +238,12 @@
 		}
 	}
 	var members []Action
-	slowest := 1.0
+	runTime := time.Duration(0)
 	for _, r := range u.runs {
 		members = append(members, Action{Worker: r.node.ID, Run: r.Run})
-		slowest = max(slowest, s.slowdownOf(r.node.ID))
+		run := s.active[r.node.ID][r.Run]
+		runTime = max(runTime, time.Duration((1-run.from)*float64(run.whole)))
 	}
-	runTime := time.Duration(slowest * float64(s.runTimes[a.Run.Job]))
 	if s.poison[a.Run.Job] {
 		s.at(runTime/2, func() {
 			if s.endedGangs[key] {
@@ -203,18 +294,66 @@
 
 // finish ends a run that is still active.
 func (s *sim) finish(id ids.InstanceID, r worker.Run, how worker.EndReason) {
-	if _, found := s.active[id][r]; !found {
+	run, found := s.active[id][r]
+	if !found {
 		return
 	}
 	delete(s.active[id], r)
-	s.endedGangs[simGang{r.Job, r.Number}] = true
+	s.endedGangs[gangOf(run.unit)] = true
+	e := worker.EndedRun{Run: r, Reason: how}
+	if how != worker.EndDone {
+		saved := run.saved(s.now)
+		if how == worker.EndStopped && run.unit.spec().Checkpoints {
+			saved = run.progress(s.now)
+		}
+		if saved > 0 {
+			e.Checkpoint = strconv.FormatFloat(saved, 'f', -1, 64)
+		}
+		s.recordLostWork(run, saved)
+	}
 	s.lastEnd[id]++
-	s.report(id, []worker.EndedRun{{Run: r, Number: s.lastEnd[id], Reason: how}})
+	e.Number = s.lastEnd[id]
+	s.report(id, []worker.EndedRun{e})
 	if j := s.jobs[r.Job]; j != nil && j.State == Completed && s.finishedAt[r.Job].IsZero() {
 		s.finishedAt[r.Job] = s.now
 	}
 }
 
+// recordLostWork adds the work of a run that is not saved.
+func (s *sim) recordLostWork(r simRun, saved float64) {
+	each := r.unit.spec().Each
+	cores := float64(each.Cores)/1000 + coresPerAccelerator*float64(each.Accelerators)
+	s.lostWork += max(0, r.progress(s.now)-saved) * r.whole.Seconds() * cores
+}
+
+// gangOf identifies the current run of a unit.
+func gangOf(u *unit) simGang { return simGang{u.job.ID, u.step, u.first, u.number} }
+
+// drain announces that a worker leaves after a notice, and takes it away then, with all that runs on it.
+func (s *sim) drain(id ids.InstanceID, notice time.Duration) {
+	at := slices.IndexFunc(s.list, func(w Worker) bool { return w.ID == id })
+	s.list[at].Draining = true
+	s.SetWorkers(s.list)
+	s.at(notice, func() {
+		s.list = slices.DeleteFunc(slices.Clone(s.list), func(w Worker) bool { return w.ID == id })
+		gone := s.active[id]
+		delete(s.active, id)
+		s.MarkDead(id, "its process has ended", s.now)
+		for r, run := range gone {
+			s.recordLostWork(run, run.saved(s.now))
+			u := run.unit
+			if s.endedGangs[gangOf(u)] || u.number != r.Number {
+				continue
+			}
+			s.endedGangs[gangOf(u)] = true
+			for _, other := range slices.Clone(u.runs) {
+				s.finish(other.node.ID, other.Run, worker.EndGangMemberLost)
+			}
+		}
+		s.SetWorkers(s.list)
+	})
+}
+
 func (s *sim) slowdownOf(id ids.InstanceID) float64 {
 	if s.slowdown == nil {
 		return 1
@@ -228,15 +367,18 @@
 
 func (s *sim) report(id ids.InstanceID, ended []worker.EndedRun) {
 	report := worker.RunReport{Incarnation: 1, Ended: ended}
-	for r, since := range s.active[id] {
-		percent := 0
+	for r, run := range s.active[id] {
+		a := worker.ActiveRun{Run: r}
 		if !s.hanging[id] {
-			percent = int(min(100, 100*s.now.Sub(since).Seconds()/s.runTimes[r.Job].Seconds()/s.slowdownOf(id)))
+			a.Percent = int(100 * run.progress(s.now))
+		}
+		if saved := run.saved(s.now); saved > 0 {
+			a.Checkpoint = strconv.FormatFloat(saved, 'f', -1, 64)
 		}
-		report.Active = append(report.Active, worker.ActiveRun{Run: r, Percent: percent})
+		report.Active = append(report.Active, a)
 	}
-	slices.SortFunc(report.Active, func(a, b worker.ActiveRun) int { return cmp.Compare(fmt.Sprint(a.Run), fmt.Sprint(b.Run)) })
-	s.Reported(id, report, s.now, s.now)
+	slices.SortFunc(report.Active, func(a, b worker.ActiveRun) int { return cmp.Compare(a.Run.String(), b.Run.String()) })
+	s.measure("Reported", func() { s.Reported(id, report, s.now, s.now) })
 }
 
 // Bulk gangs at twice the capacity, and urgent guaranteed gangs onto full racks: the urgent ones start within the time limit.
--- a/internal/process/pool/slowdown.go
+++ b/internal/process/pool/slowdown.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math"
 	"time"
-
-	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
 const (
@@ -80,13 +78,14 @@
 	} else {
 		// No other member to compare with, so compare with the queue's estimate.
 		fastest = 100 / s.placedRunTime(u).Seconds()
-		bound = max(bound, outlierDeviations*s.estimates[u.job.Queue].deviation())
+		bound = max(bound, outlierDeviations*s.learnedFor(u.job).deviation())
 	}
 	// A lower bound that holds despite truncation applies at once, even to a worker without any progress.
 	if minLogSlowdown := math.Log(fastest * elapsed.Seconds() / (progress + 0.5)); minLogSlowdown >= bound {
 		r.node.setLogSlowdown(max(r.node.logSlowdown, minLogSlowdown))
 	}
 	if isSlower := r.node.slower(); isSlower != wasSlower {
+		s.roomChanged(r.node)
 		s.notice(Notice{
 			Kind: "WorkerPace", Worker: r.node.ID, Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count,
 			Cause: fmt.Sprintf("tasks take %.2f times as long as on the fast workers", r.node.slowdown()),
@@ -129,13 +128,3 @@
 	}
 	return largest
 }
-
-// withoutSlower wraps available so that it returns no resources for slower workers.
-func withoutSlower(available func(n *node) ids.Resources) func(n *node) ids.Resources {
-	return func(n *node) ids.Resources {
-		if n.slower() {
-			return ids.Resources{}
-		}
-		return available(n)
-	}
-}
--- a/internal/process/pool/slowdown_test.go
+++ b/internal/process/pool/slowdown_test.go
@@ -94,7 +94,7 @@
 	}
 	now := testStart.Add(3 * time.Second)
 	require.Equal(t, stopping, j.units[0].phase)
-	require.False(t, s.nodes["w0001"].schedulable(now))
+	require.False(t, s.nodes["w0001"].schedulable())
 	for id, list := range runs {
 		s.Reported(id, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: list[0], Number: 1, Reason: worker.EndStopped}}}, now, now)
 	}
@@ -105,7 +105,7 @@
 	// After the quarantine, the worker counts as slower until its progress shows otherwise.
 	now = now.Add(minQuarantine)
 	s.Decide(now)
-	require.True(t, s.nodes["w0001"].schedulable(now))
+	require.True(t, s.nodes["w0001"].schedulable())
 	require.True(t, s.nodes["w0001"].slower())
 }
 
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -28,11 +28,30 @@
 		accounts map[ids.AccountID]Account
 		nodes    map[ids.InstanceID]*node
 		racks    []*rack
+		// racksByID holds the racks by id.
+		racksByID map[ids.RackID]*rack
+		// fittingRacks, candidateList and victimList are buffers of bestPlacement, candidates and victims.
+		fittingRacks  []*rack
+		candidateList []candidate
+		victimList    []victim
 		// wholePool is a pseudo-rack with all workers.
 		wholePool *rack
 		// total is the sum of all workers' resources.
 		total ids.Resources
-		// projections counts the calls of earliestFitOn; see node.projection.
+		// rooms caches the room for tasks of each shape. It is replaced, and roomsVersion incremented, when the racks change.
+		rooms        map[taskShape]*room
+		roomsVersion uint64
+		// roomChanges counts the changes of any worker's room; see rack.changedAt.
+		roomChanges uint64
+		// reserved holds the reservations for waiting gangs.
+		reserved reservations
+		// preemptingCheckedAt is when the units in phase preempting were last checked, and preemptingChanges is the value of
+		// roomChanges then.
+		preemptingCheckedAt time.Time
+		preemptingChanges   uint64
+		// lastRunSeq is the sequence number of the latest run.
+		lastRunSeq uint64
+		// projections counts the projections of workers' free resources; see node.projection.
 		projections uint64
 		jobs        map[ids.JobID]*Job
 		// live holds the jobs that have not ended, ordered by priority, start tag and submission time.
@@ -147,6 +166,7 @@
 	s.suspects = make(map[*node]bool)
 	s.unknown = make(map[ids.InstanceID]time.Time)
 	s.estimates = make(map[ids.QueueID]*RunTimes)
+	s.rooms = make(map[taskShape]*room)
 	s.Times.Stop = cmp.Or(s.Times.Stop, 400*time.Millisecond)
 	s.Times.GuaranteedStart = cmp.Or(s.Times.GuaranteedStart, 2900*time.Millisecond)
 	s.Times.Restore = cmp.Or(s.Times.Restore, 100*time.Millisecond)
@@ -338,7 +358,7 @@
 		c.Runs += len(n.runs)
 		c.Accelerators += n.Total.Accelerators
 		c.UsedAccelerators += n.used.Accelerators
-		if n.schedulable(now) {
+		if n.schedulable() {
 			c.Open++
 		}
 		if n.slower() {
@@ -346,10 +366,8 @@
 		}
 	}
 	for _, j := range s.live {
-		for _, u := range j.units {
-			if u.phase == waiting {
-				c.WaitingUnits++
-			}
+		for _, st := range j.stages {
+			c.WaitingUnits += st.inPhase[waiting]
 		}
 	}
 	return c
@@ -360,8 +378,8 @@
 	var b strings.Builder
 	for _, n := range s.sortedNodes() {
 		fmt.Fprintf(&b, "worker %s schedulable %t listed %t reported %t silent %t draining %t used %v held %v runs %d\n",
-			n.ID, n.schedulable(now), n.listed, n.reported, !n.silentSince.IsZero(), n.Draining, n.used, n.held, len(n.runs))
-		for r := range n.runs {
+			n.ID, n.schedulable(), n.listed, n.reported, !n.silentSince.IsZero(), n.Draining, n.used, n.held, len(n.runs))
+		for _, r := range n.runs {
 			fmt.Fprintf(&b, "  run %s %d phase %d reported %t confirmed %t\n", r.Task, r.Number, r.phase, r.reported, !r.confirmedAt.IsZero())
 		}
 	}
