Stop fewer runs: wait for those about to end, keep immovable tasks together

Change: a preemption plan counts runs past half of their work that are expected to end within a stop's time as free, and stops them after that time if they go on; the restart delay is that of a stop; single tasks without checkpoints share workers.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -138,20 +138,41 @@
 		return
 	}
 	for _, u := range slices.Clone(s.preempting) {
-		if !placementSchedulable(u) || now.Sub(u.preemptingSince) > preemptionTimeout {
+		if placementSchedulable(u) && placementFree(u) {
+			placement := u.placement
 			s.releasePlacement(u)
-			u.setPhase(waiting)
+			s.startUnit(u, placement, now)
 			continue
 		}
-		if placementFree(u) {
-			placement := u.placement
+		limit := preemptionTimeout
+		if !s.allStopping(u) {
+			// A run that was expected to end by itself has not.
+			limit = s.Times.Stop
+		}
+		if !placementSchedulable(u) || now.Sub(u.preemptingSince) > limit {
 			s.releasePlacement(u)
-			s.startUnit(u, placement, now)
+			u.setPhase(waiting)
 		}
 	}
 	s.preemptingChanges, s.preemptingCheckedAt = s.roomChanges, now
 }
 
+// allStopping reports whether the runs that block a unit's reserved workers are all being stopped.
+func (s *State) allStopping(u *unit) bool {
+	for _, n := range u.placement {
+		stopped := ids.Resources{}
+		for _, r := range n.runs {
+			if s.endsSoon(r) {
+				stopped = stopped.Plus(r.resources)
+			}
+		}
+		if !n.Total.Minus(n.used).Plus(stopped).Contains(n.held) {
+			return false
+		}
+	}
+	return true
+}
+
 func placementSchedulable(u *unit) bool {
 	for _, n := range u.placement {
 		if !n.schedulable() {
--- a/internal/process/pool/fleet_test.go
+++ b/internal/process/pool/fleet_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -34,6 +36,9 @@
 	}
 )
 
+// fleetWorker is the size of each worker.
+var fleetWorker = ids.Resources{Accelerators: 8, Cores: 64000, Memory: 262144}
+
 // largeFleet has the size and the load of a pool of several hundred workers on a day of high demand.
 var largeFleet = fleet{
 	racks: 45, perRack: 12, accounts: 24, perSecond: 26.6, length: 34 * time.Second,
@@ -67,25 +72,29 @@
 			list = append(list, submission{submitAt: at, job: j, runTime: runTime})
 		}
 	}
-	accelerators := func() ids.Accelerators { return []ids.Accelerators{1, 2, 4, 8, 8}[random.IntN(5)] }
 	estimate := func(d time.Duration, off float64) time.Duration {
 		return time.Duration(float64(d) * math.Exp(off*random.NormFloat64()))
 	}
+	// gang returns a gang of the given mean width. One that is too wide for a rack has no need to be in one rack.
+	gang := func(mean, limit float64, each ids.Resources, sameRack float64, e time.Duration) Step {
+		each.Accelerators = []ids.Accelerators{1, 2, 4, 8, 8}[random.IntN(5)]
+		step := Step{Tasks: max(1, int(lognormal(random, mean, 0.8, limit))), Each: each, Estimate: e, Gang: true}
+		perWorker := fleetWorker.Copies(each, step.Tasks)
+		step.SameRack = random.Float64() < sameRack && step.Tasks <= perWorker*f.perRack
+		return step
+	}
 	const urgent, wide, single = 17.2, 4.29, 2.7
 	perUnit := f.perSecond / (urgent + wide + single)
 	add("urgent", urgent*perUnit, func(id ids.JobID) (*Job, time.Duration) {
 		actual := time.Duration(lognormal(random, 2500, 0.5, 8000)) * time.Millisecond
-		return &Job{ID: id, Queue: "urgent", Priority: 0, MaxAttempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond, Steps: []Step{{
-			Tasks: max(1, int(lognormal(random, 5.3, 0.8, 32))), Each: ids.Resources{Accelerators: accelerators(), Cores: 7500, Memory: 22000},
-			Estimate: estimate(actual, 0.2), Gang: true, SameRack: random.Float64() < 0.8,
-		}}}, actual
+		step := gang(5.3, 32, ids.Resources{Cores: 7500, Memory: 22000}, 0.8, estimate(actual, 0.2))
+		return &Job{ID: id, Queue: "urgent", Priority: 0, MaxAttempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond, Steps: []Step{step}}, actual
 	})
 	add("wide", wide*perUnit, func(id ids.JobID) (*Job, time.Duration) {
 		actual := time.Duration(lognormal(random, 6800, 0.3, 11000)) * time.Millisecond
-		return &Job{ID: id, Queue: "wide", Priority: 1, MaxAttempts: 4, Stretch: 3, Target: time.Second, Steps: []Step{{
-			Tasks: max(1, int(lognormal(random, 13, 0.8, 76))), Each: ids.Resources{Accelerators: accelerators(), Cores: 26000, Memory: 140000},
-			Estimate: estimate(actual, 0.5), Gang: true, SameRack: random.Float64() < 0.6, Checkpoints: random.Float64() < 0.45,
-		}}}, actual
+		step := gang(13, 76, ids.Resources{Cores: 26000, Memory: 140000}, 0.6, estimate(actual, 0.5))
+		step.Checkpoints = random.Float64() < 0.45
+		return &Job{ID: id, Queue: "wide", Priority: 1, MaxAttempts: 4, Stretch: 3, Target: time.Second, Steps: []Step{step}}, actual
 	})
 	add("single", single*perUnit, func(id ids.JobID) (*Job, time.Duration) {
 		actual := time.Duration(lognormal(random, 9500, 0.3, 11000)) * time.Millisecond
@@ -104,16 +113,13 @@
 	return list
 }
 
-// play runs the load of a seed for the length of the load and an additional time.
-func (f fleet) play(seed uint64, after time.Duration, measured bool) ([]submission, *sim) {
-	random := rand.New(rand.NewPCG(seed, 3))
-	submissions := f.submissions(random)
+// start returns a simulator of the fleet, whose workers leave as planned.
+func (f fleet) start(seed uint64) *sim {
 	s := newSim(0, f.perRack, seed)
-	s.measured = measured
 	for i := range f.racks * f.perRack {
 		s.list = append(s.list, Worker{
 			ID: ids.InstanceID(fmt.Sprintf("w%04d", i)), Service: "service", Rack: ids.RackID(fmt.Sprintf("r%03d", i/f.perRack)),
-			Total: ids.Resources{Accelerators: 8, Cores: 64000, Memory: 262144}, Incarnation: 1,
+			Total: fleetWorker, Incarnation: 1,
 		})
 	}
 	s.SetWorkers(s.list)
@@ -126,16 +132,24 @@
 		accounts[ids.AccountID(fmt.Sprintf("account%02d", i))] = Account{Guaranteed: ids.Accelerators(0.62 * float64(8*f.racks*f.perRack) / float64(f.accounts))}
 	}
 	s.SetAccounts(accounts)
-	for _, o := range submissions {
-		s.at(o.submitAt, func() { s.submit(o, clientRetries) })
-	}
 	if f.leaving > 0 {
 		s.at(f.leaveAt, func() {
-			for _, i := range random.Perm(len(s.list))[:int(f.leaving*float64(len(s.list)))] {
+			for _, i := range s.random.Perm(len(s.list))[:int(f.leaving*float64(len(s.list)))] {
 				s.drain(ids.InstanceID(fmt.Sprintf("w%04d", i)), f.notice)
 			}
 		})
 	}
+	return s
+}
+
+// play runs the load of a seed for the length of the load and an additional time.
+func (f fleet) play(seed uint64, after time.Duration, measured bool) ([]submission, *sim) {
+	s := f.start(seed)
+	s.measured = measured
+	submissions := f.submissions(rand.New(rand.NewPCG(seed, 3)))
+	for _, o := range submissions {
+		s.at(o.submitAt, func() { s.submit(o, clientRetries) })
+	}
 	s.playFor(f.length + after)
 	return submissions, s
 }
@@ -168,3 +182,51 @@
 		b.ReportMetric(0, "ns/op")
 	}
 }
+
+// checkRooms compares the cached counts of room with counts of all workers.
+func (s *sim) checkRooms(t *testing.T) {
+	for shape, cached := range s.rooms {
+		cached.count(s.State)
+		fresh := &room{shape: shape, byRack: make([]rackRoom, len(s.racks))}
+		fresh.count(s.State)
+		require.Equal(t, fresh, cached, "%v after %v", shape, s.now.Sub(testStart))
+	}
+	for _, n := range s.nodes {
+		used, pinned := ids.Resources{}, 0
+		for _, r := range n.runs {
+			used = used.Plus(r.resources)
+			if r.pinned {
+				pinned++
+			}
+		}
+		require.Equal(t, used, n.used, n.ID)
+		require.Equal(t, pinned, n.pinned, n.ID)
+	}
+	for _, j := range s.live {
+		for _, st := range j.stages {
+			inPhase := [phaseCount]int{}
+			for _, u := range st.units {
+				inPhase[u.phase]++
+			}
+			require.Equal(t, inPhase, st.inPhase, j.ID)
+		}
+	}
+}
+
+// A fleet with bursts, preemption, stragglers and workers that leave: what is counted incrementally stays equal to a count of
+// everything, also after an owner has taken over.
+func TestPatternFleetCounts(t *testing.T) {
+	f := largeFleet
+	f.racks, f.perSecond, f.length = 6, 4, 20*time.Second
+	for seed := range uint64(3) {
+		s := f.start(seed)
+		for _, o := range f.submissions(s.random) {
+			s.at(o.submitAt, func() { s.submit(o, clientRetries) })
+		}
+		for range 250 {
+			s.at(time.Duration(s.random.Int64N(int64(30*time.Second))), func() { s.checkRooms(t) })
+		}
+		s.playFor(30 * time.Second)
+		require.Positive(t, s.stops, "seed %d: nothing was stopped", seed)
+	}
+}
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -118,6 +118,8 @@
 		// fitsRack caches the result of fitsOneRack; it is valid while fitsRackVersion equals State.rackFitsVersion.
 		fitsRack        bool
 		fitsRackVersion uint64
+		// impatient is set once a preemption plan was made for the unit: the next one relies on no run that ends by itself.
+		impatient bool
 		// nextPlanAt is the earliest time at which a further preemption plan is made after one that failed.
 		nextPlanAt time.Time
 		// costAt is the time of the cached preemptionCost, and endAt that of the cached expected end.
@@ -163,6 +165,8 @@
 		phase     runPhase
 		// reported is set once the worker has confirmed or listed the run. Until then the run may still be started.
 		reported bool
+		// pinned is set if the run is a single task without checkpoints, which a stop sets back to its start.
+		pinned bool
 		// startUnanswered is set if a start order got no answer. The worker may still carry it out, even after a restart.
 		startUnanswered bool
 		// confirmedAt is when the worker confirmed the start, or in phase runStopping the stop.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -42,6 +42,8 @@
 		// held is the sum of the resources reserved here for units in phase preempting.
 		held ids.Resources
 		runs []*run
+		// pinned counts the runs of single tasks without checkpoints.
+		pinned int
 		// failures counts consecutive failures of different jobs.
 		failures         int
 		lastFailedJob    ids.JobID
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -207,6 +207,10 @@
 		}
 		return 1
 	}
+	if u.count == 1 && u.job.Priority > 0 && !u.spec().Checkpoints && a.node.pinned != b.node.pinned {
+		// Tasks that can't be moved without losing work share workers, so that they block few of the others for gangs.
+		return cmp.Compare(b.node.pinned, a.node.pinned)
+	}
 	return cmp.Or(cmp.Compare(a.leftover, b.leftover), cmp.Compare(b.tasks, a.tasks))
 }
 
--- a/internal/process/pool/preempt.go
+++ b/internal/process/pool/preempt.go
@@ -22,8 +22,11 @@
 	weightPerPriority = 3.0
 	// maxWeightedPriority is the priority with weight 1; lower priorities share that weight.
 	maxWeightedPriority = 4
-	// restartDelay is how long a stopped unit waits for its next start: a stop and a scheduling pass.
-	restartDelay = time.Second
+	// restartDelay is the time that a stopped unit loses in addition to its work: a stop and a scheduling pass. Other units
+	// use the workers meanwhile.
+	restartDelay = 200 * time.Millisecond
+	// reliablePercent is the progress from which the expected end of a unit is certain enough to wait for it.
+	reliablePercent = 50
 	// failedPlanInterval is the time after which a unit that no preemption would make room for is planned again.
 	failedPlanInterval = 50 * time.Millisecond
 	// coresPerAccelerator is the weight of an accelerator in cores.
@@ -46,6 +49,7 @@
 		s.stopUnit(v.unit, "preempted by urgent job "+string(u.job.ID), now)
 	}
 	s.holdPlacement(u, placement, now)
+	u.impatient = true
 	return true
 }
 
@@ -95,9 +99,8 @@
 			continue
 		}
 		free := n.free()
-		// The resources of runs that are already being stopped will be free soon.
 		for _, r := range n.runs {
-			if r.phase == runStopping || (r.unit != nil && r.unit.phase == done) {
+			if s.endsSoon(r) || (!u.impatient && s.needsNoStop(r, now)) {
 				free = free.Plus(r.resources)
 			}
 		}
@@ -139,6 +142,17 @@
 	return fill(u, placeable), needed
 }
 
+// endsSoon reports whether a run is being stopped, or its unit is done.
+func (s *State) endsSoon(r *run) bool {
+	return r.phase == runStopping || (r.unit != nil && r.unit.phase == done)
+}
+
+// needsNoStop reports whether a run is expected to end no later than a stop would end it.
+func (s *State) needsNoStop(r *run, now time.Time) bool {
+	u := r.unit
+	return u != nil && u.phase == running && u.percent >= reliablePercent && !s.expectedEnd(u, now).After(now.Add(s.expectedStopTime()))
+}
+
 // preemptionPlan counts the tasks of a unit that fit while the resources of victims are added to its projection.
 type preemptionPlan struct {
 	state   *State
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -302,6 +302,7 @@
 	u.job.started = true
 	u.runs = append(u.runs, r)
 	r.unit = u
+	r.pin()
 	u.job.recordRack(u.stepKey(), r.node.rack)
 	if len(u.runs) < u.count {
 		return true
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -41,8 +41,10 @@
 		}
 		u.runs = append(u.runs, r)
 		s.addRun(r)
+		r.pin()
 		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint})
 	}
+	u.impatient = false
 	s.fairQueue.advance(u.job)
 	first := !u.job.started
 	u.job.started = true
@@ -197,6 +199,14 @@
 	s.roomChanged(n)
 }
 
+// pin counts a run among its worker's pinned runs if it is a single task without checkpoints.
+func (r *run) pin() {
+	if r.unit.count == 1 && !r.unit.spec().Checkpoints {
+		r.pinned = true
+		r.node.pinned++
+	}
+}
+
 // removeRun removes a run from its worker and releases its resources.
 func (s *State) removeRun(r *run) {
 	if r.phase == runGone {
@@ -207,6 +217,9 @@
 	s.markChanged(r.node)
 	s.roomChanged(r.node)
 	r.node.used = r.node.used.Minus(r.resources)
+	if r.pinned {
+		r.node.pinned--
+	}
 	if r.staleOf != nil {
 		r.staleOf.staleRuns--
 	}
