Find stragglers by the median of their gang, not its fastest member

A gang of 30 tasks was stopped 11 times in a row, a second after each start, for another worker each time. A member was compared with the fastest of its gang, whose lead grows with the gang's width and with uneven work, and the fastest one's rate was scaled by its own estimated slowdown, so that the estimates rose from gang to gang (1.26 to 2.01 on one worker within 50 s).

Change: a member is compared with the median of the others, whose slowdowns count with an exponent of 0.5; a unit that has left a straggler must gain more to leave another. The simulator's tasks differ in work.

--- a/internal/process/pool/fleet_test.go
+++ b/internal/process/pool/fleet_test.go
@@ -126,7 +126,7 @@
 	for _, n := range s.nodes {
 		n.reported = true
 	}
-	s.slowdown = func(worker int) float64 { return []float64{1, 1, 1.3}[worker%3] }
+	s.slowdown, s.uneven = func(worker int) float64 { return []float64{1, 1, 1.3}[worker%3] }, 0.15
 	accounts := make(map[ids.AccountID]Account)
 	for i := range f.accounts {
 		accounts[ids.AccountID(fmt.Sprintf("account%02d", i))] = Account{Guaranteed: ids.Accelerators(0.62 * float64(8*f.racks*f.perRack) / float64(f.accounts))}
@@ -174,6 +174,7 @@
 		b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/1e6, "MB")
 		b.ReportMetric(float64(s.starts), "starts")
 		b.ReportMetric(float64(s.stops), "stops")
+		b.ReportMetric(float64(s.slowStops), "slow-stops")
 		b.ReportMetric(s.lostWork, "lost-core-s")
 		for _, kind := range []ids.QueueID{"urgent", "wide", "single"} {
 			some := slices.DeleteFunc(slices.Clone(submissions), func(o submission) bool { return o.job.Queue != kind })
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -120,6 +120,8 @@
 		fitsRackVersion uint64
 		// impatient is set once a preemption plan was made for the unit: the next one relies on no run that ends by itself.
 		impatient bool
+		// stragglerStops counts the stops of the unit to leave a slow worker.
+		stragglerStops int
 		// nextPlanAt is the earliest time at which a further preemption plan is made after one that failed.
 		nextPlanAt time.Time
 		// costAt is the time of the cached preemptionCost, and endAt that of the cached expected end.
--- a/internal/process/pool/simulator_test.go
+++ b/internal/process/pool/simulator_test.go
@@ -8,9 +8,11 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
@@ -39,12 +41,14 @@
 		refused  int
 		// poison jobs fail halfway.
 		poison map[ids.JobID]bool
+		// uneven is the approximate relative spread of the work of a job's tasks.
+		uneven float64
 		// list is the instance list; nil means that it doesn't change.
 		list []Worker
 		// lostWork is the work in core-seconds of runs that ended without a result or a checkpoint.
 		lostWork float64
-		// starts and stops count the units that were started and stopped.
-		starts, stops int
+		// starts and stops count the units that were started and stopped, and slowStops those stopped for a slow worker.
+		starts, stops, slowStops int
 		// spent is the time spent in the calls of each kind, and decisions is the time of each call of Decide; measured is
 		// set if they are recorded.
 		measured  bool
@@ -167,6 +171,9 @@
 			s.starts++
 		case "Stopped":
 			s.stops++
+			if strings.Contains(n.Cause, "slow worker") {
+				s.slowStops++
+			}
 		}
 	}
 	for _, a := range actions {
@@ -180,7 +187,7 @@
 		u := s.jobs[a.Run.Job].unitOf(a.Run.Task)
 		s.active[a.Worker][a.Run] = simRun{
 			since: s.now, from: simProgress(a.Checkpoint), unit: u,
-			whole: time.Duration(s.slowdownOf(a.Worker) * s.remoteFactor(u) * float64(s.runTimes[a.Run.Job])),
+			whole: time.Duration(s.slowdownOf(a.Worker) * s.remoteFactor(u) * s.workOf(a.Run.Task) * float64(s.runTimes[a.Run.Job])),
 		}
 		s.measure("RunStarted", func() { s.RunStarted(a.Worker, a.Run, s.now) })
 		if s.startedAt[a.Run.Job].IsZero() {
@@ -190,6 +197,15 @@
 	}
 }
 
+// workOf returns the work of a task relative to the largest of its job.
+func (s *sim) workOf(t worker.Task) float64 {
+	if s.uneven == 0 {
+		return 1
+	}
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(t.String()), 4))
+	return math.Exp(-2 * s.uneven * math.Abs(random.NormFloat64()))
+}
+
 // simProgress returns the progress that a checkpoint saves.
 func simProgress(checkpoint string) float64 {
 	if checkpoint == "" {
--- a/internal/process/pool/slowdown.go
+++ b/internal/process/pool/slowdown.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -19,6 +20,9 @@
 	// outlierDeviations is how many standard deviations a single task must exceed its expected run time to count against its
 	// worker; by chance, one task in several hundred does.
 	outlierDeviations = 3
+	// referenceExponent reduces the weight of the other members' slowdowns in the rate to which a member is compared, so that
+	// estimates that are too high don't raise the next ones.
+	referenceExponent = 0.5
 	// stragglerThreshold is the slowdown from which a worker is quarantined: a job there would miss its objective with the
 	// smallest usual stretch, 1.5.
 	stragglerThreshold = 2.0
@@ -46,8 +50,8 @@
 	return largest
 }
 
-// updateSlowdown updates the slowdown estimate of a run's worker by comparing the run's progress with that of the other
-// members of its gang, which have equal work. A straggler is quarantined, and the gang is moved if it would then end sooner.
+// updateSlowdown updates the slowdown estimate of a run's worker by comparing the run's progress with the median of the other
+// members of its gang, whose work is similar. A straggler is quarantined, and the gang is moved if it would then end sooner.
 func (s *State) updateSlowdown(r *run, now time.Time) {
 	u := r.unit
 	if u.phase != running || r.percent >= 100 {
@@ -63,25 +67,20 @@
 	// Progress is truncated to whole percent.
 	progress := float64(r.percent-r.rateFromPercent) + 0.5
 	r.rate = progress / elapsed.Seconds()
-	fastest := 0.0
-	for _, other := range u.runs {
-		if other.node != r.node {
-			fastest = max(fastest, other.rate*other.node.slowdown())
-		}
-	}
+	reference := s.referenceRate(r)
 	wasSlower := r.node.slower()
 	bound := math.Log(stragglerThreshold)
-	if fastest > 0 {
+	if reference > 0 {
 		// The truncation error reduces the weight of the comparison.
 		uncertainty := 1 / progress / slowdownSpread
-		r.node.setLogSlowdown(r.node.logSlowdown + (math.Log(fastest/r.rate)-r.node.logSlowdown)/(1+uncertainty*uncertainty))
+		r.node.setLogSlowdown(r.node.logSlowdown + (math.Log(reference/r.rate)-r.node.logSlowdown)/(1+uncertainty*uncertainty))
 	} else {
 		// No other member to compare with, so compare with the queue's estimate.
-		fastest = 100 / s.placedRunTime(u).Seconds()
+		reference = 100 / s.placedRunTime(u).Seconds()
 		bound = max(bound, outlierDeviations*s.learnedFor(u.job).deviation())
 	}
 	// A lower bound that holds despite truncation applies at once, even to a worker without any progress.
-	if minLogSlowdown := math.Log(fastest * elapsed.Seconds() / (progress + 0.5)); minLogSlowdown >= bound {
+	if minLogSlowdown := math.Log(reference * elapsed.Seconds() / (progress + 0.5)); minLogSlowdown >= bound {
 		r.node.setLogSlowdown(max(r.node.logSlowdown, minLogSlowdown))
 	}
 	if isSlower := r.node.slower(); isSlower != wasSlower {
@@ -99,6 +98,23 @@
 	}
 }
 
+// referenceRate returns the median rate of the other members of a run's gang, as it would be on fast workers; zero if it is
+// not known.
+func (s *State) referenceRate(r *run) float64 {
+	rates := s.rates[:0]
+	for _, other := range r.unit.runs {
+		if other.node != r.node && other.rate > 0 {
+			rates = append(rates, other.rate*math.Pow(other.node.slowdown(), referenceExponent))
+		}
+	}
+	s.rates = rates
+	if len(rates) == 0 {
+		return 0
+	}
+	slices.Sort(rates)
+	return rates[len(rates)/2]
+}
+
 // leaveStraggler quarantines a slow worker, and stops the unit if it would end sooner elsewhere.
 func (s *State) leaveStraggler(u *unit, r *run, now time.Time) {
 	s.quarantine(r.node, u.job.ID, "tasks take far longer than on other workers", now)
@@ -107,7 +123,9 @@
 	if u.spec().Checkpoints {
 		restartTime = restartTime*time.Duration(100-r.percent)/100 + s.Times.Restore
 	}
-	if remaining > restartTime+restartDelay {
+	// A unit that was stopped for this before must gain more, since the next workers may turn out to be no faster.
+	if remaining > time.Duration(1+u.stragglerStops)*(restartTime+restartDelay) {
+		u.stragglerStops++
 		u.avoidNode(r.node.ID, now)
 		s.stopUnit(u, "it would end sooner elsewhere than on the slow worker "+string(r.node.ID), now)
 	}
--- a/internal/process/pool/slowdown_test.go
+++ b/internal/process/pool/slowdown_test.go
@@ -64,6 +64,22 @@
 	}
 }
 
+// Wide gangs whose tasks differ by 15% in work, on workers of which a third takes 1.3 times as long: these are no stragglers,
+// so that the gangs run to their ends, and the estimates of the workers' slowdowns stay near the truth.
+func TestPatternUnevenWideGangs(t *testing.T) {
+	f := fleet{racks: 10, perRack: 12, accounts: 4, perSecond: 4, length: time.Minute}
+	for seed := range uint64(3) {
+		_, s := f.play(seed, 30*time.Second, false)
+		require.LessOrEqual(t, s.slowStops, s.starts/100, "seed %d", seed)
+		mean := 0.0
+		for _, n := range s.nodes {
+			mean += n.slowdown() / float64(len(s.nodes))
+		}
+		// A third of the workers is 1.3 times slower.
+		require.InDelta(t, 1.1, mean, 0.1, "seed %d", seed)
+	}
+}
+
 // Single tasks are placed on the slower workers first, except urgent ones.
 func TestSingleTasksLeaveFastWorkers(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -33,7 +33,9 @@
 		// fittingRacks, candidateList and victimList are buffers of bestPlacement, candidates and victims.
 		fittingRacks  []*rack
 		candidateList []candidate
-		victimList    []victim
+		// rates is a buffer of referenceRate.
+		rates      []float64
+		victimList []victim
 		// wholePool is a pseudo-rack with all workers.
 		wholePool *rack
 		// total is the sum of all workers' resources.
