Serve jobs that can still end in time before overdue ones

Change: within a priority, a job that has not started and can't meet its objective any more waits for those that still can. Reservations follow the same order.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	maxPassInterval = 250 * time.Millisecond
 	// preemptionCheckInterval is the time between checks of the units that wait for preempted runs while no worker changes.
 	preemptionCheckInterval = 50 * time.Millisecond
+	// overdueInterval is the time between updates of the jobs that can't meet their objectives any more.
+	overdueInterval = 100 * time.Millisecond
 )
 
 // Decide places waiting units, preempts others where needed, and returns the actions and notices since the last call.
@@ -199,20 +202,81 @@
 	return true
 }
 
-// placeWaiting starts the waiting units that fit, guaranteed jobs first, then by priority, start tag and submission time.
-// Units of priority 0 that don't fit preempt others; the first gangs of each priority that don't fit get reservations.
+// placeWaiting starts the waiting units that fit, in the order of compareTurns. Units of priority 0 that don't fit preempt
+// others; the first gangs of each priority that don't fit get reservations.
 func (s *State) placeWaiting(now time.Time) {
 	s.reserved.refresh(now)
-	for _, guaranteed := range []bool{true, false} {
-		for _, j := range s.live {
-			if guaranteed && j.Priority != 0 {
-				break
-			}
-			if j.stored && guaranteed == j.guaranteed {
+	s.updateOverdue(now)
+	for from := 0; from < len(s.live); {
+		to := from
+		for to < len(s.live) && s.live[to].Priority == s.live[from].Priority {
+			to++
+		}
+		s.placeJobs(s.live[from:to], now)
+		from = to
+	}
+}
+
+// placeJobs places the waiting units of jobs of one priority.
+func (s *State) placeJobs(jobs []*Job, now time.Time) {
+	if jobs[0].Priority == 0 {
+		for _, j := range jobs {
+			if j.stored && j.guaranteed {
 				s.placeJob(j, now)
 			}
 		}
 	}
+	overdue := s.overdueJobs[:0]
+	for _, j := range jobs {
+		if !j.stored {
+			continue
+		}
+		switch j.turn() {
+		case usualTurn:
+			s.placeJob(j, now)
+		case overdueTurn:
+			overdue = append(overdue, j)
+		}
+	}
+	s.overdueJobs = overdue
+	for _, j := range overdue {
+		s.placeJob(j, now)
+	}
+}
+
+// updateOverdue determines periodically which jobs can't meet their objectives any more. Those that have started keep their
+// turns, since their remaining tasks may be short of little room.
+func (s *State) updateOverdue(now time.Time) {
+	if now.Sub(s.overdueUpdatedAt) < overdueInterval {
+		return
+	}
+	s.overdueUpdatedAt = now
+	for _, j := range s.live {
+		j.overdue = j.Priority > 0 && !j.started && now.Add(s.criticalPath(j)).After(j.units[0].releaseTime().Add(s.objective(j)))
+	}
+}
+
+// The turns of jobs of one priority. An overdue job waits for those that can still meet their objectives: serving it first
+// would make them overdue too.
+const (
+	guaranteedTurn = iota
+	usualTurn
+	overdueTurn
+)
+
+func (j *Job) turn() int {
+	switch {
+	case j.guaranteed:
+		return guaranteedTurn
+	case j.overdue:
+		return overdueTurn
+	}
+	return usualTurn
+}
+
+// compareTurns orders jobs by priority, turn, start tag and submission time.
+func compareTurns(a, b *Job) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.turn(), b.turn()), compareJobs(a, b))
 }
 
 // placeJob places the waiting units of a job.
--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -135,6 +135,9 @@
 
 // criticalPath returns the expected run time of the longest dependency chain of a job's steps.
 func (s *State) criticalPath(j *Job) time.Duration {
+	if len(j.Steps) == 1 {
+		return s.stepRunTime(j, 0)
+	}
 	ends := make([]time.Duration, len(j.Steps))
 	longest := time.Duration(0)
 	for i, step := range j.Steps {
--- a/internal/process/pool/fairqueue_test.go
+++ b/internal/process/pool/fairqueue_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -67,3 +68,31 @@
 		})
 	}
 }
+
+// More gangs than the pool can serve, so that some become overdue: the pool serves first those that can still end in time, and
+// the overdue ones afterwards.
+func TestPatternOverdueGangsYield(t *testing.T) {
+	s := testState(1, 1)
+	gang := func(id string) *Job {
+		j := gangJob(id, 1, 1, 8, 10*time.Second)
+		j.Stretch, j.Target = 1.5, 0
+		return j
+	}
+	s.accept(gang("first"), testStart)
+	first := s.startAll(testStart)
+	require.Len(t, first, 1)
+	overdue, inTime := gang("overdue"), gang("in time")
+	s.accept(overdue, testStart)
+	now := testStart.Add(9 * time.Second)
+	s.accept(inTime, now)
+	var order []ids.JobID
+	for number, run := uint64(1), first[0]; number <= 2; number++ {
+		now = testStart.Add(time.Duration(10*number) * time.Second)
+		s.Reported(run.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: run.Run, Number: number, Reason: worker.EndDone}}}, now, now)
+		started := s.startAll(now)
+		require.Len(t, started, 1)
+		run = started[0]
+		order = append(order, run.Run.Job)
+	}
+	require.Equal(t, []ids.JobID{inTime.ID, overdue.ID}, order)
+}
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -79,6 +79,8 @@
 		charge time.Duration
 		// guaranteed is set if the account's guarantee covers the job.
 		guaranteed bool
+		// overdue is set if the job has not started and can't meet its objective any more.
+		overdue bool
 	}
 
 	// unit is a gang or a single task, which is started and stopped as a whole.
--- a/internal/process/pool/reservation.go
+++ b/internal/process/pool/reservation.go
@@ -119,13 +119,10 @@
 
 // precedes reports whether unit a is placed before unit b.
 func precedes(a, b *unit) bool {
-	switch {
-	case a.job == b.job:
+	if a.job == b.job {
 		return cmp.Or(cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step)) < 0
-	case a.job.guaranteed != b.job.guaranteed:
-		return a.job.guaranteed
 	}
-	return compareJobs(a.job, b.job) < 0
+	return compareTurns(a.job, b.job) < 0
 }
 
 // earliestFit returns when and where a unit is expected to fit outside the given reservations if nothing else is started
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -33,6 +33,9 @@
 		// fittingRacks, candidateList and victimList are buffers of bestPlacement, candidates and victims.
 		fittingRacks  []*rack
 		candidateList []candidate
+		// overdueJobs is a buffer of placeJobs, and overdueUpdatedAt is when updateOverdue last ran.
+		overdueJobs      []*Job
+		overdueUpdatedAt time.Time
 		// rates is a buffer of referenceRate.
 		rates      []float64
 		victimList []victim
