--- a/cmd/jujubegrade/command_job.go
+++ b/cmd/jujubegrade/command_job.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -105,7 +106,11 @@
 					return err
 				}
 				all.Jobs = append(all.Jobs, page.Jobs...)
-				all.Missing = page.Missing
+				for _, id := range page.Missing {
+					if !slices.Contains(all.Missing, id) {
+						all.Missing = append(all.Missing, id)
+					}
+				}
 				if !page.More {
 					break
 				}
--- a/cmd/jujubegrade/command_platform.go
+++ b/cmd/jujubegrade/command_platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -32,9 +33,10 @@
 			}
 			sink := logsink.New(c.out)
 			defer sink.Close()
-			var instance *platform.Instance
-			logger := logsink.Logger(sink, parsed.Level(), func() { instance.SuppressedLines.Add(1) })
-			instance = platform.New(s, *file, logger.With(zap.String("instance", s.Node)))
+			var suppressed atomic.Int64
+			logger := logsink.Logger(sink, parsed.Level(), func() { suppressed.Add(1) })
+			instance := platform.New(s, *file, logger.With(zap.String("instance", s.Node)))
+			instance.SuppressedLines = suppressed.Load
 			instance.DroppedLines = sink.Dropped
 			return errors.Wrap(instance.Run(ctx), "platform")
 		},
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -97,3 +98,14 @@
 	require.NoError(t, err)
 	require.True(t, bytes.Contains(body, []byte(`"Status":418`)))
 }
+
+// TestOversizedMessage announces a message that is too large: the server closes the connection before it has been received.
+func TestOversizedMessage(t *testing.T) {
+	conn, err := net.Dial("tcp", serve(t))
+	require.NoError(t, err)
+	_, err = conn.Write(append(binary.AppendUvarint(nil, maxMessageSize+1), `{"method":"Echo","params":"`...))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -1,8 +1,11 @@
 package peer
 
 import (
+	"bufio"
 	"context"
+	"encoding/binary"
 	"encoding/json"
+	"io"
 	"net"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +26,27 @@
 // maxParamsSize is the maximum size of the parameters of one call, in bytes.
 const maxParamsSize = 72 << 20
 
+// maxMessageSize is the maximum size of a message, in bytes: its parameters and their envelope.
+const maxMessageSize = maxParamsSize + 1<<10
+
+// codec is VarintObjectCodec with a limit on the size of a message.
+type codec struct{ jsonrpc2.VarintObjectCodec }
+
+// errTooLarge means that a message exceeds maxMessageSize; the connection is closed.
+var errTooLarge = errors.New("the message is too large")
+
+// ReadObject reads one message.
+func (codec) ReadObject(stream *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if size > maxMessageSize {
+		return errTooLarge
+	}
+	return json.NewDecoder(io.LimitReader(stream, int64(size))).Decode(v)
+}
+
 // Register registers a method with a server.
 func Register[In, Out any](s *Server, name string, run func(context.Context, In) (Out, error)) {
 	if s.methods == nil {
@@ -30,9 +54,6 @@
 	}
 	s.methods[name] = func(ctx context.Context, params json.RawMessage) (any, error) {
 		var in In
-		if len(params) > maxParamsSize {
-			return nil, &httpjson.Fault{Status: 413, Code: "TooLarge", Message: "the parameters are too large"}
-		}
 		if err := json.Unmarshal(params, &in); err != nil {
 			return nil, &httpjson.Fault{Status: 400, Code: "Malformed", Message: err.Error()}
 		}
@@ -55,7 +76,7 @@
 
 // ServeConn serves the calls on one connection, each in its own goroutine.
 func (s *Server) ServeConn(ctx context.Context, conn net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, codec{})
 	c := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(s))
 	context.AfterFunc(ctx, func() { _ = c.Close() })
 }
--- a/internal/process/entry/operators.go
+++ b/internal/process/entry/operators.go
@@ -73,17 +73,29 @@
 	defer cancel()
 	// If the store is unavailable, report what this instance knows.
 	_ = e.config.Refresh(refreshCtx)
-	in := operator.InForce{Accepted: e.config.Version(), Everywhere: true}
+	var in operator.InForce
 	in.Instances = append(in.Instances, operator.InstanceVersion{Instance: string(e.Settings.Name), Version: e.config.Version()})
 	for _, member := range e.members.Known() {
-		age := time.Since(member.LastHeartbeat)
-		if member.Version < in.Accepted && age <= e.Settings.ConfigMaxAge {
+		in.Instances = append(in.Instances, operator.InstanceVersion{
+			Instance: string(member.Instance), Version: member.Version, Age: time.Since(member.LastHeartbeat).Seconds(),
+		})
+	}
+	summarizeVersions(&in, e.Settings.ConfigMaxAge)
+	httpjson.Reply(ctx, fasthttp.StatusOK, in)
+}
+
+// summarizeVersions sets the newest version that any instance has, and whether all instances apply it. An instance that has
+// been silent for longer than maxAge can no longer act under an older version.
+func summarizeVersions(in *operator.InForce, maxAge time.Duration) {
+	for _, i := range in.Instances {
+		in.Accepted = max(in.Accepted, i.Version)
+	}
+	in.Everywhere = true
+	for _, i := range in.Instances {
+		if i.Version < in.Accepted && i.Age <= maxAge.Seconds() {
 			in.Everywhere = false
 		}
-		in.Accepted = max(in.Accepted, member.Version)
-		in.Instances = append(in.Instances, operator.InstanceVersion{Instance: string(member.Instance), Version: member.Version, Age: age.Seconds()})
 	}
-	httpjson.Reply(ctx, fasthttp.StatusOK, in)
 }
 
 func (e *Entry) getReports(ctx *fasthttp.RequestCtx) {
--- a/internal/process/membership/election.go
+++ b/internal/process/membership/election.go
@@ -41,14 +41,17 @@
 		return false
 	}
 	ranked := o.candidates()
-	if len(ranked) > 0 && ranked[0] == self.Instance {
-		return true
+	owns := o.Owns()
+	_, found := o.Membership.OwnerOf(o.DataCentre)
+	if owns || found {
+		o.ownerlessSince = time.Time{}
 	}
-	if o.Owns() {
+	switch {
+	case len(ranked) > 0 && ranked[0] == self.Instance:
+		return true
+	case owns:
 		return !o.stable(ranked[0])
-	}
-	if _, found := o.Membership.OwnerOf(o.DataCentre); found {
-		o.ownerlessSince = time.Time{}
+	case found:
 		return false
 	}
 	if o.ownerlessSince.IsZero() {
--- a/internal/process/owner/session.go
+++ b/internal/process/owner/session.go
@@ -123,21 +123,43 @@
 func (t *term) workerLeaseExpired(id ids.InstanceID) bool {
 	expired := false
 	if err := t.doSync(t.ctx, func() {
-		session := t.sessions[id]
-		if session == nil {
-			// The worker left the instance list; its lease was last renewed before that.
-			expired = true
-			return
-		}
-		session.mu.Lock()
-		defer session.mu.Unlock()
-		expired = time.Now().After(session.leaseExpiry)
+		expired = time.Now().After(t.leaseExpiry(id))
 	}); err != nil {
 		return false
 	}
 	return expired
 }
 
+// leaseExpiry returns the time by which a worker's lease must have expired, also if the worker has left the instance list.
+func (t *term) leaseExpiry(id ids.InstanceID) time.Time {
+	if session := t.sessions[id]; session != nil {
+		return session.expiry()
+	}
+	return t.removedLeases[id]
+}
+
+func (l *workerSession) expiry() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaseExpiry
+}
+
+// removeSession stops the renewals of a worker that has left the instance list. Its lease may run on for a while.
+func (t *term) removeSession(id ids.InstanceID) {
+	session := t.sessions[id]
+	session.cancel()
+	delete(t.sessions, id)
+	if t.removedLeases == nil {
+		t.removedLeases = make(map[ids.InstanceID]time.Time)
+	}
+	for other, expiry := range t.removedLeases {
+		if time.Now().After(expiry) {
+			delete(t.removedLeases, other)
+		}
+	}
+	t.removedLeases[id] = session.expiry()
+}
+
 // markDown treats workers that didn't answer as lost until their next renewal succeeds.
 func (t *term) markDown(nodes []ids.InstanceID) {
 	for _, id := range nodes {
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -26,13 +26,15 @@
 		end   func(cause string)
 
 		// events are handled in order by the term's goroutine, which alone accesses the fields from state to lastPurge.
-		events      chan func()
-		state       *placement.State
-		config      *config.Config
-		sessions    map[ids.InstanceID]*workerSession
-		executions  map[ids.JobID]*execution
-		unknownJobs []operator.UnknownJob
-		recovered   bool
+		events   chan func()
+		state    *placement.State
+		config   *config.Config
+		sessions map[ids.InstanceID]*workerSession
+		// removedLeases holds when the leases of workers without a session expire, until then.
+		removedLeases map[ids.InstanceID]time.Time
+		executions    map[ids.JobID]*execution
+		unknownJobs   []operator.UnknownJob
+		recovered     bool
 		// lastPurge is when ended jobs were last checked for removal.
 		lastPurge time.Time
 
@@ -143,10 +145,9 @@
 			t.sessions[n.ID] = t.newSession(n.ID)
 		}
 	}
-	for id, session := range t.sessions {
+	for id := range t.sessions {
 		if !listed[id] && !t.state.IsLive(id) {
-			session.cancel()
-			delete(t.sessions, id)
+			t.removeSession(id)
 			t.state.RemoveNode(id)
 		}
 	}
--- a/internal/process/placement/attempt.go
+++ b/internal/process/placement/attempt.go
@@ -182,7 +182,6 @@
 	j.phase = stopping
 	j.stateAfterStop = after
 	j.Reason = reason
-	j.stopSince = now
 	s.actions = append(s.actions, Action{Kind: Stop, Job: j, Attempt: j.Attempt, Grace: grace})
 }
 
@@ -192,9 +191,6 @@
 	if j == nil || j.phase != stopping || j.Attempt != attempt {
 		return
 	}
-	if !j.Started.IsZero() {
-		s.addLostWork(j, progress, now)
-	}
 	j.Progress = max(j.Progress, progress)
 	s.release(j)
 	if j.stateAfterStop == caller.Queued && !j.cancelled {
@@ -207,17 +203,6 @@
 	s.capacityGrew()
 }
 
-// addLostWork adds the accelerator hours of an attempt that made no progress beyond the last checkpoint.
-func (s *State) addLostWork(j *Job, progress float64, now time.Time) {
-	if progress > j.Progress {
-		return
-	}
-	j.lostWork += now.Sub(j.Started).Hours() * float64(j.Shape.Total().Accelerators)
-}
-
-// LostWork returns the accelerator hours whose results were lost.
-func (j *Job) LostWork() float64 { return j.lostWork }
-
 func (s *State) requeue(j *Job, reason string) {
 	j.phase = queued
 	j.Reason = reason
--- a/internal/process/placement/decide.go
+++ b/internal/process/placement/decide.go
@@ -241,18 +241,14 @@
 	if !j.Idempotent && !s.Policy.NoReclaimWitness {
 		available = minResources(available, n.uncommitted())
 	}
-	if headroom := s.rackHeadroom(n); headroom > 0 {
-		available.Accelerators = min(available.Accelerators, max(0, headroom))
+	if s.config.Policy.RackReserve > 0 {
+		available.Accelerators = min(available.Accelerators, max(0, s.rackHeadroom(n)))
 	}
 	return available
 }
 
-// rackHeadroom returns the free accelerators of the node's rack beyond the rack reserve, or zero if no reserve is
-// configured.
+// rackHeadroom returns the free accelerators of the node's rack beyond the rack reserve; it is negative if the reserve is used.
 func (s *State) rackHeadroom(n *node) ids.Accelerators {
-	if s.config.Policy.RackReserve == 0 {
-		return 0
-	}
 	free := ids.Accelerators(0)
 	for _, other := range n.rack.nodes {
 		free += other.free().Accelerators
--- a/internal/process/placement/job.go
+++ b/internal/process/placement/job.go
@@ -69,9 +69,6 @@
 		stateAfterStop caller.State
 		cancelled      bool
 		endedTasks     map[int]bool
-		// stopSince is when the stop was requested.
-		stopSince time.Time
-		lostWork  float64
 		// consecutiveFailures counts the starts and runs that failed in a row. The job is not retried before notBefore.
 		consecutiveFailures int
 		notBefore           time.Time
--- a/internal/process/placement/placement_test.go
+++ b/internal/process/placement/placement_test.go
@@ -249,3 +249,10 @@
 	w.decide()
 	require.Equal(t, caller.Running, j.CallerState())
 }
+
+// TestRackReserveAtItsLimit fills a rack up to its reserve: with nothing free beyond it, a borrower gets none of the reserve.
+func TestRackReserveAtItsLimit(t *testing.T) {
+	w := newHarness(t, noGuaranteeConfig+"\n[Policy]\nRackReserve = 8\n", 1, 2)
+	require.Equal(t, caller.Running, w.submit("first", "borrower", "1x8", nil).CallerState())
+	require.Equal(t, caller.Queued, w.submit("second", "borrower", "1x8", nil).CallerState())
+}
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -85,8 +85,8 @@
 const (
 	// notNowRetryAfter is the retry delay for callers while the store is unavailable or the owner changes.
 	notNowRetryAfter = time.Second
-	// infeasibleRetryAfter is the retry delay for a job that can't run in the pool as it is, such as one that needs more
-	// resources than its workers have. Workers may be added later.
+	// infeasibleRetryAfter is the retry delay for a job that can't run in the pool as it is: it needs more resources than its
+	// workers have, or a feature that this version lacks. Workers or a newer version may come later.
 	infeasibleRetryAfter = 10 * time.Second
 	// storeOutageThreshold is the time without an answer to a write after which no more jobs are accepted.
 	storeOutageThreshold = 600 * time.Millisecond
--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -112,6 +112,10 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	o.cancelWatch.Store(&cancel)
+	if o.deadOwner.Load() != nil {
+		// TakeOver found no watch in progress to cancel.
+		cancel()
+	}
 	events, revision, err := o.Store.Watch(ctx, keyOwner, after, wait)
 	if err != nil {
 		return nil, 0, err
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -1,6 +1,7 @@
 package poolowner
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"testing"
@@ -8,7 +9,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"github.com/jujubegrade/jujubegrade/internal/connection/store"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
 	"github.com/jujubegrade/jujubegrade/internal/standin/runservice"
 	"github.com/jujubegrade/jujubegrade/internal/standin/storeservice"
@@ -438,3 +442,22 @@
 		require.InDelta(t, math.Log(6), learned["queue1"].Real, 0.2)
 	})
 }
+
+// The owner's process is found to have ended between two watches of its key: the next watch does not wait.
+func TestTakeOverBetweenWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &Owner{Instance: "self", Log: zap.NewNop(), Store: store.TransactionClient{
+			Watch: func(ctx context.Context, _ string, _ store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+				pause.For(ctx, wait)
+				return nil, 1, ctx.Err()
+			},
+		}}
+		dead := &OwnerRecord{Instance: "other", revision: 1}
+		o.setCurrentOwner(dead)
+		o.TakeOver(dead)
+		began := time.Now()
+		_, _, err := o.watchOwner(t.Context(), 1, ownerWatchWait)
+		require.Error(t, err)
+		require.Zero(t, time.Since(began))
+	})
+}
--- a/internal/request/service/service.go
+++ b/internal/request/service/service.go
@@ -84,7 +84,8 @@
 	for _, removed := range known {
 		removed.Close()
 	}
-	s.admission.SetCapacity((slots + instances - 1) / max(1, instances))
+	instances = max(1, instances)
+	s.admission.SetCapacity((slots + instances - 1) / instances)
 }
 
 func (s *Service) currentRunners() []*runner.Runner {
--- a/internal/request/service/service_test.go
+++ b/internal/request/service/service_test.go
@@ -154,3 +154,11 @@
 	wait.Wait()
 	require.Zero(t, b.runCount("refused"))
 }
+
+// An instance list without instances leaves the whole capacity to this one.
+func TestRunnersWithoutInstances(t *testing.T) {
+	b := newFixture(t, 1, 1)
+	b.service.SetRunners(b.service.currentRunners(), 0)
+	result, _ := b.send("x", true, time.Second)
+	require.Equal(t, caller.Answered, result.Outcome, result.Reason)
+}
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -90,6 +90,8 @@
 		spec    TaskSpec
 		started time.Time
 		timer   *time.Timer
+		// fails means that the run is to fail; its timer ends it and so its gang.
+		fails bool
 		// stopping means that the run was requested to stop; it ends as stopped unless its lease expires first.
 		stopping bool
 	}
@@ -149,6 +151,7 @@
 func (w *Worker) startIncarnation() {
 	w.incarnation++
 	w.down, w.epoch, w.endCount, w.pendingEnds = false, 0, 0, nil
+	w.leaseExpiry = time.Time{}
 	w.runs = make(map[worker.Run]*run)
 	w.tombstones = make(map[worker.Task]ids.RunNumber)
 	w.changed = make(chan struct{})
@@ -339,6 +342,7 @@
 	g.members[r] = w
 	r.timer = w.afterFunc(gangStartTimeout, func() { w.endRun(r, worker.EndGangTimeout) })
 	if end == worker.EndFailed {
+		r.fails = true
 		r.timer.Stop()
 		r.timer = w.afterFunc(runTime, func() { w.endRun(r, end) })
 	}
@@ -348,7 +352,7 @@
 	hangs := false
 	for member, memberWorker := range g.members {
 		hangs = hangs || memberWorker.hangRuns
-		if end == worker.EndDone {
+		if end == worker.EndDone && !member.fails {
 			member.timer.Stop()
 		}
 	}
--- a/internal/standin/storeservice/transactions.go
+++ b/internal/standin/storeservice/transactions.go
@@ -126,7 +126,7 @@
 func (s *Transactional) SetOutage(down, pauseLeases bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.outage.pauseLeases && !down {
+	if s.outage.pauseLeases && (!down || !pauseLeases) {
 		for _, l := range s.leases {
 			l.timer.Reset(l.ttl)
 		}
@@ -138,6 +138,7 @@
 func (s *Transactional) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.init()
 	s.compacted = s.revision
 	s.history = nil
 	s.notifyWatchers()
--- a/internal/standin/workerservice/workerservice.go
+++ b/internal/standin/workerservice/workerservice.go
@@ -107,6 +107,11 @@
 	s.tasks = nil
 	s.sequence = 0
 	s.restarts++
+	s.epoch = 0
+	if s.leaseTimer != nil {
+		s.leaseTimer.Stop()
+		s.leaseTimer = nil
+	}
 }
 
 // Active returns the held and running tasks, sorted by job, attempt and index.
--- a/internal/version/inifile/key.go
+++ b/internal/version/inifile/key.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -77,7 +78,7 @@
 		return k.checkRange(value, float64(n))
 	case Number:
 		n, err := strconv.ParseFloat(value, 64)
-		if err != nil {
+		if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
 			return errors.Newf("%q is not a number%s", value, k.allowedSuffix())
 		}
 		return k.checkRange(value, n)
@@ -88,7 +89,7 @@
 		}
 		return k.checkRange(value, d.Seconds())
 	case Boolean:
-		if _, err := strconv.ParseBool(value); err != nil {
+		if value != "true" && value != "false" {
 			return errors.Newf("%q is neither true nor false", value)
 		}
 	case Labels:
