Keep ended jobs for the whole retention time after a takeover

Cause: the time at which a job ended is a time of day. After a takeover it is compared with the clock of another machine, so that a jump, or a difference between the two clocks, could remove an ended job early, and its caller would be told that it does not exist.

Change: jobs recovered from the store are kept for the retention time from the end of the recovery. Tests: TestRetentionWhenTheTimeOfDayJumps (failed before), TestScheduleWhenTheTimeOfDayJumps.

--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -327,7 +327,7 @@
 // an earlier owner used and which are not listed, may run tasks until the given time; recovered jobs don't start before.
 func (s *State) EndRecovery(missing []ids.InstanceID, until, now time.Time) {
 	s.init()
-	s.recovering = false
+	s.recovering, s.recoveredAt = false, now
 	s.requestPass()
 	for id, n := range s.nodes {
 		if n.listed && !n.reported {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -63,6 +63,8 @@
 		live []*Job
 		// fairQueue assigns the jobs' start tags.
 		fairQueue fairQueue
+		// recoveredAt is when recovery ended.
+		recoveredAt time.Time
 		// recovering blocks all starts until the workers have reported.
 		recovering bool
 		// preempting holds the units in phase preempting.
@@ -337,7 +339,12 @@
 func (s *State) RemoveRetired(now time.Time) []ids.JobID {
 	var list []ids.JobID
 	for id, j := range s.jobs {
-		if j.ended() && s.IsCurrentVersionStored(j) && now.Sub(j.Finished) > s.Times.Retention {
+		since := j.Finished
+		if j.recovered && since.Before(s.recoveredAt) {
+			// Finished is a time of day, which may have jumped since or differ on this machine.
+			since = s.recoveredAt
+		}
+		if j.ended() && s.IsCurrentVersionStored(j) && now.Sub(since) > s.Times.Retention {
 			list = append(list, id)
 			delete(s.jobs, id)
 		}
