Evacuate workers that leave after a notice

Change: the notice in a worker's entry is a deadline. What may end before it runs on; a gang or task without checkpoints that can't is stopped at once, one with checkpoints shortly before, and starts elsewhere. Workers that drain with the same notice may stay longer: the least additional time of the last departures is added. A notice is logged with "draining changed".

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -26,6 +26,7 @@
 	s.expire(now)
 	if !s.recovering {
 		s.updateGuaranteed()
+		s.evacuate(now)
 		s.startPreempting(now)
 		if s.servedRequests != s.passRequests || now.Sub(s.lastPassAt) > maxPassInterval || (!s.retryAt.IsZero() && !now.Before(s.retryAt)) {
 			s.retryAt, s.lastPassAt = time.Time{}, now
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -18,8 +18,11 @@
 		Rack       ids.RackID
 		Labels     []string
 		Total      ids.Resources
-		// Draining workers take no new runs.
+		// Draining workers take no new runs. LeavesAt is the earliest time at which a draining worker leaves, as announced with
+		// the given Notice; zero if unknown.
 		Draining bool
+		LeavesAt time.Time
+		Notice   time.Duration
 		// Incarnation distinguishes restarts of a worker under the same id; zero means unknown.
 		Incarnation uint64
 	}
@@ -154,6 +157,9 @@
 		}
 		n.Worker = w
 		n.listed = true
+		if n.Draining && !n.LeavesAt.IsZero() && len(n.runs) > 0 {
+			s.leaving[n] = true
+		}
 	}
 	for id, n := range s.nodes {
 		if !listed[id] {
@@ -213,6 +219,9 @@
 // MarkDead records that a worker's process has ended.
 func (s *State) MarkDead(id ids.InstanceID, cause string, now time.Time) {
 	if n := s.nodes[id]; n != nil {
+		if n.reported {
+			s.recordDeparture(n, now)
+		}
 		n.reported = false
 		if n.silentSince.IsZero() {
 			s.setSilent(n, now)
--- a/internal/process/pool/simulator_test.go
+++ b/internal/process/pool/simulator_test.go
@@ -348,7 +348,7 @@
 // drain announces that a worker leaves after a notice, and takes it away then, with all that runs on it.
 func (s *sim) drain(id ids.InstanceID, notice time.Duration) {
 	at := slices.IndexFunc(s.list, func(w Worker) bool { return w.ID == id })
-	s.list[at].Draining = true
+	s.list[at].Draining, s.list[at].LeavesAt = true, s.now.Add(notice)
 	s.SetWorkers(s.list)
 	s.at(notice, func() {
 		s.list = slices.DeleteFunc(slices.Clone(s.list), func(w Worker) bool { return w.ID == id })
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -85,6 +85,9 @@
 		changed map[ids.InstanceID]bool
 		// suspects holds the workers that are quarantined, silent or not listed.
 		suspects map[*node]bool
+		// leaving holds the draining workers with runs, and lingering maps notices to how workers stayed beyond them.
+		leaving   map[*node]bool
+		lingering map[time.Duration]*lingering
 		// unknown maps the workers that may still run jobs of an earlier owner to the time until which that is possible.
 		unknown   map[ids.InstanceID]time.Time
 		estimates map[ids.QueueID]*RunTimes
@@ -171,6 +174,8 @@
 	s.dirty = make(map[ids.JobID]*Job)
 	s.changed = make(map[ids.InstanceID]bool)
 	s.suspects = make(map[*node]bool)
+	s.leaving = make(map[*node]bool)
+	s.lingering = make(map[time.Duration]*lingering)
 	s.unknown = make(map[ids.InstanceID]time.Time)
 	s.estimates = make(map[ids.QueueID]*RunTimes)
 	s.rooms = make(map[taskShape]*room)
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -128,6 +128,7 @@
 
 // setWorkers applies the instance list. Unreadable entries are skipped.
 func (t *term) setWorkers(entries []store.Entry) {
+	now := time.Now()
 	listed := make(map[ids.InstanceID]ListedWorker, len(entries))
 	for _, e := range entries {
 		w, err := t.owner.Worker(e.Key, e.Value)
@@ -138,6 +139,12 @@
 			}
 			continue
 		}
+		if old := t.listed[w.ID]; w.Draining && old.Draining && old.Incarnation == w.Incarnation {
+			// The notice began when the worker was first listed as draining.
+			w.LeavesAt, w.Notice = old.LeavesAt, old.Notice
+		} else if w.Draining && w.Notice > 0 {
+			w.LeavesAt = now.Add(w.Notice)
+		}
 		listed[w.ID] = w
 	}
 	t.logListChanges(listed)
@@ -166,9 +173,9 @@
 		old, found := t.listed[id]
 		switch {
 		case !found:
-			t.log.Info("workers: listed", zap.String("worker", string(id)), zap.Bool("draining", w.Draining))
+			t.log.Info("workers: listed", zap.String("worker", string(id)), zap.Bool("draining", w.Draining), zap.Duration("notice", w.Notice))
 		case old.Draining != w.Draining:
-			t.log.Info("workers: draining changed", zap.String("worker", string(id)), zap.Bool("draining", w.Draining))
+			t.log.Info("workers: draining changed", zap.String("worker", string(id)), zap.Bool("draining", w.Draining), zap.Duration("notice", w.Notice))
 		}
 	}
 	for id := range t.listed {
