Let instances with enough processor time take over a lost owner

The busiest instance used 20% of a core, which is all that the small machines have (0.192). When the owner's process ends, all instances detect it at once and claim the key without the delay that small instances otherwise wait, so that one of the many small ones usually won. It then handled events seconds late: it did not know 4.3 s later that a worker was draining.

Change: the delay also applies when the owner's process is known to have ended. The time that events wait is a metric (EventDelayP50, P99), and admission adds the last one to the expected wait.

--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -90,7 +90,7 @@
 
 // expectedWait returns the expected queueing delay of a job's first unit: the backlog ahead of it and the wait for capacity.
 func (s *State) expectedWait(j *Job, now time.Time) time.Duration {
-	wait := s.backlog(j, now)
+	wait := s.backlog(j, now) + s.Lag
 	u := j.units[0]
 	if placement := s.findPlacement(u, now, 0); placement != nil {
 		return wait
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -24,6 +24,8 @@
 		// Epoch is the owner's epoch; run numbers restart in each epoch.
 		Epoch ids.Epoch
 		Times Times
+		// Lag is how late events are handled at the moment, which delays each start.
+		Lag time.Duration
 
 		accounts map[ids.AccountID]Account
 		nodes    map[ids.InstanceID]*node
--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -56,6 +56,8 @@
 		cancel    context.CancelFunc
 
 		mu sync.Mutex
+		// delayClaims is passed to the owner of the next process.
+		delayClaims bool
 		// dead means that the process has terminated, and machineOff that its machine is off too.
 		dead, machineOff bool
 		paused           chan struct{}
@@ -159,9 +161,10 @@
 		Worker: func(_ string, value []byte) (l ListedWorker, err error) {
 			return l, json.Unmarshal(value, &l)
 		},
-		Dial:      func(l ListedWorker) worker.RunClient { return process.runs(w.fleet.Worker(l.ID)) },
-		Log:       w.checker.Logger(i.name),
-		Suspended: func() time.Duration { return 0 },
+		Dial:        func(l ListedWorker) worker.RunClient { return process.runs(w.fleet.Worker(l.ID)) },
+		Log:         w.checker.Logger(i.name),
+		Suspended:   func() time.Duration { return 0 },
+		DelayClaims: i.delayClaims,
 		// Jobs are retained for longer than any test runs.
 		Pool: pool.Times{Retention: 24 * time.Hour},
 	}
--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -78,9 +78,7 @@
 		wait := ownerWatchWait
 		unowned := o.currentOwner.Load() == nil && !o.leaving.Load()
 		if unowned {
-			if wait = rand.N(maxClaimDelay); o.DelayClaims {
-				wait += extraClaimDelay
-			}
+			wait = o.claimDelay()
 		}
 		if current := o.currentOwner.Load(); current != nil && current.Instance == o.Instance && !o.leaving.Load() {
 			// The key was set by an earlier process of this instance, or in a term that has ended.
@@ -89,6 +87,8 @@
 		}
 		events, at, err := o.watchOwner(ctx, revision, wait)
 		if dead := o.deadOwner.Swap(nil); dead != nil && dead == o.currentOwner.Load() && !o.leaving.Load() {
+			// All instances detect the end of the process at the same time.
+			pause.For(ctx, o.claimDelay())
 			o.claimAndRun(ctx, dead.revision)
 			return
 		}
@@ -107,6 +107,15 @@
 	}
 }
 
+// claimDelay returns how long this instance waits before it claims a key that no live process holds.
+func (o *Owner) claimDelay() time.Duration {
+	delay := rand.N(maxClaimDelay)
+	if o.DelayClaims {
+		delay += extraClaimDelay
+	}
+	return delay
+}
+
 // watchOwner waits for a change of the owner key.
 func (o *Owner) watchOwner(ctx context.Context, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -23,6 +23,8 @@
 		Renewals, RenewalsFailed     expvar.Int
 		Starts, StartsUnknown, Stops expvar.Int
 		WriteTime                    Latency
+		// EventDelay is the time that events wait until the owner handles them.
+		EventDelay Latency
 		// CallTime is the latency of a call at the instance that received it, by kind and result.
 		CallTime Latencies
 		// StartTime is the time from a job's submission to its first start, by priority, and EndTime that to its end, by
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -461,3 +461,37 @@
 		require.Zero(t, time.Since(began))
 	})
 }
+
+// The owner's process ends, and an instance with little processor time detects it first: an instance with more takes over.
+func TestPatternSmallInstanceDetectsLostOwner(t *testing.T) {
+	for seed := range 5 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				lost := w.ownerInstance()
+				var small, large *instance
+				for _, i := range w.instances {
+					switch {
+					case i == lost:
+					case small == nil:
+						small = i
+					default:
+						large = i
+					}
+				}
+				small.kill(false)
+				small.delayClaims = true
+				small.start()
+				time.Sleep(2 * time.Second)
+				lost.kill(false)
+				smallOwner, _ := small.current()
+				largeOwner, _ := large.current()
+				dead := largeOwner.Current()
+				smallOwner.TakeOver(smallOwner.Current())
+				time.Sleep(10 * time.Millisecond)
+				largeOwner.TakeOver(dead)
+				time.Sleep(time.Second)
+				require.Equal(t, large.name, w.awaitOwner().name)
+			})
+		})
+	}
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -310,6 +310,11 @@
 func (t *term) tick() {
 	now := time.Now()
 	t.owner.metrics.setCounts(t.state.Counts(now))
+	select {
+	case t.events <- func() { t.recordLag(time.Since(now)) }:
+	default:
+		// The queue is full. This goroutine empties it, so it must not wait.
+	}
 	t.refuseWaiting(now)
 	if now.Sub(t.lastPurge) > purgeInterval {
 		t.lastPurge = now
@@ -322,6 +327,12 @@
 	}
 }
 
+// recordLag records how long an event waited until it was handled. Jobs that are submitted meanwhile wait as long.
+func (t *term) recordLag(lag time.Duration) {
+	t.owner.metrics.EventDelay.record(lag)
+	t.state.Lag = lag
+}
+
 // decide runs a scheduling pass and carries out its actions.
 func (t *term) decide() {
 	now := time.Now()
