Keep jobs with few attempts from workers that have just failed

From 13 to 19 s a group of workers fails all that it starts, within 30 ms. An urgent gang of 19 tasks was placed at 13.55 s, failed on one of them, was placed at once on others, failed again at 13.83 s, and its queue allows no third attempt. A worker was left out only after failures of two different jobs. 14 urgent and 7 other jobs ended as failed, among them those with wide gangs.

Change: gangs prefer workers on which nothing has failed since their last success, single tasks use the others last; a unit that has failed prefers workers with a success within 5 s; while a quarter of the gangs that end fail, a failed gang waits 0.8 s before its next attempt, twice as long each time, so that the failures of others show which workers to avoid.

--- a/internal/process/pool/fleet_test.go
+++ b/internal/process/pool/fleet_test.go
@@ -231,3 +231,37 @@
 		require.Positive(t, s.stops, "seed %d: nothing was stopped", seed)
 	}
 }
+
+// A seventh of the workers fails all that it starts for ten seconds: of the urgent jobs, which may fail twice, at most 1% fails,
+// although wide gangs need many workers.
+func TestPatternWorkersThatFailEverything(t *testing.T) {
+	f := largeFleet
+	f.racks, f.perSecond, f.length, f.bursts, f.leaving = 30, 10, 30*time.Second, nil, 0
+	urgent, failed := 0, 0
+	for seed := range uint64(4) {
+		s := f.start(seed)
+		submissions := f.submissions(rand.New(rand.NewPCG(seed, 3)))
+		for _, o := range submissions {
+			s.at(o.submitAt, func() { s.submit(o, clientRetries) })
+		}
+		s.at(10*time.Second, func() {
+			s.failing = make(map[ids.InstanceID]bool)
+			for _, i := range s.random.Perm(len(s.list))[:len(s.list)/7] {
+				s.failing[s.list[i].ID] = true
+			}
+		})
+		s.at(20*time.Second, func() { s.failing = nil })
+		s.playFor(50 * time.Second)
+		for _, o := range submissions {
+			if o.job.Priority > 0 {
+				continue
+			}
+			urgent++
+			if j := s.jobs[o.job.ID]; j != nil && j.State == Failed {
+				failed++
+			}
+		}
+	}
+	t.Logf("%d of %d urgent jobs failed", failed, urgent)
+	require.LessOrEqual(t, failed, urgent/100)
+}
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -48,7 +48,9 @@
 		// pinned counts the runs of single tasks without checkpoints.
 		pinned int
 		// failures counts consecutive failures of different jobs.
-		failures         int
+		failures int
+		// succeededAt is when a task last succeeded.
+		succeededAt      time.Time
 		lastFailedJob    ids.JobID
 		quarantinedUntil time.Time
 		quarantineTime   time.Duration
@@ -107,6 +109,11 @@
 	return n.listed && n.reported && !n.Draining && n.silentSince.IsZero() && n.quarantinedUntil.IsZero()
 }
 
+// firstChoice reports whether gangs prefer the worker: it is not slower, and nothing has failed there since its last success.
+func (n *node) firstChoice() bool { return !n.secondChoice() }
+
+func (n *node) secondChoice() bool { return n.slower() || n.failures > 0 }
+
 // schedulableSoon reports whether the worker takes new runs now or after a quarantine of the shortest length.
 func (n *node) schedulableSoon() bool {
 	return n.listed && !n.Draining && n.silentSince.IsZero() && n.quarantineTime <= minQuarantine
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -25,34 +25,65 @@
 	return room.sum.all >= u.count
 }
 
+// choice restricts the workers for a unit.
+type choice int
+
+const (
+	anyWorker choice = iota
+	// firstOnly are the workers that are not slower and on which nothing has failed since their last success.
+	firstOnly
+	// provenOnly are those of firstOnly with a success within provenTime.
+	provenOnly
+)
+
+// provenTime is how long a success shows that a worker does not fail all that it starts.
+const provenTime = 5 * time.Second
+
+// chosen reports whether a worker belongs to a choice.
+func (s *State) chosen(n *node, c choice, now time.Time) bool {
+	switch c {
+	case firstOnly:
+		return n.firstChoice()
+	case provenOnly:
+		return n.firstChoice() && now.Sub(n.succeededAt) < provenTime
+	}
+	return true
+}
+
 // findPlacement returns the worker for each task of a unit outside the given reservations, or nil.
 func (s *State) findPlacement(u *unit, now time.Time, conflicts uint64) []*node {
+	if len(u.failedRuns) > 0 {
+		// The unit has few attempts left.
+		if placement := s.bestPlacement(u, now, conflicts, provenOnly); placement != nil {
+			return placement
+		}
+	}
 	if u.count > 1 {
-		// One slower worker slows the whole gang down.
-		if placement := s.bestPlacement(u, now, conflicts, true); placement != nil {
+		// One slower worker slows the whole gang down, and one that fails breaks it.
+		if placement := s.bestPlacement(u, now, conflicts, firstOnly); placement != nil {
 			return placement
 		}
 	}
-	return s.bestPlacement(u, now, conflicts, false)
+	return s.bestPlacement(u, now, conflicts, anyWorker)
 }
 
-// bestPlacement returns a best-fit placement: the one in the rack with the fewest free accelerators. With fastOnly set it
-// uses no slower workers.
-func (s *State) bestPlacement(u *unit, now time.Time, conflicts uint64, fastOnly bool) []*node {
+// bestPlacement returns a best-fit placement: the one in the rack with the fewest free accelerators. It
+// uses the workers of a choice only.
+func (s *State) bestPlacement(u *unit, now time.Time, conflicts uint64, choice choice) []*node {
 	room := s.roomFor(u.stage)
-	if room.sum.of(fastOnly) < u.count {
+	if room.sum.of(choice) < u.count {
 		return nil
 	}
 	racks, spread := s.candidateRacks(u, now)
 	if spread {
-		if conflicts != 0 && room.unreserved(s, conflicts, fastOnly) < u.count {
+		if conflicts != 0 && room.unreserved(s, conflicts, choice) < u.count {
 			return nil
 		}
-		return fill(u, s.candidates(u, racks, now, conflicts, fastOnly))
+		return fill(u, s.candidates(u, racks, now, conflicts, choice))
 	}
 	fitting := s.fittingRacks[:0]
 	for _, r := range racks {
-		if room.byRack[r.index].of(fastOnly) >= u.count {
+		if room.byRack[r.index].of(choice) >= u.count {
 			fitting = append(fitting, r)
 		}
 	}
@@ -61,7 +92,7 @@
 		return cmp.Compare(s.freeAcceleratorsIn(a), s.freeAcceleratorsIn(b))
 	})
 	for i := range fitting {
-		if placement := fill(u, s.candidates(u, fitting[i:i+1], now, conflicts, fastOnly)); placement != nil {
+		if placement := fill(u, s.candidates(u, fitting[i:i+1], now, conflicts, choice)); placement != nil {
 			return placement
 		}
 	}
@@ -158,16 +189,16 @@
 
 // candidates returns the eligible workers with room for the unit outside the given reservations, best fit first. For a
 // single task it returns only the best one.
-func (s *State) candidates(u *unit, racks []*rack, now time.Time, conflicts uint64, fastOnly bool) []candidate {
+func (s *State) candidates(u *unit, racks []*rack, now time.Time, conflicts uint64, choice choice) []candidate {
 	spec := u.spec()
 	room := s.roomFor(u.stage)
 	list := s.candidateList[:0]
 	for _, r := range racks {
-		if room.byRack[r.index].of(fastOnly) == 0 {
+		if room.byRack[r.index].of(choice) == 0 {
 			continue
 		}
 		for _, n := range r.nodes {
-			if n.reservedFor&conflicts != 0 || (fastOnly && n.slower()) || !s.eligible(u, n, now) {
+			if n.reservedFor&conflicts != 0 || !s.chosen(n, choice, now) || !s.eligible(u, n, now) {
 				continue
 			}
 			free := n.free()
@@ -198,9 +229,15 @@
 	return candidate{node: n, tasks: tasks, leftover: int64(left.Accelerators)<<32 + int64(left.Cores)}
 }
 
-// compareCandidates orders workers for a unit, best fit first. Single tasks use the slower workers first, unless they are
-// urgent.
+// compareCandidates orders workers for a unit, best fit first. Single tasks use workers that have just failed last, and the
+// slower workers first, unless they are urgent.
 func compareCandidates(u *unit, a, b candidate) int {
+	if failedA, failedB := a.node.failures > 0, b.node.failures > 0; u.count == 1 && failedA != failedB {
+		if failedB {
+			return -1
+		}
+		return 1
+	}
 	if u.count == 1 && a.node.slower() != b.node.slower() {
 		if a.node.slower() == (u.job.Priority > 0) {
 			return -1
--- a/internal/process/pool/preempt.go
+++ b/internal/process/pool/preempt.go
@@ -63,8 +63,8 @@
 	if !u.job.guaranteed {
 		bestCost = math.Nextafter(value, math.Inf(1))
 	}
-	consider := func(group *rack, fastOnly bool) {
-		placement, victims := s.preemptionPlanOn(u, group, now, fastOnly, bestCost)
+	consider := func(group *rack, choice choice) {
+		placement, victims := s.preemptionPlanOn(u, group, now, choice, bestCost)
 		if placement == nil {
 			return
 		}
@@ -80,10 +80,18 @@
 	if spread {
 		racks = []*rack{s.wholePool}
 	}
+	if len(u.failedRuns) > 0 {
+		for _, r := range racks {
+			consider(r, provenOnly)
+		}
+	}
 	for _, r := range racks {
-		consider(r, false)
-		if slices.ContainsFunc(r.nodes, (*node).slower) {
-			consider(r, true)
+		if best != nil && len(u.failedRuns) > 0 {
+			break
+		}
+		consider(r, anyWorker)
+		if slices.ContainsFunc(r.nodes, (*node).secondChoice) {
+			consider(r, firstOnly)
 		}
 	}
 	return best, bestVictims
@@ -91,11 +99,11 @@
 
 // preemptionPlanOn looks for a placement on some workers: it adds victims, cheapest first, until the unit fits, and then
 // drops those that turn out not to be needed. It gives up if the victims can't cost less than limit.
-func (s *State) preemptionPlanOn(u *unit, group *rack, now time.Time, fastOnly bool, limit float64) ([]*node, []victim) {
+func (s *State) preemptionPlanOn(u *unit, group *rack, now time.Time, choice choice, limit float64) ([]*node, []victim) {
 	s.projections++
 	plan := preemptionPlan{state: s, unit: u}
 	for _, n := range group.nodes {
-		if (fastOnly && n.slower()) || !s.eligible(u, n, now) {
+		if !s.chosen(n, choice, now) || !s.eligible(u, n, now) {
 			continue
 		}
 		free := n.free()
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -120,6 +120,10 @@
 		s.recordFailure(n, u.job.ID, now)
 		s.recordFailedRun(u, e.Run.Number)
 		u.avoidNode(n.ID, now)
+		s.observeGang(u, 1)
+		if s.failureShare.value > failureWave {
+			u.notBefore = now.Add(retryDelay << min(len(u.failedRuns)-1, maxBackoffDoublings))
+		}
 		s.stopRemaining(u, "a task failed on "+string(n.ID), now)
 	case worker.EndStopped, worker.EndLeaseExpired, worker.EndGangMemberLost, worker.EndGangTimeout:
 		if u.phase != stopping {
@@ -138,6 +142,13 @@
 	}
 }
 
+// observeGang updates the share of failures among the ends of gangs. Single tasks tell less of the workers and are many.
+func (s *State) observeGang(u *unit, failures float64) {
+	if u.count > 1 {
+		s.failureShare.add(failures)
+	}
+}
+
 // avoidNode makes a unit avoid a worker on which it failed, for avoidTime.
 func (u *unit) avoidNode(id ids.InstanceID, now time.Time) {
 	if u.avoidUntil == nil {
@@ -162,15 +173,16 @@
 func (s *State) completeUnit(u *unit, n *node, now time.Time) {
 	if u.phase == running || u.phase == starting {
 		s.learnRunTime(u, now)
+		s.observeGang(u, 0)
 		s.notice(Notice{
 			Kind: "Done", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: n.ID, After: now.Sub(u.job.Submitted),
 			Cause: u.doneCause(now),
 		})
 		for _, r := range u.runs {
-			s.clearFailures(r.node)
+			s.clearFailures(r.node, now)
 		}
 	}
-	s.clearFailures(n)
+	s.clearFailures(n, now)
 	if u.phase == preempting {
 		s.releasePlacement(u)
 	}
--- a/internal/process/pool/room.go
+++ b/internal/process/pool/room.go
@@ -25,8 +25,8 @@
 		countedAt uint64
 	}
 
-	// taskCounts are the numbers of tasks that fit on all workers, and on those that are not slower.
-	taskCounts struct{ all, fast int }
+	// taskCounts are the numbers of tasks that fit on all workers, and on those of first choice.
+	taskCounts struct{ all, best int }
 )
 
 const (
@@ -80,14 +80,14 @@
 		for _, n := range rack.nodes {
 			tasks := r.tasksOn(n)
 			counts.all += tasks
-			if !n.slower() {
-				counts.fast += tasks
+			if n.firstChoice() {
+				counts.best += tasks
 			}
 		}
 		r.byRack[i] = rackRoom{counts, rack.changedAt}
 		r.most = r.most.max(counts)
 		r.sum.all += counts.all - old.all
-		r.sum.fast += counts.fast - old.fast
+		r.sum.best += counts.best - old.best
 	}
 }
 
@@ -100,20 +100,20 @@
 }
 
 func (c taskCounts) max(o taskCounts) taskCounts {
-	return taskCounts{max(c.all, o.all), max(c.fast, o.fast)}
+	return taskCounts{max(c.all, o.all), max(c.best, o.best)}
 }
 
-// of returns the count of all workers, or of those that are not slower.
-func (c taskCounts) of(fastOnly bool) int {
-	if fastOnly {
-		return c.fast
+// of returns the count of a choice of workers; for provenOnly it is an upper bound.
+func (c taskCounts) of(workers choice) int {
+	if workers != anyWorker {
+		return c.best
 	}
 	return c.all
 }
 
 // unreserved returns the number of tasks that fit on the workers outside the given reservations.
-func (r *room) unreserved(s *State, conflicts uint64, fastOnly bool) int {
-	tasks := r.sum.of(fastOnly)
+func (r *room) unreserved(s *State, conflicts uint64, workers choice) int {
+	tasks := r.sum.of(workers)
 	for i := range s.reserved.list {
 		bit := uint64(1) << i
 		if conflicts&bit == 0 {
@@ -121,7 +121,7 @@
 		}
 		for _, n := range s.reserved.list[i].nodes {
 			// A worker in several of the reservations counts with the first of them.
-			if n.reservedFor&conflicts&(bit-1) == 0 && (!fastOnly || !n.slower()) {
+			if n.reservedFor&conflicts&(bit-1) == 0 && (workers == anyWorker || n.firstChoice()) {
 				tasks -= r.tasksOn(n)
 			}
 		}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -16,6 +16,11 @@
 	// avoidTime is how long a unit avoids a worker on which it failed. It is no longer than the shortest quarantine, since
 	// the unit may need that worker in order to fit.
 	avoidTime = minQuarantine
+	// failureWave is the share of failures among the ends of gangs from which the cause is probably a group of workers.
+	failureWave = 0.25
+	// retryDelay is how long a unit then waits after its first failure, so that the failures of others show which workers to
+	// avoid; it doubles with each further one.
+	retryDelay = 800 * time.Millisecond
 	// failuresToQuarantine is the number of consecutive failures of different jobs after which a worker is quarantined.
 	failuresToQuarantine = 2
 	// minQuarantine is the length of the first quarantine; it doubles with each consecutive one.
@@ -268,6 +273,7 @@
 	}
 	n.failures++
 	n.lastFailedJob = job
+	s.roomChanged(n)
 	if n.failures >= failuresToQuarantine {
 		s.quarantine(n, job, "different jobs failed there in a row", now)
 	}
@@ -289,10 +295,14 @@
 	s.notice(Notice{Kind: "WorkerQuarantined", Worker: n.ID, Job: job, Cause: cause + "; quarantined for " + n.quarantineTime.String()})
 }
 
-// clearFailures resets the failure count of a worker on which a task has succeeded.
-func (s *State) clearFailures(n *node) {
+// clearFailures records that a task has succeeded on a worker, and resets its failure count.
+func (s *State) clearFailures(n *node, now time.Time) {
+	n.succeededAt = now
 	if n.quarantineTime > minQuarantine {
 		s.invalidateRackFits()
 	}
+	if n.failures > 0 {
+		s.roomChanged(n)
+	}
 	n.failures, n.lastFailedJob, n.quarantineTime = 0, "", 0
 }
--- a/internal/process/pool/simulator_test.go
+++ b/internal/process/pool/simulator_test.go
@@ -41,6 +41,8 @@
 		refused  int
 		// poison jobs fail halfway.
 		poison map[ids.JobID]bool
+		// failing workers fail all that they start, soon after the start.
+		failing map[ids.InstanceID]bool
 		// uneven is the approximate relative spread of the work of a job's tasks.
 		uneven float64
 		// list is the instance list; nil means that it doesn't change.
@@ -84,6 +86,8 @@
 const (
 	// simStopTime is how long a stopped run takes to end.
 	simStopTime = 200 * time.Millisecond
+	// simFailTime is how long a run takes to fail on a worker that fails everything.
+	simFailTime = 30 * time.Millisecond
 	// simCheckpointInterval is the work after which a task saves a checkpoint.
 	simCheckpointInterval = 500 * time.Millisecond
 )
@@ -253,6 +257,12 @@
 			return
 		}
 	}
+	for _, r := range u.runs {
+		if s.failing[r.node.ID] {
+			s.at(simFailTime, func() { s.failGang(key, u, r) })
+			return
+		}
+	}
 	var members []Action
 	runTime := time.Duration(0)
 	for _, r := range u.runs {
@@ -261,15 +271,8 @@
 		runTime = max(runTime, time.Duration((1-run.from)*float64(run.whole)))
 	}
 	if s.poison[a.Run.Job] {
-		s.at(runTime/2, func() {
-			if s.endedGangs[key] {
-				return
-			}
-			s.finish(members[0].Worker, members[0].Run, worker.EndFailed)
-			for _, m := range members[1:] {
-				s.finish(m.Worker, m.Run, worker.EndGangMemberLost)
-			}
-		})
+		first := u.runs[0]
+		s.at(runTime/2, func() { s.failGang(key, u, first) })
 	}
 	s.at(runTime, func() {
 		if s.endedGangs[key] {
@@ -281,6 +284,20 @@
 	})
 }
 
+// failGang ends a gang by the failure of one of its runs, unless it has ended.
+func (s *sim) failGang(key simGang, u *unit, failed *run) {
+	if s.endedGangs[key] {
+		return
+	}
+	members := slices.Clone(u.runs)
+	s.finish(failed.node.ID, failed.Run, worker.EndFailed)
+	for _, r := range members {
+		if r != failed {
+			s.finish(r.node.ID, r.Run, worker.EndGangMemberLost)
+		}
+	}
+}
+
 // restart replaces the state with that of a new owner, which recovers from the stored records and the workers' reports.
 func (s *sim) restart(workers, perRack int) {
 	old := s.State
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -97,9 +97,11 @@
 		samples int
 		// stopTimes averages how long stopped runs took to end, in nanoseconds.
 		stopTimes movingAverage
-		actions   []Action
-		notices   []Notice
-		dirty     map[ids.JobID]*Job
+		// failureShare averages the share of failures among the latest ends of gangs.
+		failureShare movingAverage
+		actions      []Action
+		notices      []Notice
+		dirty        map[ids.JobID]*Job
 	}
 
 	// Account holds the settings of a client account.
