Evacuate a draining worker also after a takeover

A new owner reads the list of workers before they report their runs, and a draining worker was registered for evacuation only if it had runs when it was listed. TestDrainingWorkerAfterTakeover failed before.

--- a/internal/process/pool/evacuate.go
+++ b/internal/process/pool/evacuate.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// lingering records how much longer than announced the workers stay that drain with the same notice, in the order of their
-// departures.
+// lingering records how much longer than announced workers have stayed that drained with the same notice. The latest
+// departure is last.
 type lingering struct{ extra []time.Duration }
 
 const (
@@ -23,6 +23,13 @@
 	noticeRounding = 100 * time.Millisecond
 )
 
+// checkLeaving registers a worker for evacuation if it drains with runs.
+func (s *State) checkLeaving(n *node) {
+	if n.Draining && !n.LeavesAt.IsZero() && len(n.runs) > 0 {
+		s.leaving[n] = true
+	}
+}
+
 // evacuate stops the units that can't end before a draining worker leaves, so that they start elsewhere: checkpointed ones as
 // late as is safe, since they lose nothing until then, and the others at once, since their further work would be lost.
 func (s *State) evacuate(now time.Time) {
--- a/internal/process/pool/evacuate_test.go
+++ b/internal/process/pool/evacuate_test.go
@@ -86,3 +86,22 @@
 		})
 	}
 }
+
+// A new owner finds a gang running on a worker that was draining already when it took over.
+func TestDrainingWorkerAfterTakeover(t *testing.T) {
+	j := gangJob("a", 1, 1, 8, 10*time.Second)
+	testState(2, 2).accept(j, testStart)
+	record, err := j.Encode("1")
+	require.NoError(t, err)
+	restored, err := Decode(record)
+	require.NoError(t, err)
+	s := testState(2, 2)
+	s.Epoch = 2
+	s.drainFirst(time.Second, testStart)
+	s.Recover([]*Job{restored})
+	run := runOf(j, 0, 1001)
+	s.Reported("w0000", worker.RunReport{Incarnation: 1, Active: []worker.ActiveRun{{Run: run, Percent: 5}}}, testStart, testStart)
+	s.EndRecovery(nil, testStart, testStart)
+	actions, _ := s.Decide(testStart.Add(10 * time.Millisecond))
+	require.Equal(t, []Action{{Kind: StopRun, Worker: "w0000", Run: run}}, actions)
+}
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -164,9 +164,7 @@
 		}
 		n.Worker = w
 		n.listed = true
-		if n.Draining && !n.LeavesAt.IsZero() && len(n.runs) > 0 {
-			s.leaving[n] = true
-		}
+		s.checkLeaving(n)
 	}
 	for id, n := range s.nodes {
 		if !listed[id] {
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -202,6 +202,7 @@
 	n.used = n.used.Plus(r.resources)
 	s.markChanged(n)
 	s.roomChanged(n)
+	s.checkLeaving(n)
 }
 
 // pin counts a run among its worker's pinned runs if it is a single task without checkpoints.
