--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -53,7 +53,7 @@
 		id := n.ID
 		if !n.quarantinedUntil.IsZero() && !now.Before(n.quarantinedUntil) {
 			n.quarantinedUntil = time.Time{}
-			s.roomChanged(n)
+			s.capacityChanged(n)
 			// The worker counts as slower until its progress shows otherwise.
 			n.setLogSlowdown(min(n.logSlowdown, logSlowerThreshold))
 			s.requestPass()
@@ -65,7 +65,7 @@
 			s.notice(Notice{Kind: "WorkerLapsed", Worker: id, Cause: "it does not answer and its lease has expired"})
 			n.reported = false
 			s.markChanged(n)
-			s.roomChanged(n)
+			s.capacityChanged(n)
 			for _, r := range slices.Clone(n.runs) {
 				s.runLost(r, "the worker's lease has expired", now)
 			}
@@ -138,7 +138,7 @@
 
 // startPreempting starts the units whose reserved workers have enough free resources.
 func (s *State) startPreempting(now time.Time) {
-	if len(s.preempting) == 0 || (s.preemptingChanges == s.roomChanges && now.Sub(s.preemptingCheckedAt) < preemptionCheckInterval) {
+	if len(s.preempting) == 0 || (s.preemptingChanges == s.capacityChanges && now.Sub(s.preemptingCheckedAt) < preemptionCheckInterval) {
 		return
 	}
 	for _, u := range slices.Clone(s.preempting) {
@@ -158,7 +158,7 @@
 			u.setPhase(waiting)
 		}
 	}
-	s.preemptingChanges, s.preemptingCheckedAt = s.roomChanges, now
+	s.preemptingChanges, s.preemptingCheckedAt = s.capacityChanges, now
 }
 
 // allStopping reports whether the runs that block a unit's reserved workers are all being stopped.
@@ -166,7 +166,7 @@
 	for _, n := range u.placement {
 		stopped := ids.Resources{}
 		for _, r := range n.runs {
-			if s.endsSoon(r) {
+			if s.isEnding(r) {
 				stopped = stopped.Plus(r.resources)
 			}
 		}
@@ -203,7 +203,7 @@
 	return true
 }
 
-// placeWaiting starts the waiting units that fit, in the order of compareTurns. Units of priority 0 that don't fit preempt
+// placeWaiting starts the waiting units that fit, in the order of compareOrder. Units of priority 0 that don't fit preempt
 // others; the first gangs of each priority that don't fit get reservations.
 func (s *State) placeWaiting(now time.Time) {
 	s.reserved.refresh(now)
@@ -232,10 +232,10 @@
 		if !j.stored {
 			continue
 		}
-		switch j.turn() {
-		case usualTurn:
+		switch j.orderClass() {
+		case regularClass:
 			s.placeJob(j, now)
-		case overdueTurn:
+		case overdueClass:
 			overdue = append(overdue, j)
 		}
 	}
@@ -246,7 +246,7 @@
 }
 
 // updateOverdue determines periodically which jobs can't meet their objectives any more. Those that have started keep their
-// turns, since their remaining tasks may be short of little room.
+// order, since they may need only a few more workers.
 func (s *State) updateOverdue(now time.Time) {
 	if now.Sub(s.overdueUpdatedAt) < overdueInterval {
 		return
@@ -257,27 +257,27 @@
 	}
 }
 
-// The turns of jobs of one priority. An overdue job waits for those that can still meet their objectives: serving it first
+// The order classes of jobs of one priority. An overdue job waits for those that can still meet their objectives: serving it first
 // would make them overdue too.
 const (
-	guaranteedTurn = iota
-	usualTurn
-	overdueTurn
+	guaranteedClass = iota
+	regularClass
+	overdueClass
 )
 
-func (j *Job) turn() int {
+func (j *Job) orderClass() int {
 	switch {
 	case j.guaranteed:
-		return guaranteedTurn
+		return guaranteedClass
 	case j.overdue:
-		return overdueTurn
+		return overdueClass
 	}
-	return usualTurn
+	return regularClass
 }
 
-// compareTurns orders jobs by priority, turn, start tag and submission time.
-func compareTurns(a, b *Job) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.turn(), b.turn()), compareJobs(a, b))
+// compareOrder orders jobs by priority, class, start tag and submission time.
+func compareOrder(a, b *Job) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.orderClass(), b.orderClass()), compareJobs(a, b))
 }
 
 // placeJob places the waiting units of a job.
@@ -309,7 +309,7 @@
 	}
 }
 
-// placeUnit starts a unit or preempts others for it. It returns false if the unit has to wait for room.
+// placeUnit starts a unit or preempts others for it. It returns false if the unit has to wait for free resources.
 func (s *State) placeUnit(u *unit, now time.Time) bool {
 	if s.mayFit(u) {
 		if placement := s.findPlacement(u, now, s.conflicts(u, now)); placement != nil {
--- a/internal/process/pool/evacuate.go
+++ b/internal/process/pool/evacuate.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// lingering records how much longer than announced workers have stayed that drained with the same notice. The latest
+// departureDelays records how much longer than announced workers have stayed that drained with the same notice. The latest
 // departure is last.
-type lingering struct{ extra []time.Duration }
+type departureDelays struct{ extra []time.Duration }
 
 const (
 	// evacuationMargin is the time before a worker leaves at which checkpointed runs have to have been stopped.
@@ -38,7 +38,7 @@
 			delete(s.leaving, n)
 			continue
 		}
-		leavesAt := n.LeavesAt.Add(s.lingering[n.Notice.Round(noticeRounding)].expected())
+		leavesAt := n.LeavesAt.Add(s.departureDelays[n.Notice.Round(noticeRounding)].expected())
 		stopAt := leavesAt.Add(-s.Times.Stop - evacuationMargin)
 		for _, r := range slices.Clone(n.runs) {
 			u := r.unit
@@ -68,17 +68,17 @@
 		return
 	}
 	key := n.Notice.Round(noticeRounding)
-	l := s.lingering[key]
+	l := s.departureDelays[key]
 	if l == nil {
-		l = &lingering{}
-		s.lingering[key] = l
+		l = &departureDelays{}
+		s.departureDelays[key] = l
 	}
 	l.extra = append(l.extra, now.Sub(n.LeavesAt))
 	l.extra = l.extra[max(0, len(l.extra)-keptDepartures):]
 }
 
 // expected returns the least additional time of the latest departures.
-func (l *lingering) expected() time.Duration {
+func (l *departureDelays) expected() time.Duration {
 	if l == nil || len(l.extra) < minDepartures {
 		return 0
 	}
--- a/internal/process/pool/fleet_test.go
+++ b/internal/process/pool/fleet_test.go
@@ -184,11 +184,11 @@
 	}
 }
 
-// checkRooms compares the cached counts of room with counts of all workers.
-func (s *sim) checkRooms(t *testing.T) {
-	for shape, cached := range s.rooms {
+// checkFitCounts compares the cached counts of room with counts of all workers.
+func (s *sim) checkFitCounts(t *testing.T) {
+	for shape, cached := range s.fitCounts {
 		cached.count(s.State)
-		fresh := &room{shape: shape, byRack: make([]rackRoom, len(s.racks))}
+		fresh := &fitCount{shape: shape, byRack: make([]rackFitCount, len(s.racks))}
 		fresh.count(s.State)
 		require.Equal(t, fresh, cached, "%v after %v", shape, s.now.Sub(testStart))
 	}
@@ -225,7 +225,7 @@
 			s.at(o.submitAt, func() { s.submit(o, clientRetries) })
 		}
 		for range 250 {
-			s.at(time.Duration(s.random.Int64N(int64(30*time.Second))), func() { s.checkRooms(t) })
+			s.at(time.Duration(s.random.Int64N(int64(30*time.Second))), func() { s.checkFitCounts(t) })
 		}
 		s.playFor(30 * time.Second)
 		require.Positive(t, s.stops, "seed %d: nothing was stopped", seed)
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -120,8 +120,8 @@
 		// fitsRack caches the result of fitsOneRack; it is valid while fitsRackVersion equals State.rackFitsVersion.
 		fitsRack        bool
 		fitsRackVersion uint64
-		// impatient is set once a preemption plan was made for the unit: the next one relies on no run that ends by itself.
-		impatient bool
+		// preemptionPlanned is set once a preemption plan was made for the unit: the next one relies on no run that ends by itself.
+		preemptionPlanned bool
 		// stragglerStops counts the stops of the unit to leave a slow worker.
 		stragglerStops int
 		// nextPlanAt is the earliest time at which a further preemption plan is made after one that failed.
@@ -146,9 +146,9 @@
 		units []*unit
 		// inPhase counts the units in each phase.
 		inPhase [phaseCount]int
-		// room caches the room for the step's tasks; it is valid while roomsVersion equals State.roomsVersion.
-		room         *room
-		roomsVersion uint64
+		// room caches the counts for the step's tasks; it is valid while fitCountsVersion equals State.fitCountsVersion.
+		fitCount         *fitCount
+		fitCountsVersion uint64
 	}
 
 	// stepKey identifies a step of one occurrence of a job.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -81,9 +81,9 @@
 		// index is the rack's position among all racks, sorted by id.
 		index int
 		nodes []*node
-		// changedAt is the value of State.roomChanges at the last change of a worker's room.
+		// changedAt is the value of State.capacityChanges at the last such change of one of its workers.
 		changedAt uint64
-		// freeAccelerators is the sum of the workers' free accelerators when roomChanges was summedAt.
+		// freeAccelerators is the sum of the workers' free accelerators when capacityChanges was summedAt.
 		freeAccelerators ids.Accelerators
 		summedAt         uint64
 		// expectedEnds lists the runs by expected end, as computed at expectedEndsAt; endsChanged is set if any has changed.
@@ -109,10 +109,10 @@
 	return n.listed && n.reported && !n.Draining && n.silentSince.IsZero() && n.quarantinedUntil.IsZero()
 }
 
-// firstChoice reports whether gangs prefer the worker: it is not slower, and nothing has failed there since its last success.
-func (n *node) firstChoice() bool { return !n.secondChoice() }
+// preferred reports whether gangs prefer the worker: it is not slower, and nothing has failed there since its last success.
+func (n *node) preferred() bool { return !n.notPreferred() }
 
-func (n *node) secondChoice() bool { return n.slower() || n.failures > 0 }
+func (n *node) notPreferred() bool { return n.slower() || n.failures > 0 }
 
 // schedulableSoon reports whether the worker takes new runs now or after a quarantine of the shortest length.
 func (n *node) schedulableSoon() bool {
@@ -179,16 +179,16 @@
 func (s *State) rebuildRacks() {
 	s.invalidateRackFits()
 	s.reserved.clear()
-	s.rooms = make(map[taskShape]*room)
-	s.roomsVersion++
+	s.fitCounts = make(map[taskShape]*fitCount)
+	s.fitCountsVersion++
 	s.requestPass()
 	s.racksByID = make(map[ids.RackID]*rack)
 	s.racks = nil
 	for _, n := range s.sortedNodes() {
 		r := s.racksByID[n.Rack]
 		if r == nil {
-			s.roomChanges++
-			r = &rack{id: n.Rack, changedAt: s.roomChanges}
+			s.capacityChanges++
+			r = &rack{id: n.Rack, changedAt: s.capacityChanges}
 			s.racksByID[n.Rack] = r
 			s.racks = append(s.racks, r)
 		}
@@ -232,7 +232,7 @@
 			s.setSilent(n, now)
 		}
 		s.markChanged(n)
-		s.roomChanged(n)
+		s.capacityChanged(n)
 		s.loseRuns(n, cause, now)
 	}
 }
@@ -273,7 +273,7 @@
 	n.silentSince = now
 	s.suspects[n] = true
 	s.markChanged(n)
-	s.roomChanged(n)
+	s.capacityChanged(n)
 	s.invalidateRackFits()
 }
 
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -18,34 +18,34 @@
 
 // mayFit reports whether a unit may fit into the free resources, regardless of reservations.
 func (s *State) mayFit(u *unit) bool {
-	room := s.roomFor(u.stage)
+	fits := s.fitCountFor(u.stage)
 	if u.count > 1 && u.spec().SameRack && s.fitsOneRack(u) {
-		return room.most.all >= u.count
+		return fits.most.all >= u.count
 	}
-	return room.sum.all >= u.count
+	return fits.sum.all >= u.count
 }
 
-// choice restricts the workers for a unit.
-type choice int
+// workerFilter restricts the workers for a unit.
+type workerFilter int
 
 const (
-	anyWorker choice = iota
-	// firstOnly are the workers that are not slower and on which nothing has failed since their last success.
-	firstOnly
-	// provenOnly are those of firstOnly with a success within provenTime.
+	anyWorker workerFilter = iota
+	// preferredOnly are the workers that are not slower and on which nothing has failed since their last success.
+	preferredOnly
+	// provenOnly are those of preferredOnly with a success within provenTime.
 	provenOnly
 )
 
 // provenTime is how long a success shows that a worker does not fail all that it starts.
 const provenTime = 5 * time.Second
 
-// chosen reports whether a worker belongs to a choice.
-func (s *State) chosen(n *node, c choice, now time.Time) bool {
-	switch c {
-	case firstOnly:
-		return n.firstChoice()
+// passes reports whether a worker passes a filter.
+func (n *node) passes(filter workerFilter, now time.Time) bool {
+	switch filter {
+	case preferredOnly:
+		return n.preferred()
 	case provenOnly:
-		return n.firstChoice() && now.Sub(n.succeededAt) < provenTime
+		return n.preferred() && now.Sub(n.succeededAt) < provenTime
 	}
 	return true
 }
@@ -60,7 +60,7 @@
 	}
 	if u.count > 1 {
 		// One slower worker slows the whole gang down, and one that fails breaks it.
-		if placement := s.bestPlacement(u, now, conflicts, firstOnly); placement != nil {
+		if placement := s.bestPlacement(u, now, conflicts, preferredOnly); placement != nil {
 			return placement
 		}
 	}
@@ -68,22 +68,22 @@
 }
 
 // bestPlacement returns a best-fit placement: the one in the rack with the fewest free accelerators. It
-// uses the workers of a choice only.
-func (s *State) bestPlacement(u *unit, now time.Time, conflicts uint64, choice choice) []*node {
-	room := s.roomFor(u.stage)
-	if room.sum.of(choice) < u.count {
+// uses only workers that pass the filter.
+func (s *State) bestPlacement(u *unit, now time.Time, conflicts uint64, filter workerFilter) []*node {
+	fits := s.fitCountFor(u.stage)
+	if fits.sum.of(filter) < u.count {
 		return nil
 	}
 	racks, spread := s.candidateRacks(u, now)
 	if spread {
-		if conflicts != 0 && room.unreserved(s, conflicts, choice) < u.count {
+		if conflicts != 0 && fits.unreserved(s, conflicts, filter) < u.count {
 			return nil
 		}
-		return fill(u, s.candidates(u, racks, now, conflicts, choice))
+		return fill(u, s.candidates(u, racks, now, conflicts, filter))
 	}
 	fitting := s.fittingRacks[:0]
 	for _, r := range racks {
-		if room.byRack[r.index].of(choice) >= u.count {
+		if fits.byRack[r.index].of(filter) >= u.count {
 			fitting = append(fitting, r)
 		}
 	}
@@ -92,7 +92,7 @@
 		return cmp.Compare(s.freeAcceleratorsIn(a), s.freeAcceleratorsIn(b))
 	})
 	for i := range fitting {
-		if placement := fill(u, s.candidates(u, fitting[i:i+1], now, conflicts, choice)); placement != nil {
+		if placement := fill(u, s.candidates(u, fitting[i:i+1], now, conflicts, filter)); placement != nil {
 			return placement
 		}
 	}
@@ -152,14 +152,14 @@
 	}
 	var best *rack
 	most := 0
-	room := s.roomFor(u.stage)
+	fits := s.fitCountFor(u.stage)
 	for i, r := range s.racks {
-		slots := room.byRack[i].all
+		slots := fits.byRack[i].all
 		if limit := u.spec().MaxPerWorker; limit > 0 && slots > 0 {
 			slots = 0
 			for _, n := range r.nodes {
 				if s.eligible(u, n, now) {
-					slots += min(limit-s.tasksOn(n, u), room.tasksOn(n))
+					slots += min(limit-s.tasksOn(n, u), fits.tasksOn(n))
 				}
 			}
 		}
@@ -189,16 +189,16 @@
 
 // candidates returns the eligible workers with room for the unit outside the given reservations, best fit first. For a
 // single task it returns only the best one.
-func (s *State) candidates(u *unit, racks []*rack, now time.Time, conflicts uint64, choice choice) []candidate {
+func (s *State) candidates(u *unit, racks []*rack, now time.Time, conflicts uint64, filter workerFilter) []candidate {
 	spec := u.spec()
-	room := s.roomFor(u.stage)
+	fits := s.fitCountFor(u.stage)
 	list := s.candidateList[:0]
 	for _, r := range racks {
-		if room.byRack[r.index].of(choice) == 0 {
+		if fits.byRack[r.index].of(filter) == 0 {
 			continue
 		}
 		for _, n := range r.nodes {
-			if n.reservedFor&conflicts != 0 || !s.chosen(n, choice, now) || !s.eligible(u, n, now) {
+			if n.reservedFor&conflicts != 0 || !n.passes(filter, now) || !s.eligible(u, n, now) {
 				continue
 			}
 			free := n.free()
@@ -304,14 +304,14 @@
 	s.preempting = append(s.preempting, u)
 	for _, n := range placement {
 		n.held = n.held.Plus(u.spec().Each)
-		s.roomChanged(n)
+		s.capacityChanged(n)
 	}
 }
 
 func (s *State) releasePlacement(u *unit) {
 	for _, n := range u.placement {
 		n.held = n.held.Minus(u.spec().Each)
-		s.roomChanged(n)
+		s.capacityChanged(n)
 	}
 	u.placement = nil
 	s.preempting = slices.DeleteFunc(s.preempting, func(other *unit) bool { return other == u })
--- a/internal/process/pool/preempt.go
+++ b/internal/process/pool/preempt.go
@@ -27,7 +27,7 @@
 	restartDelay = 200 * time.Millisecond
 	// reliablePercent is the progress from which the expected end of a unit is certain enough to wait for it.
 	reliablePercent = 50
-	// failedPlanInterval is the time after which a unit that no preemption would make room for is planned again.
+	// failedPlanInterval is the time after which a unit for which preemption would not free enough is planned again.
 	failedPlanInterval = 50 * time.Millisecond
 	// coresPerAccelerator is the weight of an accelerator in cores.
 	coresPerAccelerator = 8
@@ -49,7 +49,7 @@
 		s.stopUnit(v.unit, "preempted by urgent job "+string(u.job.ID), now)
 	}
 	s.holdPlacement(u, placement, now)
-	u.impatient = true
+	u.preemptionPlanned = true
 	return true
 }
 
@@ -63,8 +63,8 @@
 	if !u.job.guaranteed {
 		bestCost = math.Nextafter(value, math.Inf(1))
 	}
-	consider := func(group *rack, choice choice) {
-		placement, victims := s.preemptionPlanOn(u, group, now, choice, bestCost)
+	consider := func(group *rack, filter workerFilter) {
+		placement, victims := s.preemptionPlanOn(u, group, now, filter, bestCost)
 		if placement == nil {
 			return
 		}
@@ -90,8 +90,8 @@
 			break
 		}
 		consider(r, anyWorker)
-		if slices.ContainsFunc(r.nodes, (*node).secondChoice) {
-			consider(r, firstOnly)
+		if slices.ContainsFunc(r.nodes, (*node).notPreferred) {
+			consider(r, preferredOnly)
 		}
 	}
 	return best, bestVictims
@@ -99,16 +99,16 @@
 
 // preemptionPlanOn looks for a placement on some workers: it adds victims, cheapest first, until the unit fits, and then
 // drops those that turn out not to be needed. It gives up if the victims can't cost less than limit.
-func (s *State) preemptionPlanOn(u *unit, group *rack, now time.Time, choice choice, limit float64) ([]*node, []victim) {
+func (s *State) preemptionPlanOn(u *unit, group *rack, now time.Time, filter workerFilter, limit float64) ([]*node, []victim) {
 	s.projections++
 	plan := preemptionPlan{state: s, unit: u}
 	for _, n := range group.nodes {
-		if !s.chosen(n, choice, now) || !s.eligible(u, n, now) {
+		if !n.passes(filter, now) || !s.eligible(u, n, now) {
 			continue
 		}
 		free := n.free()
 		for _, r := range n.runs {
-			if s.endsSoon(r) || (!u.impatient && s.needsNoStop(r, now)) {
+			if s.isEnding(r) || (!u.preemptionPlanned && s.endsWithinStopTime(r, now)) {
 				free = free.Plus(r.resources)
 			}
 		}
@@ -150,13 +150,13 @@
 	return fill(u, placeable), needed
 }
 
-// endsSoon reports whether a run is being stopped, or its unit is done.
-func (s *State) endsSoon(r *run) bool {
+// isEnding reports whether a run is being stopped, or its unit is done.
+func (s *State) isEnding(r *run) bool {
 	return r.phase == runStopping || (r.unit != nil && r.unit.phase == done)
 }
 
-// needsNoStop reports whether a run is expected to end no later than a stop would end it.
-func (s *State) needsNoStop(r *run, now time.Time) bool {
+// endsWithinStopTime reports whether a run is expected to end no later than a stop would end it.
+func (s *State) endsWithinStopTime(r *run, now time.Time) bool {
 	u := r.unit
 	return u != nil && u.phase == running && u.percent >= reliablePercent && !s.expectedEnd(u, now).After(now.Add(s.expectedStopTime()))
 }
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -19,7 +19,7 @@
 	if !n.reported || !n.silentSince.IsZero() {
 		n.reported = true
 		s.requestPass()
-		s.roomChanged(n)
+		s.capacityChanged(n)
 		s.invalidateRackFits()
 	}
 	n.silentSince, n.reportedAt = time.Time{}, now
@@ -121,7 +121,7 @@
 		s.recordFailedRun(u, e.Run.Number)
 		u.avoidNode(n.ID, now)
 		s.observeGang(u, 1)
-		if s.failureShare.value > failureWave {
+		if s.failureShare.value > failureShareThreshold {
 			u.notBefore = now.Add(retryDelay << min(len(u.failedRuns)-1, maxBackoffDoublings))
 		}
 		s.stopRemaining(u, "a task failed on "+string(n.ID), now)
--- a/internal/process/pool/reservation.go
+++ b/internal/process/pool/reservation.go
@@ -122,7 +122,7 @@
 	if a.job == b.job {
 		return cmp.Or(cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step)) < 0
 	}
-	return compareTurns(a.job, b.job) < 0
+	return compareOrder(a.job, b.job) < 0
 }
 
 // earliestFit returns when and where a unit is expected to fit outside the given reservations if nothing else is started
@@ -134,10 +134,10 @@
 	}
 	var best []*node
 	var bestAt time.Time
-	room := s.roomFor(u.stage)
+	fits := s.fitCountFor(u.stage)
 	for _, r := range racks {
 		ends := s.expectedEndsOn(r, now)
-		if best != nil && room.byRack[r.index].all < u.count && (len(ends) == 0 || !ends[0].at.Before(bestAt)) {
+		if best != nil && fits.byRack[r.index].all < u.count && (len(ends) == 0 || !ends[0].at.Before(bestAt)) {
 			continue
 		}
 		if at, placement := s.earliestFitOn(u, r, now, conflicts); placement != nil && (best == nil || at.Before(bestAt)) {
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -16,8 +16,8 @@
 	// avoidTime is how long a unit avoids a worker on which it failed. It is no longer than the shortest quarantine, since
 	// the unit may need that worker in order to fit.
 	avoidTime = minQuarantine
-	// failureWave is the share of failures among the ends of gangs from which the cause is probably a group of workers.
-	failureWave = 0.25
+	// failureShareThreshold is the share of failures among the ends of gangs from which the cause is probably a group of workers.
+	failureShareThreshold = 0.25
 	// retryDelay is how long a unit then waits after its first failure, so that the failures of others show which workers to
 	// avoid; it doubles with each further one.
 	retryDelay = 800 * time.Millisecond
@@ -49,7 +49,7 @@
 		r.pin()
 		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint})
 	}
-	u.impatient = false
+	u.preemptionPlanned = false
 	s.fairQueue.advance(u.job)
 	first := !u.job.started
 	u.job.started = true
@@ -201,7 +201,7 @@
 	n.runs = append(n.runs, r)
 	n.used = n.used.Plus(r.resources)
 	s.markChanged(n)
-	s.roomChanged(n)
+	s.capacityChanged(n)
 	s.checkLeaving(n)
 }
 
@@ -221,7 +221,7 @@
 	r.phase = runGone
 	r.node.runs = slices.DeleteFunc(r.node.runs, func(other *run) bool { return other == r })
 	s.markChanged(r.node)
-	s.roomChanged(r.node)
+	s.capacityChanged(r.node)
 	r.node.used = r.node.used.Minus(r.resources)
 	if r.pinned {
 		r.node.pinned--
@@ -274,7 +274,7 @@
 	}
 	n.failures++
 	n.lastFailedJob = job
-	s.roomChanged(n)
+	s.capacityChanged(n)
 	if n.failures >= failuresToQuarantine {
 		s.quarantine(n, job, "different jobs failed there in a row", now)
 	}
@@ -288,7 +288,7 @@
 	n.quarantineTime = min(maxQuarantine, max(minQuarantine, 2*n.quarantineTime))
 	n.quarantinedUntil = now.Add(n.quarantineTime)
 	s.suspects[n] = true
-	s.roomChanged(n)
+	s.capacityChanged(n)
 	s.invalidateRackFits()
 	// One more failure after the quarantine starts the next one.
 	n.failures = failuresToQuarantine - 1
@@ -303,7 +303,7 @@
 		s.invalidateRackFits()
 	}
 	if n.failures > 0 {
-		s.roomChanged(n)
+		s.capacityChanged(n)
 	}
 	n.failures, n.lastFailedJob, n.quarantineTime = 0, "", 0
 }
--- a/internal/process/pool/slowdown.go
+++ b/internal/process/pool/slowdown.go
@@ -84,7 +84,7 @@
 		r.node.setLogSlowdown(max(r.node.logSlowdown, minLogSlowdown))
 	}
 	if isSlower := r.node.slower(); isSlower != wasSlower {
-		s.roomChanged(r.node)
+		s.capacityChanged(r.node)
 		s.notice(Notice{
 			Kind: "WorkerPace", Worker: r.node.ID, Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count,
 			Cause: fmt.Sprintf("tasks take %.2f times as long as on the fast workers", r.node.slowdown()),
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -45,15 +45,15 @@
 		wholePool *rack
 		// total is the sum of all workers' resources.
 		total ids.Resources
-		// rooms caches the room for tasks of each shape. It is replaced, and roomsVersion incremented, when the racks change.
-		rooms        map[taskShape]*room
-		roomsVersion uint64
-		// roomChanges counts the changes of any worker's room; see rack.changedAt.
-		roomChanges uint64
+		// fitCounts caches how many tasks of each shape fit. It is replaced, and fitCountsVersion incremented, when the racks change.
+		fitCounts        map[taskShape]*fitCount
+		fitCountsVersion uint64
+		// capacityChanges counts the changes of any worker's free resources or schedulability; see rack.changedAt.
+		capacityChanges uint64
 		// reserved holds the reservations for waiting gangs.
 		reserved reservations
 		// preemptingCheckedAt is when the units in phase preempting were last checked, and preemptingChanges is the value of
-		// roomChanges then.
+		// capacityChanges then.
 		preemptingCheckedAt time.Time
 		preemptingChanges   uint64
 		// lastRunSeq is the sequence number of the latest run.
@@ -87,9 +87,9 @@
 		changed map[ids.InstanceID]bool
 		// suspects holds the workers that are quarantined, silent or not listed.
 		suspects map[*node]bool
-		// leaving holds the draining workers with runs, and lingering maps notices to how workers stayed beyond them.
-		leaving   map[*node]bool
-		lingering map[time.Duration]*lingering
+		// leaving holds the draining workers with runs, and departureDelays maps notices to how workers stayed beyond them.
+		leaving         map[*node]bool
+		departureDelays map[time.Duration]*departureDelays
 		// unknown maps the workers that may still run jobs of an earlier owner to the time until which that is possible.
 		unknown   map[ids.InstanceID]time.Time
 		estimates map[ids.QueueID]*RunTimes
@@ -179,10 +179,10 @@
 	s.changed = make(map[ids.InstanceID]bool)
 	s.suspects = make(map[*node]bool)
 	s.leaving = make(map[*node]bool)
-	s.lingering = make(map[time.Duration]*lingering)
+	s.departureDelays = make(map[time.Duration]*departureDelays)
 	s.unknown = make(map[ids.InstanceID]time.Time)
 	s.estimates = make(map[ids.QueueID]*RunTimes)
-	s.rooms = make(map[taskShape]*room)
+	s.fitCounts = make(map[taskShape]*fitCount)
 	s.Times.Stop = cmp.Or(s.Times.Stop, 400*time.Millisecond)
 	s.Times.GuaranteedStart = cmp.Or(s.Times.GuaranteedStart, 2900*time.Millisecond)
 	s.Times.Restore = cmp.Or(s.Times.Restore, 100*time.Millisecond)
