Log the workers and the list's age of each start, and each watch that fails or comes back

A placement names all its workers and the age of the list, an order that is sent after its decision has a line with the age at that moment, and neither is sampled. All watches log their first failure and the first one without an answer, with how long it took, and their recovery; the renewal of the ownership lease logs both too. Metrics count the watches and show the list's age. No decision changes.

--- a/internal/process/logsink/logsink.go
+++ b/internal/process/logsink/logsink.go
@@ -85,6 +85,28 @@
 	}
 }
 
+// Complete is the name of loggers whose lines are not sampled. Their volume must be bounded by what they report.
+const Complete = "complete"
+
+// selective samples the lines of all loggers but those named Complete.
+type selective struct {
+	zapcore.Core
+	complete zapcore.Core
+}
+
+// With implements zapcore.Core.
+func (c selective) With(fields []zapcore.Field) zapcore.Core {
+	return selective{Core: c.Core.With(fields), complete: c.complete.With(fields)}
+}
+
+// Check implements zapcore.Core.
+func (c selective) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if e.LoggerName == Complete {
+		return c.complete.Check(e, checked)
+	}
+	return c.Core.Check(e, checked)
+}
+
 const (
 	// sampleFirst is the number of lines with the same message that are written each second before sampling begins.
 	sampleFirst = 100
@@ -92,17 +114,17 @@
 	sampleThereafter = 20
 )
 
-// Logger returns a logger that writes JSON lines to a sink. Lines with the same message are sampled each second; onSuppressed
-// is called for each suppressed line.
+// Logger returns a logger that writes JSON lines to a sink. Lines with the same message are sampled each second, except those
+// of loggers named Complete; onSuppressed is called for each suppressed line.
 func Logger(s *Sink, level zapcore.Level, onSuppressed func()) *zap.Logger {
 	c := zap.NewProductionEncoderConfig()
 	c.EncodeTime = zapcore.ISO8601TimeEncoder
-	c.CallerKey = zapcore.OmitKey
+	c.CallerKey, c.NameKey = zapcore.OmitKey, zapcore.OmitKey
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), s, level)
 	count := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 		if d&zapcore.LogDropped != 0 {
 			onSuppressed()
 		}
 	})
-	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter, count))
+	return zap.New(selective{Core: zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter, count), complete: core})
 }
--- a/internal/process/logsink/logsink_test.go
+++ b/internal/process/logsink/logsink_test.go
@@ -41,7 +41,7 @@
 	})
 }
 
-// Lines with the same message are sampled each second, and the suppressed lines are counted.
+// Lines with the same message are sampled each second, and the suppressed lines are counted. Complete loggers are exempt.
 func TestSampling(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
@@ -51,6 +51,7 @@
 		const lines = 1000
 		for range lines {
 			log.Info("call: refused")
+			log.With(zap.Int("epoch", 1)).Named(Complete).Info("decision: Placed")
 		}
 		log.Info("owner: ownership ended")
 		s.Close()
@@ -58,5 +59,6 @@
 		require.Equal(t, sampleFirst+(lines-sampleFirst)/sampleThereafter, written)
 		require.Equal(t, lines-written, suppressed)
 		require.Contains(t, out.String(), "owner: ownership ended")
+		require.Equal(t, lines, strings.Count(out.String(), "decision: Placed"))
 	})
 }
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -37,7 +37,9 @@
 	u.remote = s.isRemote(u, placement)
 	u.job.recordRack(u.stepKey(), placement[0].rack)
 	u.runs = u.runs[:0]
+	workers := make([]ids.InstanceID, 0, len(placement))
 	for i, n := range placement {
+		workers = append(workers, n.ID)
 		s.lastRunSeq++
 		r := &run{
 			seq:  s.lastRunSeq,
@@ -54,7 +56,7 @@
 	first := !u.job.started
 	u.job.started = true
 	s.notice(Notice{
-		Kind: "Placed", Job: u.job.ID, Priority: u.job.Priority, First: first, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: placement[0].ID,
+		Kind: "Placed", Job: u.job.ID, Priority: u.job.Priority, First: first, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: placement[0].ID, Workers: workers,
 		Cause: placedCause(u, placement), After: now.Sub(u.job.Submitted),
 	})
 }
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -146,7 +146,9 @@
 		Tasks  int
 		Number ids.RunNumber
 		Worker ids.InstanceID
-		Cause  string
+		// Workers lists the workers of all tasks, for a placement.
+		Workers []ids.InstanceID
+		Cause   string
 		// Priority is the job's priority. First is set if no task of the job was started before. Outcome is
 		// the job's final state.
 		Priority int
--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -18,6 +18,7 @@
 // Run watches the owner key and claims it whenever no instance holds it, until ctx is done.
 func (o *Owner) Run(ctx context.Context) {
 	o.Times = o.Times.withDefaults()
+	o.ownerWatch = watchHealth{log: o.Log, metrics: &o.metrics, prefix: keyOwner}
 	failures := 0
 	for ctx.Err() == nil {
 		revision, err := o.readOwner(ctx)
@@ -85,6 +86,7 @@
 			o.claimAndRun(ctx, current.revision)
 			return
 		}
+		sent := time.Now()
 		events, at, err := o.watchOwner(ctx, revision, wait)
 		if dead := o.deadOwner.Swap(nil); dead != nil && dead == o.currentOwner.Load() && !o.leaving.Load() {
 			// All instances detect the end of the process at the same time.
@@ -93,12 +95,13 @@
 			return
 		}
 		if err != nil {
-			if !errors.Is(err, store.ErrCompacted) {
-				o.Log.Warn("member: watching the owner's key failed", zap.Error(err))
+			if !errors.Is(err, store.ErrCompacted) && ctx.Err() == nil {
+				o.ownerWatch.failed(err, sent, wait, revision)
 				pause.For(ctx, jitter(storeRetryDelay))
 			}
 			return
 		}
+		o.ownerWatch.returned()
 		revision = at
 		if unowned && len(events) == 0 {
 			o.claimAndRun(ctx, store.Absent)
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/logsink"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -306,7 +307,7 @@
 
 // start starts a run and reports the outcome to the term.
 func (l *link) start(a pool.Action) {
-	queued := len(l.orderSlots) == cap(l.orderSlots)
+	queued, decided := len(l.orderSlots) == cap(l.orderSlots), time.Now()
 	if !l.acquireSlot() {
 		return
 	}
@@ -315,8 +316,11 @@
 	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Lease: t.owner.Times.WorkerLease, Checkpoint: a.Checkpoint}
 	unknown := false
 	for attempt := range maxStartAttempts {
-		if (attempt > 0 || queued) && !l.mayStart(a.Run) {
-			break
+		if attempt > 0 || queued {
+			if !l.mayStart(a.Run) {
+				break
+			}
+			l.logLateStart(a.Run, attempt+1, time.Since(decided))
 		}
 		l.markLeaseOrdered()
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
@@ -364,6 +368,12 @@
 	return valid
 }
 
+// logLateStart logs an order that is sent later than the decision in which its worker was chosen.
+func (l *link) logLateStart(r worker.Run, attempt int, after time.Duration) {
+	l.term.log.Named(logsink.Complete).Info("orders: late start", zap.String("job", string(r.Job)), zap.Int("step", r.Step), zap.Int("task", r.Index), zap.Uint64("run", uint64(r.Number)),
+		zap.String("worker", string(l.id)), zap.Int("attempt", attempt), zap.Duration("after", after), zap.Duration("listAge", l.term.listAge()))
+}
+
 // isRefusal reports whether an error of a start means that the run does not exist on the worker and that this order will
 // never start it.
 func isRefusal(err error) bool {
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -22,7 +22,11 @@
 		Writes, WritesFailed         expvar.Int
 		Renewals, RenewalsFailed     expvar.Int
 		Starts, StartsUnknown, Stops expvar.Int
-		WriteTime                    Latency
+		// WatchesUnanswered counts the watches without an answer, and WatchesFailed those that failed otherwise.
+		WatchesUnanswered, WatchesFailed expvar.Int
+		WriteTime                        Latency
+		// StartListAge is the age of the instance list at each placement.
+		StartListAge Latency
 		// EventDelay is the time that events wait until the owner handles them.
 		EventDelay Latency
 		// CallTime is the latency of a call at the instance that received it, by kind and result.
@@ -96,6 +100,14 @@
 	return pool.Counts{}
 }
 
+// ListAge returns the age of the owner's instance list; zero if this instance doesn't own the pool.
+func (o *Owner) ListAge() time.Duration {
+	if t := o.term.Load(); t != nil {
+		return t.listAge()
+	}
+	return 0
+}
+
 func (m *Metrics) setCounts(c pool.Counts) { m.counts.Store(&c) }
 
 func (l *Latency) record(d time.Duration) {
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -57,7 +57,9 @@
 		// deadOwner is an owner whose process is known to have terminated, and cancelWatch cancels the watch in progress.
 		deadOwner   atomic.Pointer[OwnerRecord]
 		cancelWatch atomic.Pointer[context.CancelFunc]
-		metrics     Metrics
+		// ownerWatch is used by Run's goroutine alone.
+		ownerWatch watchHealth
+		metrics    Metrics
 	}
 
 	// ListedWorker is a worker of the instance list, with the address at which it accepts orders.
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -59,6 +59,29 @@
 	})
 }
 
+// The log shows the workers of each start, the age of the owner's list of workers then, and the watches that got no answer.
+func TestLogShowsListAge(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		w.store.SilenceWatches()
+		time.Sleep(time.Second)
+		w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(2, 4)}, runTime: time.Second})
+		_, err := w.submit(w.instances[0], 1, "a")
+		require.NoError(t, err)
+		w.awaitState(1, "a", pool.Completed)
+		time.Sleep(10 * time.Second)
+		log := w.checker.EventLog()
+		owner := w.ownerInstance().name
+		require.Regexp(t, owner+`: decision: Placed\t.*"workers": \["worker\d\d","worker\d\d"\], "listAge": "[0-9.]+m?s", "job": "a"`, log)
+		for _, prefix := range []string{testWorkerPrefix, testConfigPrefix, keyOwner} {
+			require.Regexp(t, owner+`: store: watch got no answer\t.*"prefix": "`+prefix+`", .*"took": "[0-9.]+s"`, log)
+			require.Regexp(t, owner+`: store: watch works again\t.*"prefix": "`+prefix+`", "failures": 1, "after": "[0-9.]+s"`, log)
+		}
+		m := w.ownerInstance().owner.Metrics()
+		require.EqualValues(t, 3, m.WatchesUnanswered.Value())
+		require.EqualValues(t, 1, m.StartListAge.Count())
+	})
+}
+
 // A call is answered within its queue's timeout, even if its client would wait longer.
 func TestQueueTimeout(t *testing.T) {
 	inCluster(t, func(t *testing.T, w *cluster) {
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
+	"github.com/jujubegrade/jujubegrade/internal/process/logsink"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
 	"github.com/jujubegrade/jujubegrade/internal/version/catalog"
@@ -37,6 +38,8 @@
 	// leaseRenewedAt is when the last successful renewal of the ownership lease was sent.
 	leaseRenewedAt atomic.Pointer[timestamp]
 	listed         map[ids.InstanceID]ListedWorker
+	// listConfirmedAt is when the call was sent whose answer last confirmed the instance list.
+	listConfirmedAt atomic.Pointer[timestamp]
 	// malformedEntries are the unreadable entries of the instance list, each logged once.
 	malformedEntries map[string]bool
 	links            map[ids.InstanceID]*link
@@ -212,7 +215,7 @@
 	}
 	t.loadEstimates(learned)
 	t.setConfig(config, sent)
-	t.setWorkers(workers)
+	t.setWorkers(workers, sent)
 	var jobs []*pool.Job
 	for _, e := range records {
 		j, err := pool.Decode(e.Value)
@@ -360,22 +363,48 @@
 	}
 }
 
+// listAge returns the age of the instance list.
+func (t *term) listAge() time.Duration {
+	at := t.listConfirmedAt.Load()
+	if at == nil {
+		return t.owner.since(timestamp{})
+	}
+	return t.owner.since(*at)
+}
+
 func (t *term) logNotice(n pool.Notice) {
-	t.log.Info("decision: "+n.Kind, zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("task", n.Task), zap.Int("tasks", n.Tasks),
+	log := t.log
+	if len(n.Workers) > 0 {
+		// Each start must be found in the log, so these lines are not sampled. The workers' capacity bounds their number.
+		age := t.listAge()
+		t.owner.metrics.StartListAge.record(age)
+		log = log.Named(logsink.Complete).With(zap.Any("workers", n.Workers), zap.Duration("listAge", age))
+	}
+	log.Info("decision: "+n.Kind, zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("task", n.Task), zap.Int("tasks", n.Tasks),
 		zap.Uint64("run", uint64(n.Number)), zap.String("worker", string(n.Worker)), zap.String("cause", n.Cause), zap.Duration("after", n.After), zap.Float64("lostCoreSeconds", n.Lost))
 }
 
 // renewLease renews the ownership lease until the term ends.
 func (t *term) renewLease() {
 	const renewalsPerLease = 5
+	failures := 0
 	for t.ctx.Err() == nil {
 		pause.For(t.ctx, jitter(t.owner.Times.Lease/renewalsPerLease))
 		sent := t.owner.now()
 		ctx, cancel := context.WithTimeout(t.ctx, t.owner.Times.Lease/3)
 		err := t.owner.Store.RenewLease(ctx, t.claim.lease)
 		cancel()
+		if err != nil && t.ctx.Err() == nil {
+			if failures++; failures == 1 {
+				t.log.Warn("owner: renewing the lease failed", zap.Duration("leaseAge", t.owner.since(*t.leaseRenewedAt.Load())), zap.Error(err))
+			}
+		}
 		switch {
 		case err == nil:
+			if failures > 0 {
+				t.log.Info("owner: the lease is renewed again", zap.Int("failures", failures), zap.Duration("leaseAge", t.owner.since(*t.leaseRenewedAt.Load())))
+			}
+			failures = 0
 			t.leaseRenewedAt.Store(&sent)
 			t.owner.markContact()
 		case errors.Is(err, store.ErrLeaseNotFound):
@@ -409,10 +438,15 @@
 // watchSuccessor ends the term once another instance has claimed the pool.
 func (t *term) watchSuccessor() {
 	after := t.claim.revision
+	health := watchHealth{log: t.log, metrics: &t.owner.metrics, prefix: keyOwner}
 	for t.ctx.Err() == nil {
+		sent := time.Now()
 		ctx, cancel := context.WithTimeout(t.ctx, ownerWatchWait+watchMargin)
 		events, at, err := t.owner.Store.Watch(ctx, keyOwner, after, ownerWatchWait)
 		cancel()
+		if t.ctx.Err() != nil {
+			return
+		}
 		if errors.Is(err, store.ErrCompacted) {
 			t.checkOwner()
 			pause.For(t.ctx, jitter(storeRetryDelay))
@@ -420,9 +454,11 @@
 			continue
 		}
 		if err != nil {
+			health.failed(err, sent, ownerWatchWait, after)
 			pause.For(t.ctx, jitter(storeRetryDelay))
 			continue
 		}
+		health.returned()
 		t.owner.markContact()
 		after = at
 		for _, e := range events {
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -24,6 +24,47 @@
 	workersBatchDelay = 100 * time.Millisecond
 )
 
+// watchHealth logs and counts the failures of the watches of one prefix and their recovery. It is used by one goroutine.
+type watchHealth struct {
+	log     *zap.Logger
+	metrics *Metrics
+	prefix  string
+	// failures counts the consecutive failures, failedSince is when the first of these watches was sent, and hung is set if
+	// one of them got no answer.
+	failures    int
+	failedSince time.Time
+	hung        bool
+}
+
+// failed records the failure of a watch. The first failure in a row is logged, and so is the first one without an answer.
+func (h *watchHealth) failed(err error, sent time.Time, wait time.Duration, after store.Revision) {
+	took := time.Since(sent)
+	hung := took >= wait+watchMargin
+	message := "store: watch failed"
+	if hung {
+		message = "store: watch got no answer"
+		h.metrics.WatchesUnanswered.Add(1)
+	} else {
+		h.metrics.WatchesFailed.Add(1)
+	}
+	if h.failures == 0 {
+		h.failedSince = sent
+	}
+	h.failures++
+	if h.failures == 1 || hung && !h.hung {
+		h.log.Warn(message, zap.String("prefix", h.prefix), zap.Uint64("revision", uint64(after)), zap.Duration("took", took), zap.Duration("wait", wait), zap.Error(err))
+	}
+	h.hung = h.hung || hung
+}
+
+// returned records the return of a watch, or of a list in its place.
+func (h *watchHealth) returned() {
+	if h.failures > 0 {
+		h.log.Info("store: watch works again", zap.String("prefix", h.prefix), zap.Int("failures", h.failures), zap.Duration("after", time.Since(h.failedSince)))
+	}
+	h.failures, h.hung = 0, false
+}
+
 // watchPrefix maintains a copy of the entries under a prefix and passes it to onChange after each watch, with the time at
 // which the watch was sent. It returns when the term ends.
 func (t *term) watchPrefix(prefix string, entries []store.Entry, revision store.Revision, wait, batchDelay time.Duration, onChange func(entries map[string]store.Entry, sent timestamp)) {
@@ -31,13 +72,17 @@
 	for _, e := range entries {
 		known[e.Key] = e
 	}
+	health := watchHealth{log: t.log, metrics: &t.owner.metrics, prefix: prefix}
 	for t.ctx.Err() == nil {
 		sent := t.owner.now()
 		ctx, cancel := context.WithTimeout(t.ctx, wait+watchMargin)
 		events, at, err := t.owner.Store.Watch(ctx, prefix, revision, wait)
 		cancel()
 		switch {
+		case t.ctx.Err() != nil:
+			return
 		case err == nil:
+			health.returned()
 			revision = at
 			for _, e := range events {
 				// Later pages of a list may be newer than the revision from which the watch continues.
@@ -55,30 +100,31 @@
 				pause.For(t.ctx, batchDelay)
 			}
 		case errors.Is(err, store.ErrCompacted):
-			if list, at, listed := t.listPrefix(prefix); listed {
-				revision = at
-				clear(known)
-				for _, e := range list {
-					known[e.Key] = e
-				}
-				onChange(maps.Clone(known), sent)
+			list, at, err := t.listPrefix(prefix)
+			if err != nil {
+				health.failed(errors.Wrap(err, "listing after the history was discarded"), sent.at, wait, revision)
+				pause.For(t.ctx, jitter(storeRetryDelay))
+				continue
 			}
+			t.log.Info("store: watch listed again, its history was discarded", zap.String("prefix", prefix), zap.Uint64("revision", uint64(revision)))
+			health.returned()
+			revision = at
+			clear(known)
+			for _, e := range list {
+				known[e.Key] = e
+			}
+			onChange(maps.Clone(known), sent)
 		default:
+			health.failed(err, sent.at, wait, revision)
 			pause.For(t.ctx, jitter(storeRetryDelay))
 		}
 	}
 }
 
-func (t *term) listPrefix(prefix string) ([]store.Entry, store.Revision, bool) {
+func (t *term) listPrefix(prefix string) ([]store.Entry, store.Revision, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, 2*storeCallTimeout)
 	defer cancel()
-	entries, revision, err := t.owner.Store.List(ctx, prefix)
-	if err != nil {
-		t.log.Warn("owner: listing a prefix failed", zap.String("prefix", prefix), zap.Error(err))
-		pause.For(t.ctx, jitter(storeRetryDelay))
-		return nil, 0, false
-	}
-	return entries, revision, true
+	return t.owner.Store.List(ctx, prefix)
 }
 
 func (t *term) watchConfig(entries []store.Entry, revision store.Revision) {
@@ -117,18 +163,19 @@
 }
 
 func (t *term) watchWorkers(entries []store.Entry, revision store.Revision) {
-	t.watchPrefix(t.owner.WorkerPrefix, entries, revision, workersWatchWait, workersBatchDelay, func(known map[string]store.Entry, _ timestamp) {
+	t.watchPrefix(t.owner.WorkerPrefix, entries, revision, workersWatchWait, workersBatchDelay, func(known map[string]store.Entry, sent timestamp) {
 		list := make([]store.Entry, 0, len(known))
 		for _, e := range known {
 			list = append(list, e)
 		}
-		t.post(func() { t.setWorkers(list) })
+		t.post(func() { t.setWorkers(list, sent) })
 	})
 }
 
-// setWorkers applies the instance list. Unreadable entries are skipped.
-func (t *term) setWorkers(entries []store.Entry) {
+// setWorkers applies the instance list as it was when a call was sent, or newer. Unreadable entries are skipped.
+func (t *term) setWorkers(entries []store.Entry, sent timestamp) {
 	now := time.Now()
+	t.listConfirmedAt.Store(&sent)
 	listed := make(map[ids.InstanceID]ListedWorker, len(entries))
 	for _, e := range entries {
 		w, err := t.owner.Worker(e.Key, e.Value)
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -257,14 +257,18 @@
 func (t *term) refreshConfig() {
 	for t.ctx.Err() == nil {
 		sent := t.owner.now()
-		if entries, _, listed := t.listPrefix(t.owner.ConfigPrefix); listed {
-			t.post(func() {
-				t.setConfig(entries, sent)
-				t.revalidateWaiting()
-				t.writeBlocked = false
-			})
-			return
+		entries, _, err := t.listPrefix(t.owner.ConfigPrefix)
+		if err != nil {
+			t.log.Warn("configuration: reading it again failed", zap.Error(err))
+			pause.For(t.ctx, jitter(storeRetryDelay))
+			continue
 		}
+		t.post(func() {
+			t.setConfig(entries, sent)
+			t.revalidateWaiting()
+			t.writeBlocked = false
+		})
+		return
 	}
 }
 
--- a/internal/standin/storeservice/transactions.go
+++ b/internal/standin/storeservice/transactions.go
@@ -25,6 +25,8 @@
 		changed   chan struct{}
 		outage    outage
 		fault     func(client string, write bool) CallFault
+		// watches counts the watches, and silenced is the number of the last one that is never answered.
+		watches, silenced uint64
 	}
 
 	lease struct {
@@ -134,6 +136,14 @@
 	s.outage = outage{down: down, pauseLeases: down && pauseLeases}
 }
 
+// SilenceWatches makes the store never answer the watches in progress, as on connections that have gone silent. Later watches
+// are answered.
+func (s *Transactional) SilenceWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silenced = s.watches
+}
+
 // Compact discards the history up to the current revision.
 func (s *Transactional) Compact() {
 	s.mu.Lock()
@@ -321,7 +331,11 @@
 
 func (s *Transactional) watch(ctx context.Context, client, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 	timeout := time.After(wait)
-	for {
+	s.mu.Lock()
+	s.watches++
+	number := s.watches
+	s.mu.Unlock()
+	for timedOut := false; ; {
 		var events []store.Event
 		var revision store.Revision
 		var changed chan struct{}
@@ -337,14 +351,21 @@
 			revision, changed = s.revision, s.changed
 			return nil
 		})
-		if err != nil || len(events) > 0 {
+		s.mu.Lock()
+		silenced := number <= s.silenced
+		s.mu.Unlock()
+		if silenced {
+			<-ctx.Done()
+			return nil, 0, store.ErrUnknown
+		}
+		if err != nil || len(events) > 0 || timedOut {
 			return events, revision, err
 		}
 		select {
 		case <-ctx.Done():
 			return nil, 0, store.ErrUnknown
 		case <-timeout:
-			return nil, revision, nil
+			timedOut = true
 		case <-changed:
 		}
 	}
