--- /dev/null
+++ b/internal/process/poolowner/drain_test.go
@@ -0,0 +1,114 @@
+package poolowner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/internal/standin/runservice"
+	"github.com/jujubegrade/jujubegrade/internal/standin/storeservice"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// drainWorker writes a draining worker's entry as the worker does.
+func (w *cluster) drainWorker(id ids.InstanceID) {
+	l := w.listed[id]
+	l.Draining, l.Notice = true, 30*time.Second
+	w.listed[id] = l
+	w.listWorker(id)
+	w.checker.RecordDrain(id)
+}
+
+// submitEvery submits jobs of one short task at an interval for a while.
+func (w *cluster) submitEvery(interval, total time.Duration) []ids.JobID {
+	var all []ids.JobID
+	task := pool.Step{Tasks: 1, Each: ids.Resources{Accelerators: 1, Cores: 1000, Memory: 1}, Estimate: time.Second}
+	for end := time.Now().Add(total); time.Now().Before(end); time.Sleep(interval) {
+		id := ids.JobID(fmt.Sprintf("job%d", len(all)))
+		w.defineJob(id, jobSpec{steps: []pool.Step{task}, runTime: 800 * time.Millisecond})
+		if answer, err := w.submit(w.instances[len(all)%len(w.instances)], 1, id); err == nil && answer.Result == OK {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+// No start that was decided before a worker announced its departure is sent long after it, be it queued behind others or
+// repeated since it got no answer.
+func TestNoLateStartOnDrainingWorker(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		const first = "worker00"
+		for id := range w.listed {
+			if id != first {
+				w.drainWorker(id)
+			}
+		}
+		time.Sleep(time.Second)
+		from := time.Now()
+		w.fleet.Worker(first).SetFault(func(call string) runservice.Fault {
+			return runservice.Fault{Silent: call == "start" && time.Since(from) < 2300*time.Millisecond}
+		})
+		task := pool.Step{Tasks: 8, Each: ids.Resources{Accelerators: 1, Cores: 1000, Memory: 1}, Estimate: time.Second}
+		w.defineJob("a", jobSpec{steps: []pool.Step{task}, runTime: time.Second})
+		_, err := w.submit(w.instances[0], 1, "a")
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		w.drainWorker(first)
+		time.Sleep(8 * time.Second)
+		for id, l := range w.listed {
+			l.Draining, l.Notice = false, 0
+			w.listed[id] = l
+			w.listWorker(id)
+			w.checker.RecordReady(id)
+		}
+		w.awaitState(1, "a", pool.Completed)
+	})
+}
+
+// No run starts on a worker that announced its departure while the owner's watch of the workers failed.
+func TestNoStartOnDrainingWorkerAfterWatchFails(t *testing.T) {
+	failures := map[string]func(w *cluster){
+		"it gets no answer": func(w *cluster) { w.store.SilenceWatches() },
+		"it gets no answer repeatedly": func(w *cluster) {
+			for range 6 {
+				w.store.SilenceWatches()
+				time.Sleep(150 * time.Millisecond)
+			}
+		},
+		"watches are not answered for a while, other calls are": func(w *cluster) {
+			w.store.SetWatchFault(func(string, string) storeservice.CallFault { return storeservice.CallFault{Silent: true} })
+			time.AfterFunc(9*time.Second, func() { w.store.SetWatchFault(nil) })
+		},
+		"watches are refused for a while, other calls are not": func(w *cluster) {
+			w.store.SetWatchFault(func(string, string) storeservice.CallFault { return storeservice.CallFault{Refuse: true} })
+			time.AfterFunc(9*time.Second, func() { w.store.SetWatchFault(nil) })
+		},
+		"it gets no answer, and the history is discarded": func(w *cluster) {
+			w.store.SilenceWatches()
+			time.AfterFunc(time.Second, w.store.Compact)
+		},
+	}
+	for name, fail := range failures {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.checker.BeginDisturbance()()
+				fail(w)
+				time.Sleep(200 * time.Millisecond)
+				const remaining = "worker05"
+				for id := range w.listed {
+					if id != remaining {
+						w.drainWorker(id)
+					}
+				}
+				jobs := w.submitEvery(100*time.Millisecond, 10*time.Second)
+				require.NotEmpty(t, jobs)
+				for _, id := range jobs {
+					w.awaitState(1, id, pool.Completed)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/history/checker.go
+++ b/internal/standin/history/checker.go
@@ -24,13 +24,18 @@
 
 	// Checker is a history checker. It is safe for concurrent use.
 	Checker struct {
-		mu         sync.Mutex
-		jobs       map[ids.JobID]*job
-		active     map[ids.InstanceID]map[worker.Run]bool
-		total      ids.Resources
-		starts     map[ids.JobID]int
-		violations []string
-		events     []string
+		mu     sync.Mutex
+		jobs   map[ids.JobID]*job
+		active map[ids.InstanceID]map[worker.Run]bool
+		total  ids.Resources
+		starts map[ids.JobID]int
+		// draining holds when each draining worker announced its departure.
+		draining map[ids.InstanceID]time.Time
+		// disturbances counts the faults of the store and the instances in progress, and disturbedAt is when the last one ended.
+		disturbances int
+		disturbedAt  time.Time
+		violations   []string
+		events       []string
 	}
 
 	job struct {
@@ -64,9 +69,16 @@
 // specifies.
 const maxStartDelayAfterCancel = 3 * time.Second
 
+// maxStartDelayAfterDrain is how long after a worker announced its departure runs may still start there, as the platform
+// specifies. It applies once the store and the instances have been without faults for stabilityWindow.
+const (
+	maxStartDelayAfterDrain = 2 * time.Second
+	stabilityWindow         = 3 * time.Second
+)
+
 // New returns a checker for workers that each have the given total resources.
 func New(total ids.Resources) *Checker {
-	return &Checker{starts: make(map[ids.JobID]int), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
+	return &Checker{starts: make(map[ids.JobID]int), draining: make(map[ids.InstanceID]time.Time), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
 }
 
 // Add registers a job before its submission.
@@ -80,6 +92,39 @@
 	}
 }
 
+// RecordDrain records that a worker announced its departure.
+func (c *Checker) RecordDrain(id ids.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining[id] = time.Now()
+	c.log(string(id) + " announces its departure")
+}
+
+// RecordReady records that a worker accepts runs, in a new incarnation.
+func (c *Checker) RecordReady(id ids.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.draining, id)
+	c.log(string(id) + " accepts runs")
+}
+
+// BeginDisturbance records the beginning of a fault of the store or an instance; the caller calls end when it is over.
+func (c *Checker) BeginDisturbance() (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disturbances++
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.disturbances--
+		c.disturbedAt = time.Now()
+	}
+}
+
+func (c *Checker) isDisturbed() bool {
+	return c.disturbances > 0 || !c.disturbedAt.IsZero() && time.Since(c.disturbedAt) < stabilityWindow
+}
+
 func (c *Checker) addViolation(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	c.violations = append(c.violations, text)
@@ -156,6 +201,9 @@
 	if !j.cancelled.IsZero() && time.Since(j.cancelled) > maxStartDelayAfterCancel {
 		c.addViolation("%s was started %v after its job was cancelled", e.Run.Task, time.Since(j.cancelled))
 	}
+	if at, found := c.draining[e.Worker]; found && !e.Late && !c.isDisturbed() && time.Since(at) > maxStartDelayAfterDrain {
+		c.addViolation("%s was started on %s %v after the worker announced its departure", e.Run.Task, e.Worker, time.Since(at))
+	}
 	if j.acknowledgedDone[e.Run.Task] {
 		c.addViolation("%s was started after its end as done was acknowledged", e.Run.Task)
 	}
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -49,6 +49,8 @@
 		// Number is the sequence number of the end. It and Reason are set only for Ended and Acknowledged events.
 		Number uint64
 		Reason worker.EndReason
+		// Late is set for a Started event if the worker executed the order after a delay.
+		Late bool
 	}
 
 	// Worker is one worker of a fleet.
@@ -82,7 +84,9 @@
 		ExecuteAfter time.Duration
 		// LoseAnswer executes the call and never answers it.
 		LoseAnswer bool
-		Unhealthy  bool
+		// Silent neither executes nor answers the call.
+		Silent    bool
+		Unhealthy bool
 	}
 
 	run struct {
@@ -122,6 +126,8 @@
 const (
 	// maxLease is the longest lease that a worker grants.
 	maxLease = 6 * time.Second
+	// lateThreshold is the delay from which an order counts as executed late.
+	lateThreshold = 50 * time.Millisecond
 	// gangStartTimeout is how long a member of a gang waits for the others to start.
 	gangStartTimeout = 3 * time.Second
 )
@@ -228,8 +234,8 @@
 func (w *Worker) Client() worker.RunClient {
 	return worker.RunClient{
 		Start: func(ctx context.Context, o worker.StartRunRequest) error {
-			expiry := time.Now().Add(o.Lease)
-			return w.handleCall(ctx, "start", func() error { return w.start(o, expiry) })
+			arrived := time.Now()
+			return w.handleCall(ctx, "start", func() error { return w.start(o, arrived) })
 		},
 		Stop: func(ctx context.Context, epoch ids.Epoch, r worker.Run) error {
 			return w.handleCall(ctx, "stop", func() error { return w.stop(epoch, r) })
@@ -247,7 +253,7 @@
 		f = w.fault(name)
 	}
 	incarnation := w.incarnation
-	unanswered := w.down || w.partitioned || f.ExecuteAfter > 0
+	unanswered := w.down || w.partitioned || f.Silent || f.ExecuteAfter > 0
 	var err error
 	switch {
 	case unanswered:
@@ -281,7 +287,8 @@
 	return nil
 }
 
-func (w *Worker) start(o worker.StartRunRequest, expiry time.Time) error {
+func (w *Worker) start(o worker.StartRunRequest, arrived time.Time) error {
+	expiry := arrived.Add(o.Lease)
 	if err := w.checkEpoch(o.Epoch); err != nil {
 		return err
 	}
@@ -297,7 +304,7 @@
 	}
 	r := &run{Run: o.Run, spec: w.fleet.Describe(o.Task), started: time.Now()}
 	w.runs[o.Run] = r
-	w.observe(Event{Kind: Started, Run: o.Run})
+	w.observe(Event{Kind: Started, Run: o.Run, Late: time.Since(arrived) > lateThreshold})
 	w.scheduleEnd(r)
 	return nil
 }
--- a/internal/standin/storeservice/transactions.go
+++ b/internal/standin/storeservice/transactions.go
@@ -20,11 +20,12 @@
 		history   []store.Event
 		revision  store.Revision
 		// compacted is the revision up to which the history was compacted.
-		compacted store.Revision
-		nextLease store.LeaseID
-		changed   chan struct{}
-		outage    outage
-		fault     func(client string, write bool) CallFault
+		compacted  store.Revision
+		nextLease  store.LeaseID
+		changed    chan struct{}
+		outage     outage
+		fault      func(client string, write bool) CallFault
+		watchFault func(client, prefix string) CallFault
 		// watches counts the watches, and silenced is the number of the last one that is never answered.
 		watches, silenced uint64
 	}
@@ -136,6 +137,13 @@
 	s.outage = outage{down: down, pauseLeases: down && pauseLeases}
 }
 
+// SetWatchFault replaces the function that selects the fault of each watch by its prefix: Refuse or Silent. Nil injects none.
+func (s *Transactional) SetWatchFault(fault func(client, prefix string) CallFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchFault = fault
+}
+
 // SilenceWatches makes the store never answer the watches in progress, as on connections that have gone silent. Later watches
 // are answered.
 func (s *Transactional) SilenceWatches() {
@@ -351,10 +359,10 @@
 			revision, changed = s.revision, s.changed
 			return nil
 		})
-		s.mu.Lock()
-		silenced := number <= s.silenced
-		s.mu.Unlock()
-		if silenced {
+		switch f := s.faultOfWatch(client, prefix, number); {
+		case f.Refuse:
+			return nil, 0, store.ErrRefused
+		case f.Silent:
 			<-ctx.Done()
 			return nil, 0, store.ErrUnknown
 		}
@@ -370,3 +378,16 @@
 		}
 	}
 }
+
+// faultOfWatch returns the fault of the watch with the given number.
+func (s *Transactional) faultOfWatch(client, prefix string, number uint64) CallFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case number <= s.silenced:
+		return CallFault{Silent: true}
+	case s.watchFault != nil:
+		return s.watchFault(client, prefix)
+	}
+	return CallFault{}
+}
