Start no runs by a list of workers that is too old

Callers' tasks were started on workers that had announced their departure up to 6 s before, and were stopped again when these left.

Cause: the owner's list of workers had no bound on its age. Its watch waits for 5 s and timed out after 6.5 s; if the store's answer was lost, the list stayed as it was for that long, and for 5 s more if no worker changed meanwhile. The configuration has had such a bound (MaxConfigAge) for long.

The watch of the workers now waits for 0.4 s, and watches time out 0.7 s after their wait. After any failure the prefix is listed, which needs neither the watch nor the history and confirms the entries at once. The list may be 0.85 drainMs old; beyond that no run is started, unless the calls to update it got no answer either: while the store is out, workers can't announce that they leave, and a store that refuses the owner lets its lease expire, so that another instance fences it. A refusal for too many calls doesn't count as such an outage. Pages of a list have a timeout of their own.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -27,6 +27,8 @@
 	if !s.recovering {
 		s.updateGuaranteed()
 		s.evacuate(now)
+	}
+	if !s.recovering && !s.held {
 		s.startPreempting(now)
 		if s.servedRequests != s.passRequests || now.Sub(s.lastPassAt) > maxPassInterval || (!s.retryAt.IsZero() && !now.Before(s.retryAt)) {
 			s.retryAt, s.lastPassAt = time.Time{}, now
@@ -40,6 +42,12 @@
 	return actions, notices
 }
 
+// HoldStarts sets whether waiting units are held, so that nothing is started.
+func (s *State) HoldStarts(hold bool) {
+	s.held = hold
+	s.requestPass()
+}
+
 // expire handles everything whose time limit has passed.
 func (s *State) expire(now time.Time) {
 	for id, until := range s.unknown {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -69,6 +69,8 @@
 		recoveredAt time.Time
 		// recovering blocks all starts until the workers have reported.
 		recovering bool
+		// held blocks all starts; see HoldStarts.
+		held bool
 		// preempting holds the units in phase preempting.
 		preempting []*unit
 		// passRequests counts the events after which a waiting unit may fit, and servedRequests is its value at the last pass.
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -25,6 +25,8 @@
 		// WatchesUnanswered counts the watches without an answer, and WatchesFailed those that failed otherwise.
 		WatchesUnanswered, WatchesFailed expvar.Int
 		WriteTime                        Latency
+		// StartHolds counts how often starts were held since the list of workers was outdated.
+		StartHolds expvar.Int
 		// StartListAge is the age of the instance list at each placement.
 		StartListAge Latency
 		// EventDelay is the time that events wait until the owner handles them.
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -86,6 +86,9 @@
 		// MaxConfigAge is the maximum age of the last confirmation of the configuration. Beyond it calls are refused, since
 		// their keys may have been revoked.
 		MaxConfigAge time.Duration
+		// MaxListAge is the maximum age of the list of workers. Beyond it no runs are started, since workers may be draining,
+		// unless the store does not answer: then workers can't announce it either.
+		MaxListAge time.Duration
 	}
 )
 
@@ -104,11 +107,12 @@
 	defaultWorkerLease = 6 * time.Second
 	// defaultMaxConfigAge is well below the platform's limit of 5 s for which a revoked key may still be accepted.
 	defaultMaxConfigAge = 3500 * time.Millisecond
+	// defaultMaxListAge is below the platform's limit of 2 s for which runs may start on a worker that is draining.
+	defaultMaxListAge = 1700 * time.Millisecond
 	// ownerWatchWait is the long-poll wait of a watch of the owner key; its return shows that the store is reachable.
 	ownerWatchWait = 1500 * time.Millisecond
-	// watchMargin is the time that a watch may take in addition to its wait: 1 s without a response, which the platform
-	// permits, and a slow response.
-	watchMargin = 1500 * time.Millisecond
+	// watchMargin is the time that a watch may take in addition to its wait.
+	watchMargin = storeCallTimeout
 	// storeCallTimeout limits one call to the store. A slow call takes 60 times the usual 4 ms.
 	storeCallTimeout = 700 * time.Millisecond
 	// storeRetryDelay is the delay after a failed call to the store.
@@ -134,6 +138,7 @@
 	t.Lease = cmp.Or(t.Lease, DefaultLease)
 	t.WorkerLease = cmp.Or(t.WorkerLease, defaultWorkerLease)
 	t.MaxConfigAge = cmp.Or(t.MaxConfigAge, defaultMaxConfigAge)
+	t.MaxListAge = cmp.Or(t.MaxListAge, defaultMaxListAge)
 	return t
 }
 
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -40,6 +40,11 @@
 	listed         map[ids.InstanceID]ListedWorker
 	// listConfirmedAt is when the call was sent whose answer last confirmed the instance list.
 	listConfirmedAt atomic.Pointer[timestamp]
+	// listFailedAt is when the last call to update the list was sent that the store didn't answer.
+	listFailedAt atomic.Pointer[timestamp]
+	// listState is the state of the list at the last scheduling pass, and listStateSince is when it began.
+	listState      listState
+	listStateSince time.Time
 	// malformedEntries are the unreadable entries of the instance list, each logged once.
 	malformedEntries map[string]bool
 	links            map[ids.InstanceID]*link
@@ -344,6 +349,7 @@
 			t.recordLeaseExpiry(l)
 		}
 	}
+	t.updateListState(now)
 	actions, notices := t.state.Decide(now)
 	for _, n := range notices {
 		t.logNotice(n)
@@ -363,6 +369,49 @@
 	}
 }
 
+// listState tells whether runs may be started by the list of workers.
+type listState int
+
+const (
+	// listCurrent means that the list is not older than MaxListAge.
+	listCurrent listState = iota
+	// listOutdated means that it is older although the store answers, so that no runs are started.
+	listOutdated
+	// listUnavailable means that it is older and the store doesn't answer. Runs are still started.
+	listUnavailable
+)
+
+// currentListState returns the state of the list of workers.
+func (t *term) currentListState() listState {
+	if t.listAge() <= t.owner.Times.MaxListAge {
+		return listCurrent
+	}
+	if failed, confirmed := t.listFailedAt.Load(), t.listConfirmedAt.Load(); failed != nil && failed.at.After(confirmed.at) && t.owner.since(*failed) < outageWindow {
+		return listUnavailable
+	}
+	return listOutdated
+}
+
+// updateListState holds starts while the list of workers is outdated.
+func (t *term) updateListState(now time.Time) {
+	s := t.currentListState()
+	if s == t.listState {
+		return
+	}
+	after := now.Sub(t.listStateSince)
+	switch s {
+	case listCurrent:
+		t.log.Info("workers: the list is current again", zap.Duration("after", after))
+	case listOutdated:
+		t.owner.metrics.StartHolds.Add(1)
+		t.log.Warn("workers: the list is outdated; no runs are started", zap.Duration("listAge", t.listAge()))
+	case listUnavailable:
+		t.log.Warn("workers: the list is outdated and the store does not answer; runs are still started", zap.Duration("listAge", t.listAge()))
+	}
+	t.listState, t.listStateSince = s, now
+	t.state.HoldStarts(s == listOutdated)
+}
+
 // listAge returns the age of the instance list.
 func (t *term) listAge() time.Duration {
 	at := t.listConfirmedAt.Load()
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,8 +19,14 @@
 	// configWatchWait is the long-poll wait of a watch of the configuration; its return confirms that no newer one was
 	// accepted.
 	configWatchWait = time.Second
-	// workersWatchWait is the long-poll wait of a watch of the workers' entries.
-	workersWatchWait = 5 * time.Second
+	// workersWatchWait is the long-poll wait of a watch of the workers' entries. With watchMargin and a list it is shorter than
+	// MaxListAge, so that one watch without an answer holds no starts.
+	workersWatchWait = 400 * time.Millisecond
+	// listTimeout limits a list of a prefix, which may take several calls.
+	listTimeout = 4 * storeCallTimeout
+	// outageWindow is the time after the sending of a call without an answer for which the store counts as unavailable. It is longer
+	// than two such calls take, and shorter than the time after an outage for which the platform tolerates an outdated list.
+	outageWindow = 2500 * time.Millisecond
 	// workersBatchDelay is the delay between watches that batches the changes of many workers.
 	workersBatchDelay = 100 * time.Millisecond
 )
@@ -65,23 +72,49 @@
 	h.failures, h.hung = 0, false
 }
 
-// watchPrefix maintains a copy of the entries under a prefix and passes it to onChange after each watch, with the time at
-// which the watch was sent. It returns when the term ends.
-func (t *term) watchPrefix(prefix string, entries []store.Entry, revision store.Revision, wait, batchDelay time.Duration, onChange func(entries map[string]store.Entry, sent timestamp)) {
-	known := make(map[string]store.Entry)
-	for _, e := range entries {
-		known[e.Key] = e
-	}
-	health := watchHealth{log: t.log, metrics: &t.owner.metrics, prefix: prefix}
+// prefixWatch maintains a copy of the entries under a prefix.
+type prefixWatch struct {
+	prefix string
+	// wait is the long-poll wait, and batchDelay is a delay after each watch with events, which batches the next ones.
+	wait, batchDelay time.Duration
+	// onChange receives the entries as they were when a call was sent, or newer. It is called after each call that succeeds.
+	onChange func(entries map[string]store.Entry, sent timestamp)
+	// onFailure, if not nil, is called after each call that fails.
+	onFailure func(err error, sent timestamp)
+}
+
+// run watches the prefix from a list of its entries until the term ends. After a failure it lists the prefix: the answer
+// comes at once and depends on neither the history nor the watch.
+func (p prefixWatch) run(t *term, entries []store.Entry, revision store.Revision) {
+	known := entriesByKey(entries)
+	health := watchHealth{log: t.log, metrics: &t.owner.metrics, prefix: p.prefix}
+	mustList := false
 	for t.ctx.Err() == nil {
 		sent := t.owner.now()
-		ctx, cancel := context.WithTimeout(t.ctx, wait+watchMargin)
-		events, at, err := t.owner.Store.Watch(ctx, prefix, revision, wait)
+		if mustList {
+			list, at, err := t.listPrefix(p.prefix)
+			if err != nil {
+				p.failed(t, &health, errors.Wrap(err, "listing"), sent, revision)
+				continue
+			}
+			health.returned()
+			mustList, revision, known = false, at, entriesByKey(list)
+			p.onChange(maps.Clone(known), sent)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(t.ctx, p.wait+watchMargin)
+		events, at, err := t.owner.Store.Watch(ctx, p.prefix, revision, p.wait)
 		cancel()
 		switch {
 		case t.ctx.Err() != nil:
 			return
-		case err == nil:
+		case errors.Is(err, store.ErrCompacted):
+			t.log.Info("store: the history of a watch was discarded", zap.String("prefix", p.prefix), zap.Uint64("revision", uint64(revision)))
+			mustList = true
+		case err != nil:
+			mustList = true
+			p.failed(t, &health, err, sent, revision)
+		default:
 			health.returned()
 			revision = at
 			for _, e := range events {
@@ -95,47 +128,47 @@
 					known[e.Key] = e.Entry
 				}
 			}
-			onChange(maps.Clone(known), sent)
+			p.onChange(maps.Clone(known), sent)
 			if len(events) > 0 {
-				pause.For(t.ctx, batchDelay)
-			}
-		case errors.Is(err, store.ErrCompacted):
-			list, at, err := t.listPrefix(prefix)
-			if err != nil {
-				health.failed(errors.Wrap(err, "listing after the history was discarded"), sent.at, wait, revision)
-				pause.For(t.ctx, jitter(storeRetryDelay))
-				continue
+				pause.For(t.ctx, p.batchDelay)
 			}
-			t.log.Info("store: watch listed again, its history was discarded", zap.String("prefix", prefix), zap.Uint64("revision", uint64(revision)))
-			health.returned()
-			revision = at
-			clear(known)
-			for _, e := range list {
-				known[e.Key] = e
-			}
-			onChange(maps.Clone(known), sent)
-		default:
-			health.failed(err, sent.at, wait, revision)
-			pause.For(t.ctx, jitter(storeRetryDelay))
 		}
 	}
 }
 
+// failed handles the failure of a watch or of a list in its place, and waits before the next call.
+func (p prefixWatch) failed(t *term, h *watchHealth, err error, sent timestamp, revision store.Revision) {
+	if t.ctx.Err() != nil {
+		return
+	}
+	h.failed(err, sent.at, p.wait, revision)
+	if p.onFailure != nil {
+		p.onFailure(err, sent)
+	}
+	pause.For(t.ctx, jitter(storeRetryDelay))
+}
+
+func entriesByKey(entries []store.Entry) map[string]store.Entry {
+	known := make(map[string]store.Entry, len(entries))
+	for _, e := range entries {
+		known[e.Key] = e
+	}
+	return known
+}
+
 func (t *term) listPrefix(prefix string) ([]store.Entry, store.Revision, error) {
-	ctx, cancel := context.WithTimeout(t.ctx, 2*storeCallTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, listTimeout)
 	defer cancel()
 	return t.owner.Store.List(ctx, prefix)
 }
 
 func (t *term) watchConfig(entries []store.Entry, revision store.Revision) {
-	t.watchPrefix(t.owner.ConfigPrefix, entries, revision, configWatchWait, 0, func(known map[string]store.Entry, sent timestamp) {
+	w := prefixWatch{prefix: t.owner.ConfigPrefix, wait: configWatchWait, onChange: func(known map[string]store.Entry, sent timestamp) {
 		t.owner.markContact()
-		list := make([]store.Entry, 0, len(known))
-		for _, e := range known {
-			list = append(list, e)
-		}
+		list := slices.Collect(maps.Values(known))
 		t.post(func() { t.setConfig(list, sent) })
-	})
+	}}
+	w.run(t, entries, revision)
 }
 
 // setConfig applies a configuration, unless a newer one is known.
@@ -163,13 +196,19 @@
 }
 
 func (t *term) watchWorkers(entries []store.Entry, revision store.Revision) {
-	t.watchPrefix(t.owner.WorkerPrefix, entries, revision, workersWatchWait, workersBatchDelay, func(known map[string]store.Entry, sent timestamp) {
-		list := make([]store.Entry, 0, len(known))
-		for _, e := range known {
-			list = append(list, e)
-		}
-		t.post(func() { t.setWorkers(list, sent) })
-	})
+	w := prefixWatch{
+		prefix: t.owner.WorkerPrefix, wait: workersWatchWait, batchDelay: workersBatchDelay,
+		onChange: func(known map[string]store.Entry, sent timestamp) {
+			list := slices.Collect(maps.Values(known))
+			t.post(func() { t.setWorkers(list, sent) })
+		},
+		onFailure: func(err error, sent timestamp) {
+			if !errors.Is(err, store.ErrRateLimited) {
+				t.listFailedAt.Store(&sent)
+			}
+		},
+	}
+	w.run(t, entries, revision)
 }
 
 // setWorkers applies the instance list as it was when a call was sent, or newer. Unreadable entries are skipped.
