Send no late start orders to workers that are draining

A start could reach a worker 2.6 s after the owner had learned that it leaves.

Cause: an order that waits behind two others to the same worker, or is repeated since it got no answer, was sent if its run was still to be started and the ownership held. Neither the worker's departure nor the age of the list was checked again after the decision.

The check before such an order now includes both. A run that may not be sent is refused as not sent, so its unit is placed elsewhere; one whose order may have arrived is stopped first, as before.

TestNoLateStartOnDrainingWorker failed before: four of eight tasks started 2.65 s after the announcement.

--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -364,10 +364,11 @@
 	return 0
 }
 
-// Starting reports whether a run is to be started on a worker and its start is not confirmed yet.
-func (s *State) Starting(id ids.InstanceID, ref worker.Run) bool {
+// MayStart reports whether an order to start a run may still be sent: the run is to be started, its start is not confirmed
+// yet, and its worker still takes new runs.
+func (s *State) MayStart(id ids.InstanceID, ref worker.Run) bool {
 	r := s.findRun(id, ref)
-	return r != nil && r.phase == runStarting && r.unit != nil && r.unit.phase == starting
+	return r != nil && r.phase == runStarting && r.unit != nil && r.unit.phase == starting && r.node.listed && !r.node.Draining
 }
 
 // HasRun reports whether a run holds resources on a worker.
--- a/internal/process/poolowner/drain_test.go
+++ b/internal/process/poolowner/drain_test.go
@@ -86,6 +86,11 @@
 			w.store.SetWatchFault(func(string, string) storeservice.CallFault { return storeservice.CallFault{Refuse: true} })
 			time.AfterFunc(9*time.Second, func() { w.store.SetWatchFault(nil) })
 		},
+		"it gets no answer, and another instance takes over": func(w *cluster) {
+			w.store.SilenceWatches()
+			w.ownerInstance().kill(true)
+			time.AfterFunc(1600*time.Millisecond, w.store.SilenceWatches)
+		},
 		"it gets no answer, and the history is discarded": func(w *cluster) {
 			w.store.SilenceWatches()
 			time.AfterFunc(time.Second, w.store.Compact)
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -358,11 +358,14 @@
 }
 
 // mayStart reports whether a delayed or repeated order to start a run may still be sent. The run may have been abandoned,
-// or may have ended on a worker that has restarted since and has no record of it. Such a worker doesn't know the newest
-// epoch either, so an instance sends late orders only if it is certain that it is still the owner.
+// its worker may be draining, or it may have ended on a worker that has restarted since and has no record of it. Such a worker
+// doesn't know the newest epoch either, so an instance sends late orders only if it is certain that it is still the owner.
 func (l *link) mayStart(r worker.Run) bool {
+	t := l.term
 	valid := false
-	if err := l.term.do(l.ctx, func() { valid = l.term.state.Starting(l.id, r) && l.term.isStillOwner() }); err != nil {
+	if err := t.do(l.ctx, func() {
+		valid = t.state.MayStart(l.id, r) && t.currentListState() != listOutdated && t.isStillOwner()
+	}); err != nil {
 		return false
 	}
 	return valid
