Let each case of the drain test fail on the code before the fix

Three cases could not: two made all watches fail, so that calls were refused for want of a confirmed configuration, and one replaced the owner before its watch hung. One submitted to a killed instance only, which failed the test once in two runs without a fault of the program.

--- a/internal/process/poolowner/drain_test.go
+++ b/internal/process/poolowner/drain_test.go
@@ -26,12 +26,13 @@
 func (w *cluster) submitEvery(interval, total time.Duration) []ids.JobID {
 	var all []ids.JobID
 	task := pool.Step{Tasks: 1, Each: ids.Resources{Accelerators: 1, Cores: 1000, Memory: 1}, Estimate: time.Second}
-	for end := time.Now().Add(total); time.Now().Before(end); time.Sleep(interval) {
-		id := ids.JobID(fmt.Sprintf("job%d", len(all)))
+	for i, end := 0, time.Now().Add(total); time.Now().Before(end); i++ {
+		id := ids.JobID(fmt.Sprintf("job%d", i))
 		w.defineJob(id, jobSpec{steps: []pool.Step{task}, runTime: 800 * time.Millisecond})
-		if answer, err := w.submit(w.instances[len(all)%len(w.instances)], 1, id); err == nil && answer.Result == OK {
+		if answer, err := w.submit(w.instances[i%len(w.instances)], 1, id); err == nil && answer.Result == OK {
 			all = append(all, id)
 		}
+		time.Sleep(interval)
 	}
 	return all
 }
@@ -78,18 +79,24 @@
 				time.Sleep(150 * time.Millisecond)
 			}
 		},
-		"watches are not answered for a while, other calls are": func(w *cluster) {
-			w.store.SetWatchFault(func(string, string) storeservice.CallFault { return storeservice.CallFault{Silent: true} })
+		"its calls are not answered for a while, others are": func(w *cluster) {
+			w.store.SetWatchFault(func(_, prefix string) storeservice.CallFault {
+				return storeservice.CallFault{Silent: prefix == testWorkerPrefix}
+			})
 			time.AfterFunc(9*time.Second, func() { w.store.SetWatchFault(nil) })
 		},
-		"watches are refused for a while, other calls are not": func(w *cluster) {
-			w.store.SetWatchFault(func(string, string) storeservice.CallFault { return storeservice.CallFault{Refuse: true} })
+		"its calls are refused for a while, others are not": func(w *cluster) {
+			w.store.SetWatchFault(func(_, prefix string) storeservice.CallFault {
+				return storeservice.CallFault{Refuse: prefix == testWorkerPrefix}
+			})
 			time.AfterFunc(9*time.Second, func() { w.store.SetWatchFault(nil) })
 		},
-		"it gets no answer, and another instance takes over": func(w *cluster) {
-			w.store.SilenceWatches()
+		"it gets no answer, just after a takeover": func(w *cluster) {
 			w.ownerInstance().kill(true)
-			time.AfterFunc(1600*time.Millisecond, w.store.SilenceWatches)
+			time.Sleep(2 * time.Second)
+			w.awaitOwner()
+			w.store.SilenceWatches()
+			w.checker.BeginDisturbance()()
 		},
 		"it gets no answer, and the history is discarded": func(w *cluster) {
 			w.store.SilenceWatches()
@@ -109,7 +116,7 @@
 					}
 				}
 				jobs := w.submitEvery(100*time.Millisecond, 10*time.Second)
-				require.NotEmpty(t, jobs)
+				require.NotEmpty(t, jobs, w.checker.EventLog())
 				for _, id := range jobs {
 					w.awaitState(1, id, pool.Completed)
 				}
