Open a new connection after a call that timed out

After all connections to the store went silent at once, each retry could take another idle connection of the pool and time out again, so that an instance needed several timeouts until it reached the store.

Cause: only the connection of the call that timed out was closed. The pool keeps the others, and they are as silent.

A timeout now closes the idle connections of that client too. Calls in flight keep theirs.

--- a/internal/connection/httpjson/httpjson.go
+++ b/internal/connection/httpjson/httpjson.go
@@ -121,6 +121,10 @@
 		if errors.Is(err, ErrNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) {
 			return Response{}, errors.Mark(err, ErrNotSent)
 		}
+		if errors.Is(err, fasthttp.ErrTimeout) {
+			// All connections may have gone silent at once; the next call opens a new one.
+			c.client.CloseIdleConnections()
+		}
 		return Response{}, errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrNoResponse)
 	}
 	return Response{Status: resp.StatusCode(), Body: bytes.Clone(resp.Body())}, nil
