Judge by the renewals of the lease whether the store is out

During an outage the owner held starts although it was meant not to: a job that waited for capacity did not start while the store was out.

Cause, twice: the evidence of an outage was the last failed call for the list, and a list may take longer than that counted; and a 503 counted as a refusal for the rate of calls, since the two errors had the same mark.

The errors are told apart.

--- a/internal/connection/store/store.go
+++ b/internal/connection/store/store.go
@@ -64,8 +64,8 @@
 	ErrConflict = errors.New("the key has a different revision")
 	// ErrRefused means that the store did not accept the request; nothing was written.
 	ErrRefused = errors.New("the store refused the request")
-	// ErrRateLimited means that the store refused the request since there were too many; it also matches ErrRefused.
-	ErrRateLimited = errors.Mark(errors.New("the store limits the rate of requests"), ErrRefused)
+	// ErrRateLimited means that the store refused the request since there were too many. It is returned with the mark ErrRefused.
+	ErrRateLimited = errors.New("the store limits the rate of requests")
 	// ErrUnknown means that no response was received; the call may have taken effect.
 	ErrUnknown = errors.New("the store did not respond")
 )
--- a/internal/process/poolowner/drain_test.go
+++ b/internal/process/poolowner/drain_test.go
@@ -124,3 +124,49 @@
 		})
 	}
 }
+
+// A waiting job starts during an outage, although the list of workers is older than its limit: while the store is out, workers
+// can't announce that they leave either. If the store answers other calls, or refuses those for the list for their rate alone,
+// nothing is started until the list is current.
+func TestStartsWhileListIsOutdated(t *testing.T) {
+	const length, runTime = 6 * time.Second, 3 * time.Second
+	tests := map[string]struct {
+		fail   func(w *cluster)
+		starts bool
+	}{
+		"the store does not answer": {starts: true, fail: func(w *cluster) { w.store.SetOutage(true, true) }},
+		"the store refuses all calls": {starts: true, fail: func(w *cluster) {
+			w.store.SetFault(func(string, bool) storeservice.CallFault { return storeservice.CallFault{Refuse: true} })
+		}},
+		"the store limits the rate of reads": {fail: func(w *cluster) {
+			w.store.SetFault(func(_ string, write bool) storeservice.CallFault { return storeservice.CallFault{RateLimit: !write} })
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				fill := pool.Step{Tasks: 6, Each: ids.Resources{Accelerators: 8, Cores: 1000, Memory: 1}, Estimate: runTime}
+				w.defineJob("first", jobSpec{steps: []pool.Step{fill}, runTime: runTime})
+				w.defineJob("second", jobSpec{steps: []pool.Step{fill}, runTime: time.Second})
+				for _, id := range []ids.JobID{"first", "second"} {
+					answer, err := w.submit(w.instances[0], 1, id)
+					require.NoError(t, err)
+					require.Equal(t, OK, answer.Result, answer.Reason)
+				}
+				test.fail(w)
+				time.Sleep(length)
+				if test.starts {
+					require.Equal(t, 6, w.checker.StartCount("second"), w.checker.EventLog())
+				} else {
+					require.Zero(t, w.checker.StartCount("second"))
+					require.EqualValues(t, 1, w.ownerInstance().owner.Metrics().StartHolds.Value())
+				}
+				w.store.SetOutage(false, true)
+				w.store.SetFault(nil)
+				time.Sleep(500 * time.Millisecond)
+				require.Equal(t, 6, w.checker.StartCount("second"))
+				w.awaitState(1, "second", pool.Completed)
+			})
+		})
+	}
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -40,8 +40,8 @@
 	listed         map[ids.InstanceID]ListedWorker
 	// listConfirmedAt is when the call was sent whose answer last confirmed the instance list.
 	listConfirmedAt atomic.Pointer[timestamp]
-	// listFailedAt is when the last call to update the list was sent that the store didn't answer.
-	listFailedAt atomic.Pointer[timestamp]
+	// renewalFailedAt is when the last renewal of the ownership lease was sent that the store didn't answer.
+	renewalFailedAt atomic.Pointer[timestamp]
 	// listState is the state of the list at the last scheduling pass, and listStateSince is when it began.
 	listState      listState
 	listStateSince time.Time
@@ -91,6 +91,9 @@
 	maxClockDrift = 0.025
 	// clockRounding covers the rounding of the worker's clock and of this instance's.
 	clockRounding = 50 * time.Millisecond
+	// outageWindow is the time after the sending of a renewal without an answer for which the store counts as unavailable. It is longer
+	// than two renewals take, and shorter than the time after an outage for which the platform tolerates an outdated list.
+	outageWindow = 2500 * time.Millisecond
 	// purgeInterval is the time between deletions of jobs that ended long ago.
 	purgeInterval = 10 * time.Second
 )
@@ -386,12 +389,18 @@
 	if t.listAge() <= t.owner.Times.MaxListAge {
 		return listCurrent
 	}
-	if failed, confirmed := t.listFailedAt.Load(), t.listConfirmedAt.Load(); failed != nil && failed.at.After(confirmed.at) && t.owner.since(*failed) < outageWindow {
+	if t.isStoreUnavailable() {
 		return listUnavailable
 	}
 	return listOutdated
 }
 
+// isStoreUnavailable reports whether the store doesn't answer the renewals of the ownership lease, which are sent all the time.
+func (t *term) isStoreUnavailable() bool {
+	failed := t.renewalFailedAt.Load()
+	return failed != nil && failed.at.After(t.leaseRenewedAt.Load().at) && t.owner.since(*failed) < outageWindow
+}
+
 // updateListState holds starts while the list of workers is outdated.
 func (t *term) updateListState(now time.Time) {
 	s := t.currentListState()
@@ -444,6 +453,9 @@
 		err := t.owner.Store.RenewLease(ctx, t.claim.lease)
 		cancel()
 		if err != nil && t.ctx.Err() == nil {
+			if !errors.Is(err, store.ErrRateLimited) {
+				t.renewalFailedAt.Store(&sent)
+			}
 			if failures++; failures == 1 {
 				t.log.Warn("owner: renewing the lease failed", zap.Duration("leaseAge", t.owner.since(*t.leaseRenewedAt.Load())), zap.Error(err))
 			}
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -24,9 +24,6 @@
 	workersWatchWait = 400 * time.Millisecond
 	// listTimeout limits a list of a prefix, which may take several calls.
 	listTimeout = 4 * storeCallTimeout
-	// outageWindow is the time after the sending of a call without an answer for which the store counts as unavailable. It is longer
-	// than two such calls take, and shorter than the time after an outage for which the platform tolerates an outdated list.
-	outageWindow = 2500 * time.Millisecond
 	// workersBatchDelay is the delay between watches that batches the changes of many workers.
 	workersBatchDelay = 100 * time.Millisecond
 )
@@ -79,8 +76,6 @@
 	wait, batchDelay time.Duration
 	// onChange receives the entries as they were when a call was sent, or newer. It is called after each call that succeeds.
 	onChange func(entries map[string]store.Entry, sent timestamp)
-	// onFailure, if not nil, is called after each call that fails.
-	onFailure func(err error, sent timestamp)
 }
 
 // run watches the prefix from a list of its entries until the term ends. After a failure it lists the prefix: the answer
@@ -142,9 +137,6 @@
 		return
 	}
 	h.failed(err, sent.at, p.wait, revision)
-	if p.onFailure != nil {
-		p.onFailure(err, sent)
-	}
 	pause.For(t.ctx, jitter(storeRetryDelay))
 }
 
@@ -202,11 +194,6 @@
 			list := slices.Collect(maps.Values(known))
 			t.post(func() { t.setWorkers(list, sent) })
 		},
-		onFailure: func(err error, sent timestamp) {
-			if !errors.Is(err, store.ErrRateLimited) {
-				t.listFailedAt.Store(&sent)
-			}
-		},
 	}
 	w.run(t, entries, revision)
 }
--- a/internal/standin/storeservice/transactions.go
+++ b/internal/standin/storeservice/transactions.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 )
 
@@ -45,6 +47,8 @@
 	CallFault struct {
 		// Refuse answers store.ErrRefused without executing the call.
 		Refuse bool
+		// RateLimit answers store.ErrRateLimited without executing the call.
+		RateLimit bool
 		// Silent neither executes nor answers the call.
 		Silent bool
 		// LoseAnswer executes the call and never answers it.
@@ -229,6 +233,9 @@
 	if f.Refuse {
 		return store.ErrRefused
 	}
+	if f.RateLimit {
+		return errors.Mark(store.ErrRateLimited, store.ErrRefused)
+	}
 	if f.ExecuteAfter > 0 {
 		time.AfterFunc(f.ExecuteAfter, func() {
 			s.mu.Lock()
