Notice a poll of the instance list without an answer sooner, and log it

On our own interface a worker that left could get gangs for 4 s after the list had shown it, if one poll got no answer.

Cause: a poll could take its interval and a second more, and was repeated only after another interval. Nothing showed that the list was not read.

A poll has the timeout of the other calls to the platform and is repeated after 0.2 s. The loss of the list and its return are events. While the list can't be read, the last one stays in use, as documented.

--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -11,6 +11,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/connection/instancelist"
 	"github.com/jujubegrade/jujubegrade/internal/connection/runner"
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/placement"
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -21,7 +22,10 @@
 	directory struct {
 		list         instancelist.Client
 		pollInterval time.Duration
-		dial         func(address string) worker.Client
+		// callTimeout limits one poll.
+		callTimeout time.Duration
+		dial        func(address string) worker.Client
+		onEvent     func(kind, cause string)
 
 		// snapshot is replaced atomically after each successful poll.
 		snapshot atomic.Pointer[instanceSnapshot]
@@ -42,21 +46,36 @@
 	}
 )
 
+// listRetryDelay is the delay after a failed poll.
+const listRetryDelay = 200 * time.Millisecond
+
 // run polls the list until ctx ends and calls refresh after each successful poll. After a failed poll the last list remains
-// in use.
+// in use until one succeeds, since neither runners nor workers can be found otherwise.
 func (d *directory) run(ctx context.Context, refresh func()) {
+	var failingSince time.Time
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, d.pollInterval+time.Second)
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, d.callTimeout)
 		instances, err := d.list.List(callCtx)
 		cancel()
-		if err == nil {
-			d.snapshot.Store(newSnapshot(instances))
-			refresh()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if failingSince.IsZero() {
+				failingSince = sent
+				d.onEvent("InstanceListLost", err.Error())
+			}
+			pause.For(ctx, min(listRetryDelay, d.pollInterval))
+			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(d.pollInterval):
+		if !failingSince.IsZero() {
+			d.onEvent("InstanceListRegained", "after "+time.Since(failingSince).Round(time.Millisecond).String())
+			failingSince = time.Time{}
 		}
+		d.snapshot.Store(newSnapshot(instances))
+		refresh()
+		pause.For(ctx, d.pollInterval)
 	}
 }
 
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -118,7 +118,7 @@
 	if e.DialWorker == nil {
 		e.DialWorker = func(address string) worker.Client { return worker.Dial(address, s.WorkerTimeout) }
 	}
-	e.directory = directory{list: *e.List, pollInterval: s.ListPoll, dial: e.DialWorker}
+	e.directory = directory{list: *e.List, pollInterval: s.ListPoll, callTimeout: s.StoreTimeout, dial: e.DialWorker, onEvent: e.event}
 	e.config = &configuration.Configuration{
 		Instance: s.Name, Store: *e.Store, OnEvent: e.timeline.Add, CheckFeasibility: e.infeasibleGuarantees,
 		Times:   configuration.Times{WatchTimeout: s.ConfigWatch, PollInterval: s.ConfigPoll, StoreTimeout: s.StoreTimeout, MaxConfirmedAge: s.ConfigMaxAge},
