Requeue gangs that wait for a node that begins to leave

On our own interface a gang that waited for preempted jobs to write their checkpoints was started on a node that had begun to leave meanwhile, however long that took.

Cause: the nodes are chosen when the others are preempted, and only a lost node made the gang look for other ones.

A gang that has nodes and has not started is queued again when one of them leaves, before the next decision, so that guarantees are placed elsewhere too.

--- a/internal/process/placement/node.go
+++ b/internal/process/placement/node.go
@@ -60,8 +60,12 @@
 			continue
 		}
 		if known.Total != n.Total || known.Leaving != n.Leaving || known.Rack != n.Rack || !labels.Equals(known.Labels, n.Labels) {
+			leaves := n.Leaving && !known.Leaving
 			known.Node = n
 			changed = true
+			if leaves {
+				s.requeueAllocated(known)
+			}
 		}
 	}
 	if changed {
@@ -71,6 +75,16 @@
 	}
 }
 
+// requeueAllocated requeues the jobs that have not started on a node that leaves.
+func (s *State) requeueAllocated(n *node) {
+	for _, j := range sortedJobs(n.jobs) {
+		if j.phase == allocated {
+			s.release(j)
+			s.requeue(j, "instance "+string(n.ID)+" is leaving")
+		}
+	}
+}
+
 // RemoveNode removes a worker that is no longer listed. It does nothing while jobs are assigned to the worker.
 func (s *State) RemoveNode(id ids.InstanceID) {
 	n := s.nodes[id]
--- a/internal/process/placement/placement_test.go
+++ b/internal/process/placement/placement_test.go
@@ -105,6 +105,35 @@
 	require.Equal(t, 4, stopped, "only as many borrowers are stopped as the gang needs")
 }
 
+// A gang whose node begins to leave while the gang waits for preempted jobs to stop there is placed on other nodes.
+func TestAllocatedGangLeavesDrainingNode(t *testing.T) {
+	w := newHarness(t, gangGuaranteeConfig, 2, 4)
+	for i := range 8 {
+		w.submit(fmt.Sprintf("b%d", i), "borrower", "1x8", nil)
+	}
+	w.holdStops = true
+	gang := w.submit("gang", "guaranteed", "4x8/Rack", nil)
+	require.Equal(t, caller.Queued, gang.CallerState())
+	require.Len(t, gang.Place, 4)
+	leaving := gang.Place[0]
+	nodes := testNodes(2, 4)
+	for i := range nodes {
+		nodes[i].Leaving = nodes[i].ID == leaving
+	}
+	w.state.SetNodes(nodes)
+	for range 3 {
+		w.now = w.now.Add(time.Second)
+		stops := w.stops
+		w.stops = nil
+		for _, a := range stops {
+			w.state.StopDone(a.Job.ID, a.Attempt, 0.5, w.now)
+		}
+		w.decide()
+	}
+	require.Equal(t, caller.Running, gang.CallerState(), gang.Reason)
+	require.NotContains(t, gang.Place, leaving)
+}
+
 func TestNonPreemptibleWorkLeavesRoomForTheGuarantee(t *testing.T) {
 	w := newHarness(t, gangGuaranteeConfig, 1, 5)
 	first := w.submit("b1", "borrower", "1x8", nonIdempotent)
--- a/internal/process/placement/soak_test.go
+++ b/internal/process/placement/soak_test.go
@@ -82,6 +82,9 @@
 			if !a.Job.Idempotent {
 				s.nonIdempotentStarts[a.Job.ID]++
 			}
+			for _, n := range s.state.nodesOf(a.Job) {
+				require.False(s.t, n.Leaving, "job %s was started on %s, which is leaving", a.Job.ID, n.ID)
+			}
 			s.starts = append(s.starts, a)
 		case Stop:
 			s.stops = append(s.stops, a)
@@ -191,6 +194,19 @@
 	return false
 }
 
+// setLeaving changes whether a node is listed as leaving.
+func (s *soak) setLeaving(id ids.InstanceID, leaving bool) {
+	var list []Node
+	for _, n := range s.state.sortedNodes() {
+		listed := n.Node
+		if n.ID == id {
+			listed.Leaving = leaving
+		}
+		list = append(list, listed)
+	}
+	s.state.SetNodes(list)
+}
+
 func (s *soak) pickNode() ids.InstanceID {
 	return rapid.SampledFrom(s.state.sortedNodes()).Draw(s.t, "node").ID
 }
@@ -241,6 +257,8 @@
 		"cancel": step(func() { s.state.Cancel(s.pickJob("cancelled", func(*Job) bool { return true }).ID, s.now) }),
 		"down":   step(func() { s.state.NodeDown(s.pickNode(), s.now, "test") }),
 		"up":     step(func() { s.state.NodeUp(s.pickNode()) }),
+		"leave":  step(func() { s.setLeaving(s.pickNode(), true) }),
+		"stay":   step(func() { s.setLeaving(s.pickNode(), false) }),
 		"rackDown": step(func() {
 			for _, n := range rapid.SampledFrom(s.state.racks).Draw(s.t, "rack").nodes {
 				s.state.NodeDown(n.ID, s.now, "rack")
