Check that no instance of a gang is leaving before a delayed start

On our own interface an at-most-once job was started on a worker 20 s after that worker had begun to leave.

Cause: the actions of a job run one after the other. A start that was decided while the job's record could not be written waited until the store was back, and was then carried out as decided.

The start now asks the state first. If an instance of the gang is leaving, the attempt ends like one that was refused, and the job is placed again.

TestNoLateStartOnLeavingWorker failed before: the start was decided at 3.1 s, the worker left from 3.9 s on, and the task started there at 24.4 s.

--- a/internal/process/owner/execute.go
+++ b/internal/process/owner/execute.go
@@ -116,6 +116,11 @@
 // startGang holds the gang's resources on all its nodes, then starts its tasks: either all tasks run, or none is left running.
 func (t *term) startGang(x *execution, g *gang) {
 	id, attempt := g.record.ID, g.record.Attempt
+	if t.hasLeavingNode(id, attempt) {
+		t.event("StartTooLate", g, "an instance of the gang is leaving")
+		t.abortStart(g, &callResults{})
+		return
+	}
 	heldSince := time.Now()
 	held := t.callAll(g, 0, t.holdOn)
 	if held.failed() {
@@ -155,6 +160,16 @@
 	}
 }
 
+// hasLeavingNode reports whether an instance of a gang is leaving. The start may have waited behind a write of the job's record
+// for as long as the store was out.
+func (t *term) hasLeavingNode(id ids.JobID, attempt ids.Attempt) bool {
+	leaving := false
+	if err := t.doSync(t.ctx, func() { leaving = t.state.HasLeavingNode(id, attempt) }); err != nil {
+		return true
+	}
+	return leaving
+}
+
 // recordStartIntent writes the start intent of an at-most-once job to its record before the start. If a late write of an
 // earlier owner has recorded a state other than Queued, the record is not overwritten, since the job may have run.
 func (t *term) recordStartIntent(x *execution, g *gang) error {
--- a/internal/process/owner/safeguards_test.go
+++ b/internal/process/owner/safeguards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/placement"
 	"github.com/jujubegrade/jujubegrade/internal/standin/storeservice"
 	"github.com/jujubegrade/jujubegrade/internal/standin/workerservice"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
@@ -176,3 +179,47 @@
 		require.Zero(t, w.history.startCount(once), "its start can't be recorded")
 	}))
 }
+
+// TestNoLateStartOnLeavingWorker checks that a start that waited behind a record of its job, since the store was out, doesn't go to
+// a worker that has begun to leave meanwhile.
+func TestNoLateStartOnLeavingWorker(t *testing.T) {
+	require.NoError(t, simulate(t, safeguards{}, func(w *simulation) {
+		var nodes atomic.Pointer[[]placement.Node]
+		setNodes := func(leaving, other ids.InstanceID) {
+			list := slices.Clone(w.nodes)
+			for i := range list {
+				list[i].Leaving = list[i].ID != other || list[i].ID == leaving
+			}
+			nodes.Store(&list)
+		}
+		setNodes("w1", "w0")
+		w.kill(0)
+		var startedOnLeaving atomic.Int64
+		service := w.workers["w0"]
+		service.Observe = func(ref worker.TaskRef, state worker.State) {
+			if state == worker.Running && (*nodes.Load())[0].Leaving {
+				startedOnLeaving.Add(1)
+			}
+			w.history.observe(ref, state)
+		}
+		w.configure = func(o *Owner) {
+			o.Nodes = func() ([]placement.Node, bool) { return *nodes.Load(), true }
+		}
+		w.start(0)
+		w.awaitOwner()
+		time.Sleep(2 * time.Second)
+		service.SetFaults(workerservice.Faults{Silent: true})
+		id := w.submit(caller.Job{Key: "once", Shape: oneAccelerator}, "borrower", time.Second)
+		time.Sleep(300 * time.Millisecond)
+		w.store.SetFaults(storeservice.Faults{Outage: true})
+		time.Sleep(400 * time.Millisecond)
+		service.SetFaults(workerservice.Faults{})
+		time.Sleep(1200 * time.Millisecond)
+		setNodes("w0", "w1")
+		time.Sleep(20 * time.Second)
+		w.store.SetFaults(storeservice.Faults{})
+		time.Sleep(20 * time.Second)
+		require.Zero(t, startedOnLeaving.Load(), w.timeline(id))
+		require.Equal(t, 1, w.history.startCount(id), w.timeline(id))
+	}))
+}
--- a/internal/process/placement/attempt.go
+++ b/internal/process/placement/attempt.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
@@ -26,6 +27,12 @@
 	}
 }
 
+// HasLeavingNode reports whether a node of an attempt is leaving, so that it takes no new work.
+func (s *State) HasLeavingNode(id ids.JobID, attempt ids.Attempt) bool {
+	j := s.jobs[id]
+	return j != nil && j.Attempt == attempt && slices.ContainsFunc(s.nodesOf(j), func(n *node) bool { return n.Leaving })
+}
+
 // StartFailed records that an attempt was not started and that all its holds were released or have expired. The job
 // is requeued and avoids the nodes that refused it.
 func (s *State) StartFailed(id ids.JobID, attempt ids.Attempt, refused []ids.InstanceID, now time.Time) {
