--- a/internal/process/pool/placement_test.go
+++ b/internal/process/pool/placement_test.go
@@ -104,6 +104,31 @@
 	}
 }
 
+// A gang waits for one rack, but not for long if no rack has room for it while most of the pool is idle: it is slower on several
+// racks, but waiting has no known end.
+func TestGangIsSpreadIfThePoolStaysIdle(t *testing.T) {
+	const racks, perRack = 8, 4
+	s := testState(racks*perRack, perRack)
+	for i, n := range s.sortedNodes() {
+		if i%perRack > 0 {
+			// A long run on all but one worker of each rack leaves no two free workers in one rack.
+			n.Labels = []string{string(n.ID)}
+			filler := gangJob("filler"+string(n.ID), 1, 1, 1, time.Hour)
+			filler.Steps[0].Label = string(n.ID)
+			s.accept(filler, testStart)
+		}
+	}
+	require.Len(t, s.startAll(testStart), racks*(perRack-1))
+	s.accept(gangJob("gang", 1, 2, 8, time.Second), testStart)
+	const limit = 3 * time.Second // the platform's
+	for after := time.Duration(0); after < limit; after += 100 * time.Millisecond {
+		if len(s.startAll(testStart.Add(after))) > 0 {
+			return
+		}
+	}
+	t.Fatal("the gang was not started")
+}
+
 // A gang is spread over racks if each rack has a silent worker.
 func TestGangIsSpreadIfEachRackLacksAWorker(t *testing.T) {
 	s := testState(16, 8)
