Log errors without stack traces

The lines of the record were cut before they named what had gone wrong, and most of a line about an error was a stack trace, with paths of the machine that had built the program.

The log sink writes the text of an error only. TestErrorsAsText failed before.

--- a/internal/process/logsink/logsink.go
+++ b/internal/process/logsink/logsink.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,6 +108,37 @@
 	return c.Core.Check(e, checked)
 }
 
+// textErrors writes errors as their texts. Their verbose form would add a stack trace to each line.
+type textErrors struct{ zapcore.Core }
+
+// With implements zapcore.Core.
+func (c textErrors) With(fields []zapcore.Field) zapcore.Core {
+	return textErrors{c.Core.With(errorsAsText(fields))}
+}
+
+// Check implements zapcore.Core.
+func (c textErrors) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return checked.AddCore(e, c)
+	}
+	return checked
+}
+
+// Write implements zapcore.Core.
+func (c textErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, errorsAsText(fields))
+}
+
+func errorsAsText(fields []zapcore.Field) []zapcore.Field {
+	for i, f := range fields {
+		if err, isError := f.Interface.(error); isError && f.Type == zapcore.ErrorType {
+			fields = slices.Clone(fields)
+			fields[i] = zap.String(f.Key, err.Error())
+		}
+	}
+	return fields
+}
+
 const (
 	// sampleFirst is the number of lines with the same message that are written each second before sampling begins.
 	sampleFirst = 100
@@ -120,7 +152,7 @@
 	c := zap.NewProductionEncoderConfig()
 	c.EncodeTime = zapcore.ISO8601TimeEncoder
 	c.CallerKey, c.NameKey = zapcore.OmitKey, zapcore.OmitKey
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), s, level)
+	core := textErrors{zapcore.NewCore(zapcore.NewJSONEncoder(c), s, level)}
 	count := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 		if d&zapcore.LogDropped != 0 {
 			onSuppressed()
--- a/internal/process/logsink/logsink_test.go
+++ b/internal/process/logsink/logsink_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
@@ -62,3 +63,13 @@
 		require.Equal(t, lines, strings.Count(out.String(), "decision: Placed"))
 	})
 }
+
+// Errors are written as their texts, without stack traces.
+func TestErrorsAsText(t *testing.T) {
+	var out bytes.Buffer
+	s := New(&out)
+	log := Logger(s, zap.InfoLevel, func() {})
+	log.With(zap.NamedError("first", errors.New("one"))).Warn("store: watch failed", zap.Error(errors.Wrap(errors.New("refused"), "listing")))
+	s.Close()
+	require.Contains(t, out.String(), `"first":"one","error":"listing: refused"}`)
+}
