--- a/internal/process/poolowner/drain_test.go
+++ b/internal/process/poolowner/drain_test.go
@@ -1,6 +1,7 @@
 package poolowner
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -125,6 +126,30 @@
 	}
 }
 
+// A draining worker whose event the watch skips is known from its next heartbeat.
+func TestNoStartOnDrainingWorkerAfterSkippedEvent(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		const heartbeat, remaining = 1500 * time.Millisecond, "worker05"
+		for id, l := range w.listed {
+			if id == remaining {
+				continue
+			}
+			l.Draining, l.Notice = true, 30*time.Second
+			w.listed[id] = l
+			value, err := json.Marshal(l)
+			require.NoError(t, err)
+			w.store.SetUnseen(testWorkerPrefix+string(id), value)
+			w.checker.RecordDrain(id)
+			time.AfterFunc(heartbeat, func() { w.listWorker(id) })
+		}
+		jobs := w.submitEvery(100*time.Millisecond, 5*time.Second)
+		require.NotEmpty(t, jobs)
+		for _, id := range jobs {
+			w.awaitState(1, id, pool.Completed)
+		}
+	})
+}
+
 // A waiting job starts during an outage, although the list of workers is older than its limit: while the store is out, workers
 // can't announce that they leave either. If the store answers other calls, or refuses those for the list for their rate alone,
 // nothing is started until the list is current.
--- a/internal/standin/storeservice/transactions.go
+++ b/internal/standin/storeservice/transactions.go
@@ -177,6 +177,16 @@
 	return s.revision
 }
 
+// SetUnseen writes a key directly, and no watch returns the event.
+func (s *Transactional) SetUnseen(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.revision++
+	s.put(store.Set{Key: key, Value: value})
+	s.history = s.history[:len(s.history)-1]
+}
+
 // Remove deletes a key directly, as the platform does.
 func (s *Transactional) Remove(key string) {
 	s.mu.Lock()
