Take the limits on an outdated list from the platform's bounds

Deployments have drainMs from 2 to 4 s and a stability window from 3 to 5 s. The time for which an outage lets an outdated list be used was fixed, and a deployment with a short drainMs would have held starts for want of a watch that returns in time.

--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -89,6 +89,9 @@
 		// MaxListAge is the maximum age of the list of workers. Beyond it no runs are started, since workers may be draining,
 		// unless the store does not answer: then workers can't announce it either.
 		MaxListAge time.Duration
+		// OutageWindow is the time after the sending of a renewal of the ownership without an answer for which the store counts as
+		// unavailable. It is longer than two renewals take.
+		OutageWindow time.Duration
 	}
 )
 
@@ -109,6 +112,8 @@
 	defaultMaxConfigAge = 3500 * time.Millisecond
 	// defaultMaxListAge is below the platform's limit of 2 s for which runs may start on a worker that is draining.
 	defaultMaxListAge = 1700 * time.Millisecond
+	// defaultOutageWindow is below the 3 s after an outage for which the platform tolerates starts by an outdated list.
+	defaultOutageWindow = 2500 * time.Millisecond
 	// ownerWatchWait is the long-poll wait of a watch of the owner key; its return shows that the store is reachable.
 	ownerWatchWait = 1500 * time.Millisecond
 	// watchMargin is the time that a watch may take in addition to its wait.
@@ -139,6 +144,7 @@
 	t.WorkerLease = cmp.Or(t.WorkerLease, defaultWorkerLease)
 	t.MaxConfigAge = cmp.Or(t.MaxConfigAge, defaultMaxConfigAge)
 	t.MaxListAge = cmp.Or(t.MaxListAge, defaultMaxListAge)
+	t.OutageWindow = cmp.Or(t.OutageWindow, defaultOutageWindow)
 	return t
 }
 
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -91,9 +91,6 @@
 	maxClockDrift = 0.025
 	// clockRounding covers the rounding of the worker's clock and of this instance's.
 	clockRounding = 50 * time.Millisecond
-	// outageWindow is the time after the sending of a renewal without an answer for which the store counts as unavailable. It is longer
-	// than two renewals take, and shorter than the time after an outage for which the platform tolerates an outdated list.
-	outageWindow = 2500 * time.Millisecond
 	// purgeInterval is the time between deletions of jobs that ended long ago.
 	purgeInterval = 10 * time.Second
 )
@@ -398,7 +395,7 @@
 // isStoreUnavailable reports whether the store doesn't answer the renewals of the ownership lease, which are sent all the time.
 func (t *term) isStoreUnavailable() bool {
 	failed := t.renewalFailedAt.Load()
-	return failed != nil && failed.at.After(t.leaseRenewedAt.Load().at) && t.owner.since(*failed) < outageWindow
+	return failed != nil && failed.at.After(t.leaseRenewedAt.Load().at) && t.owner.since(*failed) < t.owner.Times.OutageWindow
 }
 
 // updateListState holds starts while the list of workers is outdated.
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -19,9 +19,11 @@
 	// configWatchWait is the long-poll wait of a watch of the configuration; its return confirms that no newer one was
 	// accepted.
 	configWatchWait = time.Second
-	// workersWatchWait is the long-poll wait of a watch of the workers' entries. With watchMargin and a list it is shorter than
-	// MaxListAge, so that one watch without an answer holds no starts.
+	// workersWatchWait is the longest long-poll wait of a watch of the workers' entries. With watchMargin and a list it is shorter than
+	// the default MaxListAge, so that one watch without an answer holds no starts.
 	workersWatchWait = 400 * time.Millisecond
+	// listAgeWaits is the least number of waits of that watch within MaxListAge: a list that doesn't change is up to two waits old.
+	listAgeWaits = 4
 	// listTimeout limits a list of a prefix, which may take several calls.
 	listTimeout = 4 * storeCallTimeout
 	// workersBatchDelay is the delay between watches that batches the changes of many workers.
@@ -189,7 +191,7 @@
 
 func (t *term) watchWorkers(entries []store.Entry, revision store.Revision) {
 	w := prefixWatch{
-		prefix: t.owner.WorkerPrefix, wait: workersWatchWait, batchDelay: workersBatchDelay,
+		prefix: t.owner.WorkerPrefix, wait: min(workersWatchWait, t.owner.Times.MaxListAge/listAgeWaits), batchDelay: workersBatchDelay,
 		onChange: func(known map[string]store.Entry, sent timestamp) {
 			list := slices.Collect(maps.Values(known))
 			t.post(func() { t.setWorkers(list, sent) })
