Let the pages of a list take as long as the list may

Cause: the timeout of 0.7 s for each page of a list, new with the bound on the list's age. A page of 1 MB takes longer than that over a link of 10 Mbit/s.

A list in place of a watch is given up after 1.4 s, and 0.5 ms more for each entry that is expected.

--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -24,8 +24,11 @@
 	workersWatchWait = 400 * time.Millisecond
 	// listAgeWaits is the least number of waits of that watch within MaxListAge: a list that doesn't change is up to two waits old.
 	listAgeWaits = 4
-	// listTimeout limits a list of a prefix, which may take several calls.
-	listTimeout = 4 * storeCallTimeout
+	// listTimeout limits a list of a prefix, with listEntryTime for each entry that is expected. It is shorter than the time after an
+	// outage for which the platform tolerates an outdated list.
+	listTimeout = 2 * storeCallTimeout
+	// listEntryTime is the time that a worker's entry takes over a link of 10 Mbit/s.
+	listEntryTime = 500 * time.Microsecond
 	// workersBatchDelay is the delay between watches that batches the changes of many workers.
 	workersBatchDelay = 100 * time.Millisecond
 )
@@ -89,7 +92,7 @@
 	for t.ctx.Err() == nil {
 		sent := t.owner.now()
 		if mustList {
-			list, at, err := t.listPrefix(p.prefix)
+			list, at, err := t.listPrefix(p.prefix, len(known))
 			if err != nil {
 				p.failed(t, &health, errors.Wrap(err, "listing"), sent, revision)
 				continue
@@ -150,8 +153,9 @@
 	return known
 }
 
-func (t *term) listPrefix(prefix string) ([]store.Entry, store.Revision, error) {
-	ctx, cancel := context.WithTimeout(t.ctx, listTimeout)
+// listPrefix lists the entries under a prefix, of which a number is expected.
+func (t *term) listPrefix(prefix string, expected int) ([]store.Entry, store.Revision, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, listTimeout+time.Duration(expected)*listEntryTime)
 	defer cancel()
 	return t.owner.Store.List(ctx, prefix)
 }
