--- a/internal/process/poolowner/drain_test.go
+++ b/internal/process/poolowner/drain_test.go
@@ -188,7 +188,8 @@
 				}
 				w.store.SetOutage(false, true)
 				w.store.SetFault(nil)
-				time.Sleep(500 * time.Millisecond)
+				time.Sleep(900 * time.Millisecond)
+				require.Less(t, w.ownerInstance().owner.ListAge(), defaultMaxListAge, "starts are held for long after the outage")
 				require.Equal(t, 6, w.checker.StartCount("second"))
 				w.awaitState(1, "second", pool.Completed)
 			})
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -155,7 +155,12 @@
 
 // listPrefix lists the entries under a prefix, of which a number is expected.
 func (t *term) listPrefix(prefix string, expected int) ([]store.Entry, store.Revision, error) {
-	ctx, cancel := context.WithTimeout(t.ctx, listTimeout+time.Duration(expected)*listEntryTime)
+	timeout := listTimeout + time.Duration(expected)*listEntryTime
+	if t.isStoreUnavailable() {
+		// A call that is sent during an outage may get no answer after it either.
+		timeout = storeCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
 	return t.owner.Store.List(ctx, prefix)
 }
