--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -96,7 +96,7 @@
 		}
 		if err != nil {
 			if !errors.Is(err, store.ErrCompacted) && ctx.Err() == nil {
-				o.ownerWatch.failed(err, sent, wait, revision)
+				o.ownerWatch.failed(err, sent, wait+watchMargin, revision)
 				pause.For(ctx, jitter(storeRetryDelay))
 			}
 			return
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -512,7 +512,7 @@
 			continue
 		}
 		if err != nil {
-			health.failed(err, sent, ownerWatchWait, after)
+			health.failed(err, sent, ownerWatchWait+watchMargin, after)
 			pause.For(t.ctx, jitter(storeRetryDelay))
 			continue
 		}
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -45,10 +45,11 @@
 	hung        bool
 }
 
-// failed records the failure of a watch. The first failure in a row is logged, and so is the first one without an answer.
-func (h *watchHealth) failed(err error, sent time.Time, wait time.Duration, after store.Revision) {
+// failed records the failure of a watch, or of a list in its place, that had a timeout. The first failure in a row is logged, and
+// so is the first one without an answer.
+func (h *watchHealth) failed(err error, sent time.Time, timeout time.Duration, after store.Revision) {
 	took := time.Since(sent)
-	hung := took >= wait+watchMargin
+	hung := took >= timeout
 	message := "store: watch failed"
 	if hung {
 		message = "store: watch got no answer"
@@ -61,7 +62,7 @@
 	}
 	h.failures++
 	if h.failures == 1 || hung && !h.hung {
-		h.log.Warn(message, zap.String("prefix", h.prefix), zap.Uint64("revision", uint64(after)), zap.Duration("took", took), zap.Duration("wait", wait), zap.Error(err))
+		h.log.Warn(message, zap.String("prefix", h.prefix), zap.Uint64("revision", uint64(after)), zap.Duration("took", took), zap.Duration("timeout", timeout), zap.Error(err))
 	}
 	h.hung = h.hung || hung
 }
@@ -94,7 +95,7 @@
 		if mustList {
 			list, at, err := t.listPrefix(p.prefix, len(known))
 			if err != nil {
-				p.failed(t, &health, errors.Wrap(err, "listing"), sent, revision)
+				p.failed(t, &health, errors.Wrap(err, "listing"), sent, storeCallTimeout, revision)
 				continue
 			}
 			health.returned()
@@ -113,7 +114,7 @@
 			mustList = true
 		case err != nil:
 			mustList = true
-			p.failed(t, &health, err, sent, revision)
+			p.failed(t, &health, err, sent, p.wait+watchMargin, revision)
 		default:
 			health.returned()
 			revision = at
@@ -137,11 +138,11 @@
 }
 
 // failed handles the failure of a watch or of a list in its place, and waits before the next call.
-func (p prefixWatch) failed(t *term, h *watchHealth, err error, sent timestamp, revision store.Revision) {
+func (p prefixWatch) failed(t *term, h *watchHealth, err error, sent timestamp, timeout time.Duration, revision store.Revision) {
 	if t.ctx.Err() != nil {
 		return
 	}
-	h.failed(err, sent.at, p.wait, revision)
+	h.failed(err, sent.at, timeout, revision)
 	pause.For(t.ctx, jitter(storeRetryDelay))
 }
 
