--- /dev/null
+++ b/internal/process/entry/main_test.go
@@ -0,0 +1,9 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/jujubegrade/jujubegrade/internal/testrun"
+)
+
+func TestMain(m *testing.M) { testrun.Main(m, nil) }
