--- a/internal/process/logsink/logsink.go
+++ b/internal/process/logsink/logsink.go
@@ -12,14 +12,28 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// Sink passes lines to a writer through a bounded buffer. It drops and counts the lines that arrive while the buffer is full.
-type Sink struct {
-	lines   chan []byte
-	stopped chan struct{}
-	once    sync.Once
-	done    chan struct{}
-	dropped atomic.Int64
-}
+type (
+	// Sink passes lines to a writer through a bounded buffer. It drops and counts the lines that arrive while the buffer is full.
+	Sink struct {
+		lines   chan []byte
+		stopped chan struct{}
+		once    sync.Once
+		done    chan struct{}
+		dropped atomic.Int64
+	}
+
+	// selective samples the lines of all loggers but those named Complete.
+	selective struct {
+		zapcore.Core
+		complete zapcore.Core
+	}
+
+	// textErrors writes errors as their texts. Their verbose form would add a stack trace to each line.
+	textErrors struct{ zapcore.Core }
+)
+
+// Complete is the name of loggers whose lines are not sampled. Their volume must be bounded by what they report.
+const Complete = "complete"
 
 const (
 	// bufferLines is the capacity of the buffer: about one second of logging under heavy load.
@@ -86,15 +100,6 @@
 	}
 }
 
-// Complete is the name of loggers whose lines are not sampled. Their volume must be bounded by what they report.
-const Complete = "complete"
-
-// selective samples the lines of all loggers but those named Complete.
-type selective struct {
-	zapcore.Core
-	complete zapcore.Core
-}
-
 // With implements zapcore.Core.
 func (c selective) With(fields []zapcore.Field) zapcore.Core {
 	return selective{Core: c.Core.With(fields), complete: c.complete.With(fields)}
@@ -108,9 +113,6 @@
 	return c.Core.Check(e, checked)
 }
 
-// textErrors writes errors as their texts. Their verbose form would add a stack trace to each line.
-type textErrors struct{ zapcore.Core }
-
 // With implements zapcore.Core.
 func (c textErrors) With(fields []zapcore.Field) zapcore.Core {
 	return textErrors{c.Core.With(errorsAsText(fields))}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -19,59 +19,73 @@
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
-// term is one period of ownership of the pool, from the claim to its loss.
-type term struct {
-	owner *Owner
-	claim *claim
-	log   *zap.Logger
-	ctx   context.Context
-	end   func(cause string)
-
-	// events are handled one at a time by the term's goroutine, which alone uses the fields below that are not atomic.
-	events  chan func()
-	state   *pool.State
-	catalog *catalog.Catalog
-	// configRevision is the store's revision of the configuration, and configConfirmedAt when it was last known to be the
-	// newest.
-	configRevision    store.Revision
-	configConfirmedAt timestamp
-	// leaseRenewedAt is when the last successful renewal of the ownership lease was sent.
-	leaseRenewedAt atomic.Pointer[timestamp]
-	listed         map[ids.InstanceID]ListedWorker
-	// listConfirmedAt is when the call was sent whose answer last confirmed the instance list.
-	listConfirmedAt atomic.Pointer[timestamp]
-	// renewalFailedAt is when the last renewal of the ownership lease was sent that the store didn't answer.
-	renewalFailedAt atomic.Pointer[timestamp]
-	// listState is the state of the list at the last scheduling pass, and listStateSince is when it began.
-	listState      listState
-	listStateSince time.Time
-	// malformedEntries are the unreadable entries of the instance list, each logged once.
-	malformedEntries map[string]bool
-	links            map[ids.InstanceID]*link
-	// jobRevisions are the store's revisions of the jobs' records.
-	jobRevisions map[ids.JobID]store.Revision
-	waiters      map[ids.JobID][]*waiter
-	// writeBlocked is set while the next batch has to wait, and inFlight is the batch being committed.
-	writeBlocked bool
-	inFlight     *batch
-	// storeFailingSince is when the store began to fail; zero if it answers.
-	storeFailingSince time.Time
-	// usedWorkers is the stored list of the workers that may run tasks, and usedRevision its revision.
-	usedWorkers  []ids.InstanceID
-	usedRevision store.Revision
-	// usedUpToDate means that the stored list was correct at the last check, when unknownAtCheck workers were unknown, and
-	// that no link was added or removed since.
-	usedUpToDate   bool
-	unknownAtCheck int
-	// estimatesRevision is the store's revision of the learned run times, estimatesSavedAt when they were last written,
-	// and savedSamples how many samples they included.
-	estimatesRevision store.Revision
-	estimatesSavedAt  time.Time
-	savedSamples      int
-	// lastSweep is when all links were last updated, and lastPurge when old jobs were last deleted.
-	lastSweep time.Time
-	lastPurge time.Time
-}
+type (
+	// term is one period of ownership of the pool, from the claim to its loss.
+	term struct {
+		owner *Owner
+		claim *claim
+		log   *zap.Logger
+		ctx   context.Context
+		end   func(cause string)
+
+		// events are handled one at a time by the term's goroutine, which alone uses the fields below that are not atomic.
+		events  chan func()
+		state   *pool.State
+		catalog *catalog.Catalog
+		// configRevision is the store's revision of the configuration, and configConfirmedAt when it was last known to be the
+		// newest.
+		configRevision    store.Revision
+		configConfirmedAt timestamp
+		// leaseRenewedAt is when the last successful renewal of the ownership lease was sent.
+		leaseRenewedAt atomic.Pointer[timestamp]
+		listed         map[ids.InstanceID]ListedWorker
+		// listConfirmedAt is when the call was sent whose answer last confirmed the instance list.
+		listConfirmedAt atomic.Pointer[timestamp]
+		// renewalFailedAt is when the last renewal of the ownership lease was sent that the store didn't answer.
+		renewalFailedAt atomic.Pointer[timestamp]
+		// listState is the state of the list at the last scheduling pass, and listStateSince is when it began.
+		listState      listState
+		listStateSince time.Time
+		// malformedEntries are the unreadable entries of the instance list, each logged once.
+		malformedEntries map[string]bool
+		links            map[ids.InstanceID]*link
+		// jobRevisions are the store's revisions of the jobs' records.
+		jobRevisions map[ids.JobID]store.Revision
+		waiters      map[ids.JobID][]*waiter
+		// writeBlocked is set while the next batch has to wait, and inFlight is the batch being committed.
+		writeBlocked bool
+		inFlight     *batch
+		// storeFailingSince is when the store began to fail; zero if it answers.
+		storeFailingSince time.Time
+		// usedWorkers is the stored list of the workers that may run tasks, and usedRevision its revision.
+		usedWorkers  []ids.InstanceID
+		usedRevision store.Revision
+		// usedUpToDate means that the stored list was correct at the last check, when unknownAtCheck workers were unknown, and
+		// that no link was added or removed since.
+		usedUpToDate   bool
+		unknownAtCheck int
+		// estimatesRevision is the store's revision of the learned run times, estimatesSavedAt when they were last written,
+		// and savedSamples how many samples they included.
+		estimatesRevision store.Revision
+		estimatesSavedAt  time.Time
+		savedSamples      int
+		// lastSweep is when all links were last updated, and lastPurge when old jobs were last deleted.
+		lastSweep time.Time
+		lastPurge time.Time
+	}
+
+	// listState is whether runs may be started by the list of workers.
+	listState int
+)
+
+const (
+	// listCurrent means that the list is not older than MaxListAge.
+	listCurrent listState = iota
+	// listOutdated means that it is older although the store answers, so that no runs are started.
+	listOutdated
+	// listUnavailable means that it is older and the store doesn't answer. Runs are still started.
+	listUnavailable
+)
 
 const (
 	eventQueueSize = 4096
@@ -369,18 +383,6 @@
 	}
 }
 
-// listState tells whether runs may be started by the list of workers.
-type listState int
-
-const (
-	// listCurrent means that the list is not older than MaxListAge.
-	listCurrent listState = iota
-	// listOutdated means that it is older although the store answers, so that no runs are started.
-	listOutdated
-	// listUnavailable means that it is older and the store doesn't answer. Runs are still started.
-	listUnavailable
-)
-
 // currentListState returns the state of the list of workers.
 func (t *term) currentListState() listState {
 	if t.listAge() <= t.owner.Times.MaxListAge {
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -15,6 +15,29 @@
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
+type (
+	// watchHealth logs and counts the failures of the watches of one prefix and their recovery. It is used by one goroutine.
+	watchHealth struct {
+		log     *zap.Logger
+		metrics *Metrics
+		prefix  string
+		// failures counts the consecutive failures, failedSince is when the first of these watches was sent, and hung is set if
+		// one of them got no answer.
+		failures    int
+		failedSince time.Time
+		hung        bool
+	}
+
+	// prefixWatch maintains a copy of the entries under a prefix.
+	prefixWatch struct {
+		prefix string
+		// wait is the long-poll wait, and batchDelay is a delay after each watch with events, which batches the next ones.
+		wait, batchDelay time.Duration
+		// onChange receives the entries as they were when a call was sent, or newer. It is called after each call that succeeds.
+		onChange func(entries map[string]store.Entry, sent timestamp)
+	}
+)
+
 const (
 	// configWatchWait is the long-poll wait of a watch of the configuration; its return confirms that no newer one was
 	// accepted.
@@ -33,18 +56,6 @@
 	workersBatchDelay = 100 * time.Millisecond
 )
 
-// watchHealth logs and counts the failures of the watches of one prefix and their recovery. It is used by one goroutine.
-type watchHealth struct {
-	log     *zap.Logger
-	metrics *Metrics
-	prefix  string
-	// failures counts the consecutive failures, failedSince is when the first of these watches was sent, and hung is set if
-	// one of them got no answer.
-	failures    int
-	failedSince time.Time
-	hung        bool
-}
-
 // failed records the failure of a watch, or of a list in its place, that had a timeout. The first failure in a row is logged, and
 // so is the first one without an answer.
 func (h *watchHealth) failed(err error, sent time.Time, timeout time.Duration, after store.Revision) {
@@ -75,15 +86,6 @@
 	h.failures, h.hung = 0, false
 }
 
-// prefixWatch maintains a copy of the entries under a prefix.
-type prefixWatch struct {
-	prefix string
-	// wait is the long-poll wait, and batchDelay is a delay after each watch with events, which batches the next ones.
-	wait, batchDelay time.Duration
-	// onChange receives the entries as they were when a call was sent, or newer. It is called after each call that succeeds.
-	onChange func(entries map[string]store.Entry, sent timestamp)
-}
-
 // run watches the prefix from a list of its entries until the term ends. After a failure it lists the prefix: the answer
 // comes at once and depends on neither the history nor the watch.
 func (p prefixWatch) run(t *term, entries []store.Entry, revision store.Revision) {
