Start nothing in a data centre whose evacuation is requested

An operator empties a data centre with the key op/evacuate/ZONE. The owner reads it with the watch of op/ and before its first decision after a takeover.

The view of the requests has an age limit of 0.85 evacuateMs. Beyond it nothing is started while the store answers. Log lines and metrics show the phases, the runs left and the age of the view.

The tests fail with evacuated workers left schedulable.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -44,8 +44,10 @@
 
 // HoldStarts sets whether waiting units are held, so that nothing is started.
 func (s *State) HoldStarts(hold bool) {
-	s.held = hold
-	s.requestPass()
+	if s.held != hold {
+		s.held = hold
+		s.requestPass()
+	}
 }
 
 // expire handles everything whose time limit has passed.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -33,6 +33,8 @@
 		rack *rack
 		// listed is set if the worker is in the instance list.
 		listed bool
+		// evacuated is set if the worker's data centre is being evacuated, so that it takes no new runs.
+		evacuated bool
 		// reported is set once the worker has reported to this owner, so that all its runs are known.
 		reported bool
 		// silentSince is when the worker stopped answering; zero if it answers.
@@ -106,7 +108,7 @@
 
 // schedulable reports whether new runs may be placed on the worker.
 func (n *node) schedulable() bool {
-	return n.listed && n.reported && !n.Draining && n.silentSince.IsZero() && n.quarantinedUntil.IsZero()
+	return n.listed && n.reported && !n.Draining && !n.evacuated && n.silentSince.IsZero() && n.quarantinedUntil.IsZero()
 }
 
 // preferred reports whether gangs prefer the worker: it is not slower, and nothing has failed there since its last success.
@@ -116,7 +118,7 @@
 
 // schedulableSoon reports whether the worker takes new runs now or after a quarantine of the shortest length.
 func (n *node) schedulableSoon() bool {
-	return n.listed && !n.Draining && n.silentSince.IsZero() && n.quarantineTime <= minQuarantine
+	return n.listed && !n.Draining && !n.evacuated && n.silentSince.IsZero() && n.quarantineTime <= minQuarantine
 }
 
 func (n *node) hasLabel(label string) bool {
@@ -164,6 +166,7 @@
 		}
 		n.Worker = w
 		n.listed = true
+		n.evacuated = s.evacuations.Contains(n.DataCentre)
 		s.checkLeaving(n)
 	}
 	for id, n := range s.nodes {
@@ -368,7 +371,7 @@
 // yet, and its worker still takes new runs.
 func (s *State) MayStart(id ids.InstanceID, ref worker.Run) bool {
 	r := s.findRun(id, ref)
-	return r != nil && r.phase == runStarting && r.unit != nil && r.unit.phase == starting && r.node.listed && !r.node.Draining
+	return r != nil && r.phase == runStarting && r.unit != nil && r.unit.phase == starting && r.node.listed && !r.node.Draining && !r.node.evacuated
 }
 
 // HasRun reports whether a run holds resources on a worker.
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/evacuation"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -71,6 +72,9 @@
 		recovering bool
 		// held blocks all starts; see HoldStarts.
 		held bool
+		// evacuations holds the data centres that take no new runs, and evacuationEvents their changes that were not returned yet.
+		evacuations      evacuation.Tracker
+		evacuationEvents []evacuation.Event
 		// preempting holds the units in phase preempting.
 		preempting []*unit
 		// passRequests counts the events after which a waiting unit may fit, and servedRequests is its value at the last pass.
@@ -402,8 +406,8 @@
 func (s *State) Describe(now time.Time) string {
 	var b strings.Builder
 	for _, n := range s.sortedNodes() {
-		fmt.Fprintf(&b, "worker %s schedulable %t listed %t reported %t silent %t draining %t used %v held %v runs %d\n",
-			n.ID, n.schedulable(), n.listed, n.reported, !n.silentSince.IsZero(), n.Draining, n.used, n.held, len(n.runs))
+		fmt.Fprintf(&b, "worker %s schedulable %t listed %t reported %t silent %t draining %t evacuated %t used %v held %v runs %d\n",
+			n.ID, n.schedulable(), n.listed, n.reported, !n.silentSince.IsZero(), n.Draining, n.evacuated, n.used, n.held, len(n.runs))
 		for _, r := range n.runs {
 			fmt.Fprintf(&b, "  run %s %d phase %d reported %t confirmed %t\n", r.Task, r.Number, r.phase, r.reported, !r.confirmedAt.IsZero())
 		}
--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -36,6 +36,8 @@
 
 		mu    sync.Mutex
 		specs map[ids.JobID]jobSpec
+		// listFault is called before each list of a prefix of the store; the list fails with its error.
+		listFault func(prefix string) error
 	}
 
 	// jobSpec is what the workers know of a job.
@@ -114,11 +116,19 @@
 	id := ids.InstanceID(fmt.Sprintf("worker%02d", number))
 	w.fleet.Add(id)
 	w.listed[id] = ListedWorker{Address: string(id), Worker: pool.Worker{
-		ID: id, Service: "service", Rack: ids.RackID(fmt.Sprintf("rack%d", number%testRacks)), Total: testTotal, Incarnation: 1,
+		ID: id, Service: "service", DataCentre: testCentre(number), Rack: ids.RackID(fmt.Sprintf("rack%d", number%testRacks)), Total: testTotal, Incarnation: 1,
 	}}
 	w.listWorker(id)
 }
 
+// testCentre returns a worker's data centre: centre0 has the first rack, and centre1 the others.
+func testCentre(number int) ids.DataCentreID {
+	if number%testRacks == 0 {
+		return "centre0"
+	}
+	return "centre1"
+}
+
 // listWorker writes a worker's entry as the worker does.
 func (w *cluster) listWorker(id ids.InstanceID) {
 	l := w.listed[id]
@@ -152,7 +162,7 @@
 	process := i.newProcess(ctx)
 	owner := &Owner{
 		Instance: ids.InstanceID(i.name), Address: i.name, Store: process.store(w.store.Client(i.name)),
-		ConfigKey: testConfigKey, ConfigPrefix: testConfigPrefix,
+		ConfigKey: testConfigKey, ConfigPrefix: testConfigPrefix, EvacuatedDataCentre: evacuatedDataCentre,
 		Catalog: func(value []byte) (*catalog.Catalog, error) {
 			c := &catalog.Catalog{}
 			return c, json.Unmarshal(value, c)
@@ -283,6 +293,9 @@
 			if l.waitRunning() != nil {
 				return nil, 0, store.ErrRefused
 			}
+			if err := l.instance.cluster.faultOfList(prefix); err != nil {
+				return nil, 0, err
+			}
 			return s.List(ctx, prefix)
 		},
 		Watch: func(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
@@ -349,6 +362,22 @@
 	}
 }
 
+func (w *cluster) setListFault(fault func(prefix string) error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listFault = fault
+}
+
+func (w *cluster) faultOfList(prefix string) error {
+	w.mu.Lock()
+	fault := w.listFault
+	w.mu.Unlock()
+	if fault == nil {
+		return nil
+	}
+	return fault(prefix)
+}
+
 // ownerInstance returns the instance that owns the pool, or nil.
 func (w *cluster) ownerInstance() *instance {
 	for _, i := range w.instances {
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -364,7 +364,7 @@
 	t := l.term
 	valid := false
 	if err := t.do(l.ctx, func() {
-		valid = t.state.MayStart(l.id, r) && t.currentListState() != listOutdated && t.isStillOwner()
+		valid = t.state.MayStart(l.id, r) && t.currentListState() != listOutdated && t.currentEvacuationState() != listOutdated && t.isStillOwner()
 	}); err != nil {
 		return false
 	}
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
 type (
@@ -27,6 +28,8 @@
 		WriteTime                        Latency
 		// StartHolds counts how often starts were held since the list of workers was outdated.
 		StartHolds expvar.Int
+		// EvacuationHolds counts how often starts were held since the view of the evacuations was outdated.
+		EvacuationHolds expvar.Int
 		// StartListAge is the age of the instance list at each placement.
 		StartListAge Latency
 		// EventDelay is the time that events wait until the owner handles them.
@@ -37,6 +40,7 @@
 		// priority and outcome.
 		StartTime, EndTime Latencies
 		counts             atomic.Pointer[pool.Counts]
+		runsLeft           atomic.Pointer[map[ids.DataCentreID]int]
 	}
 
 	// Latency is a histogram of durations, in microseconds. The zero value is empty.
@@ -110,6 +114,24 @@
 	return 0
 }
 
+// EvacuationAge returns the age of the owner's view of the evacuations; zero if this instance doesn't own the pool.
+func (o *Owner) EvacuationAge() time.Duration {
+	if t := o.term.Load(); t != nil {
+		return t.evacuationAge()
+	}
+	return 0
+}
+
+// RunsLeft returns the number of runs in each evacuated data centre as of the last tick of this instance as owner.
+func (m *Metrics) RunsLeft() map[ids.DataCentreID]int {
+	if left := m.runsLeft.Load(); left != nil {
+		return *left
+	}
+	return nil
+}
+
+func (m *Metrics) setRunsLeft(left map[ids.DataCentreID]int) { m.runsLeft.Store(&left) }
+
 func (m *Metrics) setCounts(c pool.Counts) { m.counts.Store(&c) }
 
 func (l *Latency) record(d time.Duration) {
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -32,6 +32,9 @@
 		// ConfigKey is the key of the newest configuration, under ConfigPrefix, and Catalog decodes its value.
 		ConfigKey, ConfigPrefix string
 		Catalog                 func(value []byte) (*catalog.Catalog, error)
+		// EvacuatedDataCentre returns the data centre that a key under ConfigPrefix requests to evacuate, and whether it is such a request.
+		// Nil means that there are none.
+		EvacuatedDataCentre func(key string) (ids.DataCentreID, bool)
 		// WorkerPrefix is the prefix of the workers' entries, and Worker decodes one.
 		WorkerPrefix string
 		Worker       func(key string, value []byte) (ListedWorker, error)
@@ -89,6 +92,9 @@
 		// MaxListAge is the maximum age of the list of workers. Beyond it no runs are started, since workers may be draining,
 		// unless the store does not answer: then workers can't announce it either.
 		MaxListAge time.Duration
+		// MaxEvacuationAge is the maximum age of the view of the evacuations. Beyond it no runs are started, since any data centre may
+		// be evacuated, unless the store does not answer.
+		MaxEvacuationAge time.Duration
 		// OutageWindow is the time after the sending of a renewal of the ownership without an answer for which the store counts as
 		// unavailable. It is longer than two renewals take.
 		OutageWindow time.Duration
@@ -112,6 +118,8 @@
 	defaultMaxConfigAge = 3500 * time.Millisecond
 	// defaultMaxListAge is below the platform's limit of 2 s for which runs may start on a worker that is draining.
 	defaultMaxListAge = 1700 * time.Millisecond
+	// defaultMaxEvacuationAge is below the platform's default limit of 5 s for which runs may start in an evacuated data centre.
+	defaultMaxEvacuationAge = 4250 * time.Millisecond
 	// defaultOutageWindow is below the 3 s after an outage for which the platform tolerates starts by an outdated list.
 	defaultOutageWindow = 2500 * time.Millisecond
 	// ownerWatchWait is the long-poll wait of a watch of the owner key; its return shows that the store is reachable.
@@ -144,6 +152,7 @@
 	t.WorkerLease = cmp.Or(t.WorkerLease, defaultWorkerLease)
 	t.MaxConfigAge = cmp.Or(t.MaxConfigAge, defaultMaxConfigAge)
 	t.MaxListAge = cmp.Or(t.MaxListAge, defaultMaxListAge)
+	t.MaxEvacuationAge = cmp.Or(t.MaxEvacuationAge, defaultMaxEvacuationAge)
 	t.OutageWindow = cmp.Or(t.OutageWindow, defaultOutageWindow)
 	return t
 }
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -46,6 +46,12 @@
 		// listState is the state of the list at the last scheduling pass, and listStateSince is when it began.
 		listState      listState
 		listStateSince time.Time
+		// evacuationsConfirmedAt is when the call was sent whose answer last confirmed the requests to evacuate, and evacuationState the
+		// state of that view at the last scheduling pass.
+		evacuationsConfirmedAt atomic.Pointer[timestamp]
+		evacuationState        listState
+		// unknownDataCentres are the requested data centres without workers, each logged once.
+		unknownDataCentres map[ids.DataCentreID]bool
 		// malformedEntries are the unreadable entries of the instance list, each logged once.
 		malformedEntries map[string]bool
 		links            map[ids.InstanceID]*link
@@ -118,7 +124,8 @@
 		events: make(chan func(), eventQueueSize),
 		state:  &pool.State{Epoch: c.Epoch, Times: o.Pool},
 		listed: make(map[ids.InstanceID]ListedWorker), malformedEntries: make(map[string]bool), links: make(map[ids.InstanceID]*link),
-		jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
+		unknownDataCentres: make(map[ids.DataCentreID]bool),
+		jobRevisions:       make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
 	}
 	t.leaseRenewedAt.Store(&c.grantedAt)
 	t.log.Info("owner: ownership claimed")
@@ -131,6 +138,7 @@
 	}
 	o.recovering.Store(false)
 	o.term.Store(nil)
+	o.metrics.setRunsLeft(nil)
 	// In-flight calls end by their timeouts; their results are discarded.
 	cancel(nil)
 	t.log.Info("owner: ownership ended", zap.NamedError("cause", context.Cause(ctx)))
@@ -233,6 +241,7 @@
 		}
 	}
 	t.loadEstimates(learned)
+	t.setEvacuations(config, sent)
 	t.setConfig(config, sent)
 	t.setWorkers(workers, sent)
 	var jobs []*pool.Job
@@ -337,6 +346,7 @@
 	default:
 		// The queue is full. This goroutine empties it, so it must not wait.
 	}
+	t.observeEvacuations(now)
 	t.refuseWaiting(now)
 	if now.Sub(t.lastPurge) > purgeInterval {
 		t.lastPurge = now
@@ -364,6 +374,8 @@
 		}
 	}
 	t.updateListState(now)
+	t.updateEvacuationState()
+	t.state.HoldStarts(t.listState == listOutdated || t.evacuationState == listOutdated)
 	actions, notices := t.state.Decide(now)
 	for _, n := range notices {
 		t.logNotice(n)
@@ -385,7 +397,12 @@
 
 // currentListState returns the state of the list of workers.
 func (t *term) currentListState() listState {
-	if t.listAge() <= t.owner.Times.MaxListAge {
+	return t.viewState(t.listAge(), t.owner.Times.MaxListAge)
+}
+
+// viewState returns the state of a view of the store with the given age and its limit.
+func (t *term) viewState(age, limit time.Duration) listState {
+	if age <= limit {
 		return listCurrent
 	}
 	if t.isStoreUnavailable() {
@@ -400,7 +417,7 @@
 	return failed != nil && failed.at.After(t.leaseRenewedAt.Load().at) && t.owner.since(*failed) < t.owner.Times.OutageWindow
 }
 
-// updateListState holds starts while the list of workers is outdated.
+// updateListState logs the changes of the state of the list of workers.
 func (t *term) updateListState(now time.Time) {
 	s := t.currentListState()
 	if s == t.listState {
@@ -417,7 +434,6 @@
 		t.log.Warn("workers: the list is outdated and the store does not answer; runs are still started", zap.Duration("listAge", t.listAge()))
 	}
 	t.listState, t.listStateSince = s, now
-	t.state.HoldStarts(s == listOutdated)
 }
 
 // listAge returns the age of the instance list.
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -169,10 +169,14 @@
 }
 
 func (t *term) watchConfig(entries []store.Entry, revision store.Revision) {
-	w := prefixWatch{prefix: t.owner.ConfigPrefix, wait: configWatchWait, onChange: func(known map[string]store.Entry, sent timestamp) {
+	wait := min(configWatchWait, t.owner.Times.MaxEvacuationAge/listAgeWaits)
+	w := prefixWatch{prefix: t.owner.ConfigPrefix, wait: wait, onChange: func(known map[string]store.Entry, sent timestamp) {
 		t.owner.markContact()
 		list := slices.Collect(maps.Values(known))
-		t.post(func() { t.setConfig(list, sent) })
+		t.post(func() {
+			t.setEvacuations(list, sent)
+			t.setConfig(list, sent)
+		})
 	}}
 	w.run(t, entries, revision)
 }
--- a/internal/standin/history/checker.go
+++ b/internal/standin/history/checker.go
@@ -31,6 +31,8 @@
 		starts map[ids.JobID]int
 		// draining holds when each draining worker announced its departure.
 		draining map[ids.InstanceID]time.Time
+		// evacuated holds when the evacuation of each worker's data centre was requested.
+		evacuated map[ids.InstanceID]time.Time
 		// disturbances counts the faults of the store and the instances in progress, and disturbedAt is when the last one ended.
 		disturbances int
 		disturbedAt  time.Time
@@ -73,12 +75,14 @@
 // specifies. It applies once the store and the instances have been without faults for stabilityWindow.
 const (
 	maxStartDelayAfterDrain = 2 * time.Second
-	stabilityWindow         = 3 * time.Second
+	// maxStartDelayAfterEvacuation is the same limit for the evacuation of the worker's data centre.
+	maxStartDelayAfterEvacuation = 5 * time.Second
+	stabilityWindow              = 3 * time.Second
 )
 
 // New returns a checker for workers that each have the given total resources.
 func New(total ids.Resources) *Checker {
-	return &Checker{starts: make(map[ids.JobID]int), draining: make(map[ids.InstanceID]time.Time), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
+	return &Checker{starts: make(map[ids.JobID]int), draining: make(map[ids.InstanceID]time.Time), evacuated: make(map[ids.InstanceID]time.Time), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
 }
 
 // Add registers a job before its submission.
@@ -108,6 +112,22 @@
 	c.log(string(id) + " accepts runs")
 }
 
+// RecordEvacuation records that the evacuation of a worker's data centre was requested.
+func (c *Checker) RecordEvacuation(id ids.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuated[id] = time.Now()
+	c.log("the data centre of " + string(id) + " is evacuated")
+}
+
+// RecordEvacuationEnd records that the request to evacuate a worker's data centre was withdrawn.
+func (c *Checker) RecordEvacuationEnd(id ids.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.evacuated, id)
+	c.log("the data centre of " + string(id) + " is no longer evacuated")
+}
+
 // BeginDisturbance records the beginning of a fault of the store or an instance; the caller calls end when it is over.
 func (c *Checker) BeginDisturbance() (end func()) {
 	c.mu.Lock()
@@ -204,6 +224,9 @@
 	if at, found := c.draining[e.Worker]; found && !e.Late && !c.isDisturbed() && time.Since(at) > maxStartDelayAfterDrain {
 		c.addViolation("%s was started on %s %v after the worker announced its departure", e.Run.Task, e.Worker, time.Since(at))
 	}
+	if at, found := c.evacuated[e.Worker]; found && !e.Late && !c.isDisturbed() && time.Since(at) > maxStartDelayAfterEvacuation {
+		c.addViolation("%s was started on %s %v after the evacuation of its data centre was requested", e.Run.Task, e.Worker, time.Since(at))
+	}
 	if j.acknowledgedDone[e.Run.Task] {
 		c.addViolation("%s was started after its end as done was acknowledged", e.Run.Task)
 	}
