Admit by the capacity outside evacuated data centres and move checkpointed work

A job with a step that fits only with evacuated workers is refused with that cause and the longest retry delay, also if a guarantee covers it; it was accepted and left waiting before, or refused for an expected wait. Guarantees are reduced by the same share if the remaining accelerators don't cover all of them. Waiting work that can't start before an evacuation ends no longer lengthens the forecast of other work.

Units with checkpoints in an evacuated data centre are stopped at the pace of the tracker, longest remaining time first, if free capacity exceeds what waiting work asks for. Gangs move whole, and each move counts on workers of its own.

--- a/internal/process/evacuation/evacuation.go
+++ b/internal/process/evacuation/evacuation.go
@@ -91,6 +91,9 @@
 // Contains reports whether a data centre is being evacuated.
 func (t *Tracker) Contains(id ids.DataCentreID) bool { return t.evacuations[id] != nil }
 
+// IsEmpty reports whether no data centre is being evacuated.
+func (t *Tracker) IsEmpty() bool { return len(t.evacuations) == 0 }
+
 // Requested returns the data centres being evacuated, in order.
 func (t *Tracker) Requested() []ids.DataCentreID {
 	list := make([]ids.DataCentreID, 0, len(t.evacuations))
--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -41,6 +41,9 @@
 		// The load at that time can't be predicted.
 		return nil
 	}
+	if refusal := s.refuseEvacuated(j); refusal != nil {
+		return refusal
+	}
 	s.updateGuaranteed()
 	j.guaranteed = j.Priority == 0 && s.guaranteeCovers(j)
 	if j.guaranteed {
@@ -49,7 +52,7 @@
 	slack := s.objective(j) - s.criticalPath(j)
 	if wait := s.expectedWait(j, now); wait > slack {
 		return &Refusal{
-			Reason:     "it would wait " + wait.Round(time.Millisecond).String() + "; its limit is " + slack.Round(time.Millisecond).String(),
+			Reason:     "it would wait " + wait.Round(time.Millisecond).String() + "; its limit is " + slack.Round(time.Millisecond).String() + s.evacuationCause(),
 			RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait-slack)),
 		}
 	}
@@ -67,7 +70,7 @@
 			sum += other.accelerators()
 		}
 	}
-	return sum <= s.accounts[j.Account].Guaranteed
+	return sum <= s.guaranteeOf(j.Account)
 }
 
 // fitsEmptyPool reports whether the unit would fit into the pool if nothing else ran.
@@ -124,7 +127,7 @@
 			break
 		}
 		for _, st := range other.stages {
-			if queued := st.inPhase[waiting] + st.inPhase[preempting]; queued > 0 && st.units[0].isDue(now) {
+			if queued := st.inPhase[waiting] + st.inPhase[preempting]; queued > 0 && st.units[0].isDue(now) && s.fitsRemaining(st.units[0]) {
 				sum += float64(queued) * dominantShare(st.step().Each.Times(st.units[0].count), total) * s.stepRunTime(other, st.stepKey.step).Seconds()
 			}
 		}
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -35,6 +35,7 @@
 			s.placeWaiting(now)
 			// Starting units only reduces the free capacity, so no further pass is needed.
 			s.servedRequests = s.passRequests
+			s.moveEvacuated(now)
 		}
 	}
 	actions, notices := s.actions, s.notices
@@ -142,7 +143,7 @@
 			break
 		}
 		sums[j.Account] += j.accelerators()
-		j.guaranteed = sums[j.Account] <= s.accounts[j.Account].Guaranteed
+		j.guaranteed = sums[j.Account] <= s.guaranteeOf(j.Account)
 	}
 }
 
--- a/internal/process/pool/evacuation.go
+++ b/internal/process/pool/evacuation.go
@@ -17,7 +17,10 @@
 		return
 	}
 	s.evacuationEvents = append(s.evacuationEvents, events...)
-	s.updateEvacuated()
+	for _, n := range s.nodes {
+		n.evacuated = s.evacuations.Contains(n.DataCentre)
+	}
+	s.updateRemaining()
 	s.rebuildRacks()
 	s.guaranteedChanged = true
 	for _, u := range slices.Clone(s.preempting) {
@@ -28,13 +31,6 @@
 	}
 }
 
-// updateEvacuated marks the workers in evacuated data centres.
-func (s *State) updateEvacuated() {
-	for _, n := range s.nodes {
-		n.evacuated = s.evacuations.Contains(n.DataCentre)
-	}
-}
-
 // EvacuationEvents returns the changes of evacuations since the last call. A data centre is emptied once no run is left there. A worker that
 // may have runs which this owner doesn't know counts as one run.
 func (s *State) EvacuationEvents(now time.Time) []evacuation.Event {
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -47,6 +47,8 @@
 		// held is the sum of the resources reserved here for units in phase preempting.
 		held ids.Resources
 		runs []*run
+		// movingTo counts the tasks that are expected to move here out of an evacuated data centre.
+		movingTo int
 		// pinned counts the runs of single tasks without checkpoints.
 		pinned int
 		// failures counts consecutive failures of different jobs.
@@ -176,6 +178,7 @@
 			s.markChanged(n)
 		}
 	}
+	s.updateRemaining()
 	s.rebuildRacks()
 }
 
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -198,7 +198,7 @@
 			continue
 		}
 		for _, n := range r.nodes {
-			if n.reservedFor&conflicts != 0 || !n.passes(filter, now) || !s.eligible(u, n, now) {
+			if n.reservedFor&conflicts != 0 || s.skips(n) || !n.passes(filter, now) || !s.eligible(u, n, now) {
 				continue
 			}
 			free := n.free()
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -75,6 +75,13 @@
 		// evacuations holds the data centres that take no new runs, and evacuationEvents their changes that were not returned yet.
 		evacuations      evacuation.Tracker
 		evacuationEvents []evacuation.Event
+		// remainingPool is the capacity outside the evacuated data centres, and moves are the moves out of them that are under way.
+		remainingPool remainingCapacity
+		moves         []move
+		// movesCheckedAt is when units that may move were last looked for.
+		movesCheckedAt time.Time
+		// placingMove is set while a placement is looked for to which a unit may move.
+		placingMove bool
 		// preempting holds the units in phase preempting.
 		preempting []*unit
 		// passRequests counts the events after which a waiting unit may fit, and servedRequests is its value at the last pass.
@@ -201,6 +208,7 @@
 // SetAccounts replaces the accounts of the configuration.
 func (s *State) SetAccounts(accounts map[ids.AccountID]Account) {
 	s.accounts = accounts
+	s.updateRemaining()
 	s.guaranteedChanged = true
 	s.requestPass()
 }
