Take account of workers that are slow after their start

Workers announce coldRemainingMs. Their slow progress counted as a fault of the worker, which was quarantined, and their run times raised the estimates of the queue. Urgent work and gangs now use warm workers where they fit; the progress of cold workers gives their common slowdown, 1 until there are three samples and at most 4; their run times are not learned. After an evacuation is withdrawn, the cold workers of the data centre get work at a tenth of its accelerators per second.

Nothing changes without cold workers: the additional search and checks are skipped.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -24,6 +24,7 @@
 func (s *State) Decide(now time.Time) ([]Action, []Notice) {
 	s.init()
 	s.expire(now)
+	s.updateCold(now)
 	if !s.recovering {
 		s.updateGuaranteed()
 		s.evacuate(now)
--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -86,7 +86,7 @@
 
 // learnRunTime adds the run time of a completed unit to the estimates. Runs resumed from a checkpoint are ignored.
 func (s *State) learnRunTime(u *unit, now time.Time) {
-	if u.spec().Estimate <= 0 || u.checkpoint != "" || u.adopted {
+	if u.spec().Estimate <= 0 || u.checkpoint != "" || u.adopted || u.ranCold() {
 		return
 	}
 	actual := time.Duration(float64(now.Sub(u.startedAt)) / u.slowdown())
--- a/internal/process/pool/evacuation.go
+++ b/internal/process/pool/evacuation.go
@@ -21,6 +21,9 @@
 		n.evacuated = s.evacuations.Contains(n.DataCentre)
 	}
 	s.updateRemaining()
+	for _, e := range events {
+		s.updateRefill(e, now)
+	}
 	s.rebuildRacks()
 	s.guaranteedChanged = true
 	for _, u := range slices.Clone(s.preempting) {
--- a/internal/process/pool/move.go
+++ b/internal/process/pool/move.go
@@ -140,7 +140,9 @@
 }
 
 // skips reports whether a worker is left out of the placement that is being looked for.
-func (s *State) skips(n *node) bool { return s.placingMove && n.movingTo > 0 }
+func (s *State) skips(u *unit, n *node) bool {
+	return s.placingMove && n.movingTo > 0 || n.cold && (s.warmOnly || s.refillPaused(u, n))
+}
 
 // evacuatedFrom returns the evacuated data centre of a unit's runs, or "".
 func (u *unit) evacuatedFrom() ids.DataCentreID {
--- a/internal/process/pool/move_test.go
+++ b/internal/process/pool/move_test.go
@@ -40,7 +40,9 @@
 		runTime     time.Duration
 		// waits submits a job that waits for the free capacity.
 		waits func(s *State)
-		want  int
+		// dataRack is the rack of the gang's data.
+		dataRack ids.RackID
+		want     int
 	}{
 		"with checkpoints":                  {checkpoints: true, runTime: 20 * time.Second, want: 2},
 		"without checkpoints":               {runTime: 20 * time.Second},
@@ -49,11 +51,19 @@
 		"a job waits that fits only after the evacuation": {checkpoints: true, runTime: 20 * time.Second, want: 2, waits: func(s *State) {
 			s.accept(gangJob("huge", 1, 5, 8, 10*time.Second), testStart)
 		}},
+		"tasks wait for their next attempts": {checkpoints: true, runTime: 20 * time.Second, waits: func(s *State) {
+			for _, id := range []string{"first", "second"} {
+				j := gangJob(id, 1, 1, 8, 10*time.Second)
+				s.accept(j, testStart)
+				j.units[0].notBefore = testStart.Add(3 * time.Second)
+			}
+		}},
+		"its data are in the data centre": {checkpoints: true, runTime: 20 * time.Second, dataRack: "r000"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := twoCentres(6, 2, 2)
 			j := gangJob("moved", 1, 2, 8, test.runTime)
-			j.Steps[0].Checkpoints = test.checkpoints
+			j.Steps[0].Checkpoints, j.Steps[0].DataRack = test.checkpoints, test.dataRack
 			s.accept(j, testStart)
 			require.Len(t, s.startAll(testStart), 2)
 			long := gangJob("long", 1, 2, 8, time.Minute)
@@ -97,6 +107,26 @@
 	require.Equal(t, map[ids.JobID]int{"gang": 2}, stops(actions))
 }
 
+// Two gangs could move by the sum of the free workers, but only one rack has room for one of them. The other one is not stopped, since it would
+// wait.
+func TestMovesNeedPlacesOfTheirOwn(t *testing.T) {
+	s := twoCentres(10, 2, 4)
+	s.listWorkers(func(i int, w *Worker) { w.Draining = i == 7 || i == 9 })
+	for _, id := range []string{"first", "second"} {
+		j := gangJob(id, 1, 2, 8, 20*time.Second)
+		j.Steps[0].Checkpoints = true
+		s.accept(j, testStart)
+		require.Len(t, s.startAll(testStart), 2)
+	}
+	s.SetEvacuations([]ids.DataCentreID{"a"}, testStart.Add(time.Second))
+	actions, _ := s.Decide(testStart.Add(time.Second))
+	require.Len(t, stops(actions), 1)
+	more, _ := s.Decide(testStart.Add(1200 * time.Millisecond))
+	require.Empty(t, more)
+	s.endStopped(actions, testStart.Add(1300*time.Millisecond))
+	require.Len(t, s.startAll(testStart.Add(1300*time.Millisecond)), 2)
+}
+
 // Many tasks with checkpoints run in a data centre that is evacuated while there is room elsewhere. They move at a limited pace, each move
 // to a place of its own, and urgent work that arrives meanwhile starts at once without preempting.
 func TestMovesKeepCapacityForUrgentWork(t *testing.T) {
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -23,6 +23,8 @@
 		Draining bool
 		LeavesAt time.Time
 		Notice   time.Duration
+		// ColdUntil is until when a worker that has started recently is slow; zero if unknown. It may lie in the past.
+		ColdUntil time.Time
 		// Incarnation distinguishes restarts of a worker under the same id; zero means unknown.
 		Incarnation uint64
 	}
@@ -47,6 +49,9 @@
 		// held is the sum of the resources reserved here for units in phase preempting.
 		held ids.Resources
 		runs []*run
+		// cold is set until ColdUntil, and coldSlowdown is how many times as long tasks take meanwhile; zero if not cold.
+		cold         bool
+		coldSlowdown float64
 		// movingTo counts the tasks that are expected to move here out of an evacuated data centre.
 		movingTo int
 		// pinned counts the runs of single tasks without checkpoints.
@@ -168,6 +173,7 @@
 		}
 		n.Worker = w
 		n.listed = true
+		s.checkCold(n)
 		n.evacuated = s.evacuations.Contains(n.DataCentre)
 		s.checkLeaving(n)
 	}
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -54,17 +54,17 @@
 func (s *State) findPlacement(u *unit, now time.Time, conflicts uint64) []*node {
 	if len(u.failedRuns) > 0 {
 		// The unit has few attempts left.
-		if placement := s.bestPlacement(u, now, conflicts, provenOnly); placement != nil {
+		if placement := s.warmestPlacement(u, now, conflicts, provenOnly); placement != nil {
 			return placement
 		}
 	}
 	if u.count > 1 {
 		// One slower worker slows the whole gang down, and one that fails breaks it.
-		if placement := s.bestPlacement(u, now, conflicts, preferredOnly); placement != nil {
+		if placement := s.warmestPlacement(u, now, conflicts, preferredOnly); placement != nil {
 			return placement
 		}
 	}
-	return s.bestPlacement(u, now, conflicts, anyWorker)
+	return s.warmestPlacement(u, now, conflicts, anyWorker)
 }
 
 // bestPlacement returns a best-fit placement: the one in the rack with the fewest free accelerators. It
@@ -198,7 +198,7 @@
 			continue
 		}
 		for _, n := range r.nodes {
-			if n.reservedFor&conflicts != 0 || s.skips(n) || !n.passes(filter, now) || !s.eligible(u, n, now) {
+			if n.reservedFor&conflicts != 0 || s.skips(u, n) || !n.passes(filter, now) || !s.eligible(u, n, now) {
 				continue
 			}
 			free := n.free()
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -49,6 +49,7 @@
 		u.runs = append(u.runs, r)
 		s.addRun(r)
 		r.pin()
+		s.countRefill(r)
 		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint})
 	}
 	u.preemptionPlanned = false
--- a/internal/process/pool/slowdown.go
+++ b/internal/process/pool/slowdown.go
@@ -32,7 +32,7 @@
 var logSlowerThreshold = math.Log(slowerThreshold)
 
 // slowdown returns how many times as long tasks take on a worker as on the pool's fast ones; 1 if unknown.
-func (n *node) slowdown() float64 { return max(1, n.measuredSlowdown) }
+func (n *node) slowdown() float64 { return max(1, n.measuredSlowdown) * max(1, n.coldSlowdown) }
 
 func (n *node) setLogSlowdown(logSlowdown float64) {
 	n.logSlowdown = max(0, logSlowdown)
@@ -54,7 +54,7 @@
 // members of its gang, whose work is similar. A straggler is quarantined, and the gang is moved if it would then end sooner.
 func (s *State) updateSlowdown(r *run, now time.Time) {
 	u := r.unit
-	if u.phase != running || r.percent >= 100 {
+	if u.phase != running || r.percent >= 100 || s.observeCold(r, now) {
 		return
 	}
 	if r.rateFrom.IsZero() {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -82,6 +82,13 @@
 		movesCheckedAt time.Time
 		// placingMove is set while a placement is looked for to which a unit may move.
 		placingMove bool
+		// coldNodes holds the workers that are cold, and coldSlowdown averages the logarithm of how much slower they are.
+		coldNodes    map[*node]bool
+		coldSlowdown movingAverage
+		// warmOnly is set while a placement on warm workers alone is looked for.
+		warmOnly bool
+		// refills limits the starts on cold workers after the evacuation of their data centre.
+		refills map[ids.DataCentreID]*refill
 		// preempting holds the units in phase preempting.
 		preempting []*unit
 		// passRequests counts the events after which a waiting unit may fit, and servedRequests is its value at the last pass.
@@ -194,6 +201,8 @@
 	s.changed = make(map[ids.InstanceID]bool)
 	s.suspects = make(map[*node]bool)
 	s.leaving = make(map[*node]bool)
+	s.coldNodes = make(map[*node]bool)
+	s.refills = make(map[ids.DataCentreID]*refill)
 	s.departureDelays = make(map[time.Duration]*departureDelays)
 	s.unknown = make(map[ids.InstanceID]time.Time)
 	s.estimates = make(map[ids.QueueID]*RunTimes)
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -236,6 +236,8 @@
 		} else if w.Draining && w.Notice > 0 {
 			w.LeavesAt = now.Add(w.Notice)
 		}
+		w.revision = e.Revision
+		w.ColdUntil = coldUntil(w, t.listed[w.ID], now)
 		listed[w.ID] = w
 	}
 	t.logListChanges(listed)
@@ -258,6 +260,23 @@
 	}
 }
 
+// coldUntil returns until when a worker is slow after its start. An entry that was read before keeps its time, since its remaining time is
+// that of its writing; a later entry may end the time early.
+func coldUntil(w, old ListedWorker, now time.Time) time.Time {
+	known := old.ID == w.ID && old.Incarnation == w.Incarnation
+	switch {
+	case known && old.revision == w.revision:
+		return old.ColdUntil
+	case w.ColdRemaining > 0:
+		return now.Add(w.ColdRemaining)
+	case known && old.ColdUntil.After(now):
+		return now
+	case known:
+		return old.ColdUntil
+	}
+	return time.Time{}
+}
+
 // logListChanges logs the changes of the instance list.
 func (t *term) logListChanges(listed map[ids.InstanceID]ListedWorker) {
 	for id, w := range listed {
