--- a/internal/process/pool/remaining.go
+++ b/internal/process/pool/remaining.go
@@ -86,8 +86,8 @@
 // refuseEvacuated refuses a job with a step that fits only with workers in evacuated data centres. When these take work again is not
 // known, so the caller returns after the longest delay.
 func (s *State) refuseEvacuated(j *Job) *Refusal {
-	for _, u := range j.units {
-		if !s.fitsRemaining(u) {
+	for _, st := range j.stages {
+		if !s.fitsRemaining(st.units[0]) {
 			return &Refusal{Reason: "a step needs workers that are not available now" + s.evacuationCause(), RetryAfter: maxRetryAfter}
 		}
 	}
