--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -24,6 +24,7 @@
 func (s *State) Decide(now time.Time) ([]Action, []Notice) {
 	s.init()
 	s.expire(now)
+	s.updateCold(now)
 	if !s.recovering {
 		s.updateGuaranteed()
 		s.evacuate(now)
@@ -35,6 +36,7 @@
 			s.placeWaiting(now)
 			// Starting units only reduces the free capacity, so no further pass is needed.
 			s.servedRequests = s.passRequests
+			s.moveEvacuated(now)
 		}
 	}
 	actions, notices := s.actions, s.notices
@@ -44,8 +46,10 @@
 
 // HoldStarts sets whether waiting units are held, so that nothing is started.
 func (s *State) HoldStarts(hold bool) {
-	s.held = hold
-	s.requestPass()
+	if s.held != hold {
+		s.held = hold
+		s.requestPass()
+	}
 }
 
 // expire handles everything whose time limit has passed.
@@ -140,7 +144,7 @@
 			break
 		}
 		sums[j.Account] += j.accelerators()
-		j.guaranteed = sums[j.Account] <= s.accounts[j.Account].Guaranteed
+		j.guaranteed = sums[j.Account] <= s.guaranteeOf(j.Account)
 	}
 }
 
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -23,6 +23,8 @@
 		Draining bool
 		LeavesAt time.Time
 		Notice   time.Duration
+		// ColdUntil is until when a worker that has started recently is slow; zero if unknown. It may lie in the past.
+		ColdUntil time.Time
 		// Incarnation distinguishes restarts of a worker under the same id; zero means unknown.
 		Incarnation uint64
 	}
@@ -33,6 +35,8 @@
 		rack *rack
 		// listed is set if the worker is in the instance list.
 		listed bool
+		// evacuated is set if the worker's data centre is being evacuated, so that it takes no new runs.
+		evacuated bool
 		// reported is set once the worker has reported to this owner, so that all its runs are known.
 		reported bool
 		// silentSince is when the worker stopped answering; zero if it answers.
@@ -45,6 +49,11 @@
 		// held is the sum of the resources reserved here for units in phase preempting.
 		held ids.Resources
 		runs []*run
+		// cold is set until ColdUntil, and coldSlowdown is how many times as long tasks take meanwhile; zero if not cold.
+		cold         bool
+		coldSlowdown float64
+		// movingTo counts the tasks that are expected to move here out of an evacuated data centre.
+		movingTo int
 		// pinned counts the runs of single tasks without checkpoints.
 		pinned int
 		// failures counts consecutive failures of different jobs.
@@ -106,7 +115,7 @@
 
 // schedulable reports whether new runs may be placed on the worker.
 func (n *node) schedulable() bool {
-	return n.listed && n.reported && !n.Draining && n.silentSince.IsZero() && n.quarantinedUntil.IsZero()
+	return n.listed && n.reported && !n.Draining && !n.evacuated && n.silentSince.IsZero() && n.quarantinedUntil.IsZero()
 }
 
 // preferred reports whether gangs prefer the worker: it is not slower, and nothing has failed there since its last success.
@@ -116,7 +125,7 @@
 
 // schedulableSoon reports whether the worker takes new runs now or after a quarantine of the shortest length.
 func (n *node) schedulableSoon() bool {
-	return n.listed && !n.Draining && n.silentSince.IsZero() && n.quarantineTime <= minQuarantine
+	return n.listed && !n.Draining && !n.evacuated && n.silentSince.IsZero() && n.quarantineTime <= minQuarantine
 }
 
 func (n *node) hasLabel(label string) bool {
@@ -164,6 +173,8 @@
 		}
 		n.Worker = w
 		n.listed = true
+		s.checkCold(n)
+		n.evacuated = s.evacuations.Contains(n.DataCentre)
 		s.checkLeaving(n)
 	}
 	for id, n := range s.nodes {
@@ -173,6 +184,7 @@
 			s.markChanged(n)
 		}
 	}
+	s.updateRemaining()
 	s.rebuildRacks()
 }
 
@@ -368,7 +380,7 @@
 // yet, and its worker still takes new runs.
 func (s *State) MayStart(id ids.InstanceID, ref worker.Run) bool {
 	r := s.findRun(id, ref)
-	return r != nil && r.phase == runStarting && r.unit != nil && r.unit.phase == starting && r.node.listed && !r.node.Draining
+	return r != nil && r.phase == runStarting && r.unit != nil && r.unit.phase == starting && r.node.listed && !r.node.Draining && !r.node.evacuated
 }
 
 // HasRun reports whether a run holds resources on a worker.
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/evacuation"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -71,6 +72,23 @@
 		recovering bool
 		// held blocks all starts; see HoldStarts.
 		held bool
+		// evacuations holds the data centres that take no new runs, and evacuationEvents their changes that were not returned yet.
+		evacuations      evacuation.Tracker
+		evacuationEvents []evacuation.Event
+		// remainingPool is the capacity outside the evacuated data centres, and moves are the moves out of them that are under way.
+		remainingPool remainingCapacity
+		moves         []move
+		// movesCheckedAt is when units that may move were last looked for.
+		movesCheckedAt time.Time
+		// placingMove is set while a placement is looked for to which a unit may move.
+		placingMove bool
+		// coldNodes holds the workers that are cold, and coldSlowdown averages the logarithm of how much slower they are.
+		coldNodes    map[*node]bool
+		coldSlowdown movingAverage
+		// warmOnly is set while a placement on warm workers alone is looked for.
+		warmOnly bool
+		// refills limits the starts on cold workers after the evacuation of their data centre.
+		refills map[ids.DataCentreID]*refill
 		// preempting holds the units in phase preempting.
 		preempting []*unit
 		// passRequests counts the events after which a waiting unit may fit, and servedRequests is its value at the last pass.
@@ -183,6 +201,8 @@
 	s.changed = make(map[ids.InstanceID]bool)
 	s.suspects = make(map[*node]bool)
 	s.leaving = make(map[*node]bool)
+	s.coldNodes = make(map[*node]bool)
+	s.refills = make(map[ids.DataCentreID]*refill)
 	s.departureDelays = make(map[time.Duration]*departureDelays)
 	s.unknown = make(map[ids.InstanceID]time.Time)
 	s.estimates = make(map[ids.QueueID]*RunTimes)
@@ -197,6 +217,7 @@
 // SetAccounts replaces the accounts of the configuration.
 func (s *State) SetAccounts(accounts map[ids.AccountID]Account) {
 	s.accounts = accounts
+	s.updateRemaining()
 	s.guaranteedChanged = true
 	s.requestPass()
 }
@@ -402,8 +423,8 @@
 func (s *State) Describe(now time.Time) string {
 	var b strings.Builder
 	for _, n := range s.sortedNodes() {
-		fmt.Fprintf(&b, "worker %s schedulable %t listed %t reported %t silent %t draining %t used %v held %v runs %d\n",
-			n.ID, n.schedulable(), n.listed, n.reported, !n.silentSince.IsZero(), n.Draining, n.used, n.held, len(n.runs))
+		fmt.Fprintf(&b, "worker %s schedulable %t listed %t reported %t silent %t draining %t evacuated %t used %v held %v runs %d\n",
+			n.ID, n.schedulable(), n.listed, n.reported, !n.silentSince.IsZero(), n.Draining, n.evacuated, n.used, n.held, len(n.runs))
 		for _, r := range n.runs {
 			fmt.Fprintf(&b, "  run %s %d phase %d reported %t confirmed %t\n", r.Task, r.Number, r.phase, r.reported, !r.confirmedAt.IsZero())
 		}
