Place gangs by the learned speeds of their workers

Cause: slowdowns were measured against the fastest workers. In a pool in which a third of the workers takes 2.7 times as long as another third, sound workers were quarantined and their gangs moved all the time, and urgent gangs that did not fit on fast workers were placed regardless of speed.

Change: the speed of each worker is an estimate of its own, apart from its slowdown, which is now the deviation from that speed. Urgent gangs get the fastest workers with room, gangs with slack those of one class, slowest first.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -28,6 +28,7 @@
 		s.updateGuaranteed()
 		s.evacuate(now)
 	}
+	s.updateSpeeds(now)
 	if !s.recovering && !s.held {
 		s.startPreempting(now)
 		if s.servedRequests != s.passRequests || now.Sub(s.lastPassAt) > maxPassInterval || (!s.retryAt.IsZero() && !now.Before(s.retryAt)) {
@@ -328,6 +329,13 @@
 	if u.job.Priority == 0 && s.preempt(u, now) {
 		return true
 	}
+	if s.speeds.unequal && u.job.Priority == 0 && s.mayFit(u) {
+		// The unit is late on the free workers, but neither can it preempt others.
+		if placement := s.findFastest(u, now, s.conflicts(u, now), speedClasses-1); placement != nil {
+			s.startUnit(u, placement, now)
+			return true
+		}
+	}
 	s.reserve(u, now)
 	return false
 }
--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -89,7 +89,7 @@
 	if u.spec().Estimate <= 0 || u.checkpoint != "" || u.adopted {
 		return
 	}
-	actual := time.Duration(float64(now.Sub(u.startedAt)) / u.slowdown())
+	actual := time.Duration(float64(now.Sub(u.startedAt)) / s.unitFactor(u))
 	if u.remote {
 		actual = time.Duration(float64(actual) / s.Times.RemoteSlowdown)
 	}
@@ -97,7 +97,7 @@
 	s.learnedFor(u.job).add(u.spec().Estimate, actual, float64(u.count)/float64(u.spec().Tasks))
 }
 
-// runTime returns the expected run time of a unit on fast workers near its data.
+// runTime returns the expected run time of a unit near its data, on fast workers, or in a pool of unequal workers on the usual one.
 func (s *State) runTime(u *unit) time.Duration {
 	return s.stepRunTime(u.job, u.step)
 }
@@ -158,7 +158,7 @@
 
 // remaining returns the expected time until a unit ends.
 func (s *State) remaining(u *unit, now time.Time) time.Duration {
-	runTime := time.Duration(float64(s.placedRunTime(u)) * u.slowdown())
+	runTime := time.Duration(float64(s.placedRunTime(u)) * s.unitFactor(u))
 	switch u.phase {
 	case stopping:
 		return s.Times.Stop
--- a/internal/process/pool/fitcount.go
+++ b/internal/process/pool/fitcount.go
@@ -25,8 +25,12 @@
 		countedAt uint64
 	}
 
-	// taskCounts are the numbers of tasks that fit on all workers, and on the preferred ones.
-	taskCounts struct{ all, preferred int }
+	// taskCounts are the numbers of tasks that fit on all workers, on the preferred ones, and in a pool of unequal workers on those of
+	// each class.
+	taskCounts struct {
+		all, preferred int
+		byClass        [speedClasses]int
+	}
 )
 
 const (
@@ -83,11 +87,17 @@
 			if n.preferred() {
 				counts.preferred += tasks
 			}
+			if s.speeds.unequal && n.failures == 0 {
+				counts.byClass[n.class] += tasks
+			}
 		}
 		c.byRack[i] = rackFitCount{counts, rack.changedAt}
 		c.most = c.most.max(counts)
 		c.sum.all += counts.all - old.all
 		c.sum.preferred += counts.preferred - old.preferred
+		for class := range counts.byClass {
+			c.sum.byClass[class] += counts.byClass[class] - old.byClass[class]
+		}
 	}
 }
 
@@ -99,16 +109,24 @@
 	return n.free().Copies(c.shape.each, maxTasksPerWorker)
 }
 
+// max returns the larger counts, except by class.
 func (c taskCounts) max(o taskCounts) taskCounts {
-	return taskCounts{max(c.all, o.all), max(c.preferred, o.preferred)}
+	return taskCounts{all: max(c.all, o.all), preferred: max(c.preferred, o.preferred)}
 }
 
-// of returns the count of the workers that pass a filter; for provenOnly it is an upper bound.
+// of returns the count of the workers that pass a filter; for proven workers it is an upper bound.
 func (c taskCounts) of(filter workerFilter) int {
-	if filter != anyWorker {
-		return c.preferred
+	if filter.byClass {
+		sum := 0
+		for _, tasks := range c.byClass[filter.fastest : filter.slowest+1] {
+			sum += tasks
+		}
+		return sum
+	}
+	if filter.kind == everyWorker {
+		return c.all
 	}
-	return c.all
+	return c.preferred
 }
 
 // unreserved returns the number of tasks that fit on the workers outside the given reservations.
@@ -121,7 +139,7 @@
 		}
 		for _, n := range s.reserved.list[i].nodes {
 			// A worker in several of the reservations counts with the first of them.
-			if n.reservedFor&conflicts&(bit-1) == 0 && (filter == anyWorker || n.preferred()) {
+			if n.reservedFor&conflicts&(bit-1) == 0 && n.mayPass(filter) {
 				tasks -= c.tasksOn(n)
 			}
 		}
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -130,6 +130,8 @@
 		costAt, endAt time.Time
 		cost          float64
 		expectedEnd   time.Time
+		// speedsObserved is set once the current runs have given a sample of their workers' speeds.
+		speedsObserved bool
 		// victimOf is the number of the latest projection that listed the unit as a victim.
 		victimOf uint64
 		// avoidUntil maps the workers on which the unit failed to the time until which it avoids them.
@@ -146,6 +148,8 @@
 		units []*unit
 		// inPhase counts the units in each phase.
 		inPhase [phaseCount]int
+		// work is what the step's single tasks that have ended show of the others' work.
+		work workEstimate
 		// room caches the counts for the step's tasks; it is valid while fitCountsVersion equals State.fitCountsVersion.
 		fitCount         *fitCount
 		fitCountsVersion uint64
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -57,6 +57,11 @@
 		// measuredSlowdown is how many times as long tasks take here as on the fast workers, and logSlowdown is its
 		// logarithm; zero if unknown.
 		logSlowdown, measuredSlowdown float64
+		// slowJob is the latest job whose progress showed that the worker is far slower than expected.
+		slowJob ids.JobID
+		// speed is the worker's speed while it is sound, and class its class in a pool of unequal workers.
+		speed Speed
+		class speedClass
 		// reservedFor is a set of indexes of State.reserved.list: those whose reservations include the worker.
 		reservedFor uint64
 		// projectedFree is the projected free capacity; it is valid only in the projection with the number projection.
@@ -159,6 +164,7 @@
 			if w.Incarnation > n.Incarnation {
 				// The next report lists the runs of the new incarnation.
 				n.reported = false
+				n.speed = Speed{}
 			}
 			w.Incarnation = n.Incarnation
 		}
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -25,33 +25,71 @@
 	return fits.sum.all >= u.count
 }
 
-// workerFilter restricts the workers for a unit.
-type workerFilter int
+type (
+	// workerFilter restricts the workers for a unit.
+	workerFilter struct {
+		kind filterKind
+		// byClass restricts the workers further to the speed classes from fastest to slowest.
+		byClass          bool
+		fastest, slowest speedClass
+	}
+
+	filterKind int
+)
 
 const (
-	anyWorker workerFilter = iota
-	// preferredOnly are the workers that are not slower and on which nothing has failed since their last success.
-	preferredOnly
-	// provenOnly are those of preferredOnly with a success within provenTime.
-	provenOnly
+	everyWorker filterKind = iota
+	// preferredWorkers are those that are not slower and on which nothing has failed since their last success.
+	preferredWorkers
+	// provenWorkers are those of preferredWorkers with a success within provenTime.
+	provenWorkers
+	// workingWorkers are those on which nothing has failed since their last success.
+	workingWorkers
+)
+
+var (
+	anyWorker     = workerFilter{}
+	preferredOnly = workerFilter{kind: preferredWorkers}
+	provenOnly    = workerFilter{kind: provenWorkers}
 )
 
 // provenTime is how long a success shows that a worker does not fail all that it starts.
 const provenTime = 5 * time.Second
 
+// ofClasses returns the filter for the workers of a range of speed classes on which nothing has failed since their last success.
+func ofClasses(fastest, slowest speedClass) workerFilter {
+	return workerFilter{kind: workingWorkers, byClass: true, fastest: fastest, slowest: slowest}
+}
+
+// provenUpTo returns the filter for the proven workers up to a speed class.
+func provenUpTo(slowest speedClass) workerFilter {
+	return workerFilter{kind: provenWorkers, byClass: true, slowest: slowest}
+}
+
 // passes reports whether a worker passes a filter.
 func (n *node) passes(filter workerFilter, now time.Time) bool {
-	switch filter {
-	case preferredOnly:
-		return n.preferred()
-	case provenOnly:
-		return n.preferred() && now.Sub(n.succeededAt) < provenTime
+	return n.mayPass(filter) && (filter.kind != provenWorkers || now.Sub(n.succeededAt) < provenTime)
+}
+
+// mayPass reports whether a worker passes a filter, if it had a recent success.
+func (n *node) mayPass(filter workerFilter) bool {
+	if filter.byClass && (n.class < filter.fastest || n.class > filter.slowest) {
+		return false
+	}
+	switch filter.kind {
+	case everyWorker:
+		return true
+	case workingWorkers:
+		return n.failures == 0
 	}
-	return true
+	return n.preferred()
 }
 
 // findPlacement returns the worker for each task of a unit outside the given reservations, or nil.
 func (s *State) findPlacement(u *unit, now time.Time, conflicts uint64) []*node {
+	if s.speeds.unequal {
+		return s.findBySpeed(u, now, conflicts)
+	}
 	if len(u.failedRuns) > 0 {
 		// The unit has few attempts left.
 		if placement := s.bestPlacement(u, now, conflicts, provenOnly); placement != nil {
@@ -211,7 +249,7 @@
 			}
 			c := newCandidate(u, n, tasks, free)
 			if u.count == 1 && len(list) == 1 {
-				if compareCandidates(u, c, list[0]) < 0 {
+				if s.compareCandidates(u, c, list[0]) < 0 {
 					list[0] = c
 				}
 				continue
@@ -220,7 +258,7 @@
 		}
 	}
 	s.candidateList = list
-	slices.SortStableFunc(list, func(a, b candidate) int { return compareCandidates(u, a, b) })
+	slices.SortStableFunc(list, func(a, b candidate) int { return s.compareCandidates(u, a, b) })
 	return list
 }
 
@@ -230,14 +268,24 @@
 }
 
 // compareCandidates orders workers for a unit, best fit first. Single tasks use workers that have just failed last, and the
-// slower workers first, unless they are urgent.
-func compareCandidates(u *unit, a, b candidate) int {
+// slower workers first, unless they are urgent. In a pool of unequal workers this holds for the classes, and for gangs too; workers
+// that are slower than is normal in the pool come last.
+func (s *State) compareCandidates(u *unit, a, b candidate) int {
 	if failedA, failedB := a.node.failures > 0, b.node.failures > 0; u.count == 1 && failedA != failedB {
 		if failedB {
 			return -1
 		}
 		return 1
 	}
+	if a.node.class != b.node.class {
+		if slow := s.speeds.slowClass; max(a.node.class, b.node.class) > slow {
+			return cmp.Compare(a.node.class, b.node.class)
+		}
+		if (a.node.class < b.node.class) == (u.job.Priority == 0) {
+			return -1
+		}
+		return 1
+	}
 	if u.count == 1 && a.node.slower() != b.node.slower() {
 		if a.node.slower() == (u.job.Priority > 0) {
 			return -1
--- a/internal/process/pool/preempt.go
+++ b/internal/process/pool/preempt.go
@@ -68,7 +68,7 @@
 		if placement == nil {
 			return
 		}
-		cost := value * (maxSlowdown(placement) - 1)
+		cost := value * (s.slowestFactor(placement) - 1)
 		for _, v := range victims {
 			cost += v.cost
 		}
@@ -90,7 +90,12 @@
 			break
 		}
 		consider(r, anyWorker)
-		if slices.ContainsFunc(r.nodes, (*node).notPreferred) {
+		switch {
+		case s.speeds.unequal:
+			for class := range speedClass(speedClasses - 1) {
+				consider(r, ofClasses(0, class))
+			}
+		case slices.ContainsFunc(r.nodes, (*node).notPreferred):
 			consider(r, preferredOnly)
 		}
 	}
@@ -146,7 +151,7 @@
 			placeable = append(placeable, newCandidate(u, n, tasks, n.projectedFree))
 		}
 	}
-	slices.SortStableFunc(placeable, func(a, b candidate) int { return compareCandidates(u, a, b) })
+	slices.SortStableFunc(placeable, func(a, b candidate) int { return s.compareCandidates(u, a, b) })
 	return fill(u, placeable), needed
 }
 
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -27,6 +27,7 @@
 	if restarted {
 		if n.Incarnation != 0 {
 			s.notice(Notice{Kind: "WorkerRestarted", Worker: id, Cause: "it reports a new incarnation"})
+			n.speed = Speed{}
 		}
 		n.Incarnation = report.Incarnation
 		n.handledEnd, n.acknowledgedEnd, n.pendingEnds = 0, 0, nil
@@ -172,6 +173,7 @@
 
 func (s *State) completeUnit(u *unit, n *node, now time.Time) {
 	if u.phase == running || u.phase == starting {
+		s.observeTaskSpeed(u, now)
 		s.learnRunTime(u, now)
 		s.observeGang(u, 0)
 		s.notice(Notice{
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -36,6 +36,7 @@
 	u.percent, u.broken, u.adopted = 0, false, false
 	u.remote = s.isRemote(u, placement)
 	u.job.recordRack(u.stepKey(), placement[0].rack)
+	u.speedsObserved = false
 	u.runs = u.runs[:0]
 	workers := make([]ids.InstanceID, 0, len(placement))
 	for i, n := range placement {
--- a/internal/process/pool/simulator_test.go
+++ b/internal/process/pool/simulator_test.go
@@ -51,6 +51,8 @@
 		lostWork float64
 		// starts and stops count the units that were started and stopped, and slowStops those stopped for a slow worker.
 		starts, stops, slowStops int
+		// quarantines counts the quarantines.
+		quarantines int
 		// spent is the time spent in the calls of each kind, and decisions is the time of each call of Decide; measured is
 		// set if they are recorded.
 		measured  bool
@@ -173,6 +175,8 @@
 		switch n.Kind {
 		case "Placed":
 			s.starts++
+		case "WorkerQuarantined":
+			s.quarantines++
 		case "Stopped":
 			s.stops++
 			if strings.Contains(n.Cause, "slow worker") {
@@ -314,10 +318,12 @@
 		jobs = append(jobs, restored)
 	}
 	learned, _ := old.Estimates()
+	speeds, _ := old.Speeds()
 	s.State = testState(workers, perRack)
 	s.Epoch = old.Epoch + 1
 	s.SetAccounts(old.accounts)
 	s.SetEstimates(learned)
+	s.SetSpeeds(speeds)
 	s.Recover(jobs)
 	for _, n := range s.sortedNodes() {
 		s.report(n.ID, nil)
--- a/internal/process/pool/slowdown.go
+++ b/internal/process/pool/slowdown.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
 const (
@@ -28,10 +30,14 @@
 	stragglerThreshold = 2.0
 )
 
-// logSlowerThreshold is the logarithm of slowerThreshold.
-var logSlowerThreshold = math.Log(slowerThreshold)
+// The logarithms of the thresholds.
+var (
+	logSlowerThreshold    = math.Log(slowerThreshold)
+	logStragglerThreshold = math.Log(stragglerThreshold)
+)
 
-// slowdown returns how many times as long tasks take on a worker as on the pool's fast ones; 1 if unknown.
+// slowdown returns how many times as long tasks take on a worker as on the pool's fast ones, or in a pool of unequal workers as on
+// the same worker while it is sound; 1 if unknown.
 func (n *node) slowdown() float64 { return max(1, n.measuredSlowdown) }
 
 func (n *node) setLogSlowdown(logSlowdown float64) {
@@ -67,23 +73,34 @@
 	// Progress is truncated to whole percent.
 	progress := float64(r.percent-r.rateFromPercent) + 0.5
 	r.rate = progress / elapsed.Seconds()
+	s.observeGangSpeeds(u)
 	reference := s.referenceRate(r)
 	wasSlower := r.node.slower()
-	bound := math.Log(stragglerThreshold)
+	bound := logStragglerThreshold
 	if reference > 0 {
 		// The truncation error reduces the weight of the comparison.
 		uncertainty := 1 / progress / slowdownSpread
-		r.node.setLogSlowdown(r.node.logSlowdown + (math.Log(reference/r.rate)-r.node.logSlowdown)/(1+uncertainty*uncertainty))
+		r.node.setLogSlowdown(r.node.logSlowdown + (math.Log(reference/r.rate)-s.logSpeed(r.node)-r.node.logSlowdown)/(1+uncertainty*uncertainty))
 	} else {
 		// No other member to compare with, so compare with the queue's estimate.
 		reference = 100 / s.placedRunTime(u).Seconds()
-		bound = max(bound, outlierDeviations*s.learnedFor(u.job).deviation())
+		deviation := s.learnedFor(u.job).deviation()
+		if s.speeds.unequal && u.count == 1 && u.showsSpeed() {
+			// The step's other tasks show more, and the worker's speed is an estimate as well.
+			work := s.expectedWork(u)
+			reference = 100 / math.Exp(work.mean())
+			deviation = math.Sqrt(work.variance() + r.node.speed.variance() + taskSpread*taskSpread)
+		}
+		bound = max(bound, outlierDeviations*deviation)
 	}
 	// A lower bound that holds despite truncation applies at once, even to a worker without any progress.
-	if minLogSlowdown := math.Log(reference * elapsed.Seconds() / (progress + 0.5)); minLogSlowdown >= bound {
+	if minLogSlowdown := math.Log(reference*elapsed.Seconds()/(progress+0.5)) - s.logSpeed(r.node); minLogSlowdown >= bound && !s.isLongWork(r) {
 		r.node.setLogSlowdown(max(r.node.logSlowdown, minLogSlowdown))
 	}
 	if isSlower := r.node.slower(); isSlower != wasSlower {
+		if !isSlower {
+			r.node.slowJob = ""
+		}
 		s.capacityChanged(r.node)
 		s.notice(Notice{
 			Kind: "WorkerPace", Worker: r.node.ID, Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count,
@@ -93,18 +110,33 @@
 	if progress > rateWindowPercent {
 		r.rateFrom, r.rateFromPercent = now, r.percent
 	}
-	if r.node.slowdown() >= stragglerThreshold {
+	if r.node.slowdown() >= stragglerThreshold && s.isFault(r.node) {
 		s.leaveStraggler(u, r, now)
 	}
 }
 
-// referenceRate returns the median rate of the other members of a run's gang, as it would be on fast workers; zero if it is
-// not known.
+// isFaulty reports whether a worker of a pool of unequal ones is to be quarantined: at two jobs in a row it was slower than any class of
+// the pool explains. One job's progress doesn't show that, since the speeds are estimates.
+func (s *State) isFaulty(n *node, job ids.JobID) bool {
+	if n.speed.Mean+n.logSlowdown < s.speeds.slowest+logStragglerThreshold {
+		return false
+	}
+	return n.slowJob != "" && n.slowJob != job
+}
+
+// isFault reports whether a slowdown is a fault rather than a speed that isn't known yet: the worker was faster before, or no
+// worker of the pool is as slow.
+func (s *State) isFault(n *node) bool {
+	return !s.speeds.unequal || n.speed.established() || n.speed.Mean+n.logSlowdown >= s.speeds.slowest+logStragglerThreshold
+}
+
+// referenceRate returns the median rate of the other members of a run's gang, as it would be on fast workers, or in a pool of
+// unequal workers on the usual one; zero if it is not known.
 func (s *State) referenceRate(r *run) float64 {
 	rates := s.rates[:0]
 	for _, other := range r.unit.runs {
 		if other.node != r.node && other.rate > 0 {
-			rates = append(rates, other.rate*math.Pow(other.node.slowdown(), referenceExponent))
+			rates = append(rates, other.rate*math.Exp(s.logSpeed(other.node))*math.Pow(other.node.slowdown(), referenceExponent))
 		}
 	}
 	s.rates = rates
@@ -117,9 +149,20 @@
 
 // leaveStraggler quarantines a slow worker, and stops the unit if it would end sooner elsewhere.
 func (s *State) leaveStraggler(u *unit, r *run, now time.Time) {
-	s.quarantine(r.node, u.job.ID, "tasks take far longer than on other workers", now)
+	if !s.speeds.unequal || s.isFaulty(r.node, u.job.ID) {
+		s.quarantine(r.node, u.job.ID, "tasks take far longer than on other workers", now)
+	}
+	r.node.slowJob = u.job.ID
 	remaining := time.Duration(float64(100-r.percent) / r.rate * float64(time.Second))
 	restartTime := s.runTime(u)
+	if s.speeds.unequal && u.job.Priority > 0 {
+		// In a full pool the unit would wait for the workers that it leaves.
+		placement := s.findPlacement(u, now, s.conflicts(u, now))
+		if placement == nil {
+			return
+		}
+		restartTime = time.Duration(float64(restartTime) * s.slowestFactor(placement))
+	}
 	if u.spec().Checkpoints {
 		restartTime = restartTime*time.Duration(100-r.percent)/100 + s.Times.Restore
 	}
@@ -137,12 +180,3 @@
 		r.rateFrom, r.rateFromPercent, r.rate = now, 0, 0
 	}
 }
-
-// maxSlowdown returns the slowdown of the slowest worker of a placement.
-func maxSlowdown(placement []*node) float64 {
-	largest := 1.0
-	for _, n := range placement {
-		largest = max(largest, n.slowdown())
-	}
-	return largest
-}
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -38,6 +38,8 @@
 		// overdueJobs is a buffer of placeJobs, and overdueUpdatedAt is when updateOverdue last ran.
 		overdueJobs      []*Job
 		overdueUpdatedAt time.Time
+		// speeds summarizes the workers' speeds.
+		speeds poolSpeeds
 		// rates is a buffer of referenceRate.
 		rates      []float64
 		victimList []victim
@@ -370,6 +372,8 @@
 type Counts struct {
 	Workers, Open, Slower, Runs, LiveJobs, WaitingUnits, Unknown int
 	Accelerators, UsedAccelerators                               ids.Accelerators
+	// Fast, Usual and Slow count the workers of a pool of unequal ones by class, and SpeedUnknown those that are not classified yet.
+	Fast, Usual, Slow, SpeedUnknown int
 }
 
 // Counts returns the pool's metrics.
@@ -389,6 +393,7 @@
 		if n.slower() {
 			c.Slower++
 		}
+		s.countSpeed(&c, n)
 	}
 	for _, j := range s.live {
 		for _, st := range j.stages {
