Store the workers' speeds for the next owner, and limit the log of late starts

Cause: after a takeover the speeds had to be learned again, which took about 3 s in which sound workers counted as stragglers. The line "orders: late start" appeared for half of all starts, after 4 to 6 ms.

Change: the speeds of unequal pools are written under a key of their own, at a limited rate, and read with the other records. An order is logged as late if it is repeated or was queued for a scheduling pass.

--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -69,6 +69,9 @@
 	sweepInterval = 200 * time.Millisecond
 	// maxConcurrentOrders limits the concurrent orders to one worker.
 	maxConcurrentOrders = 2
+	// lateStartDelay is the delay of a start order from which it is logged as late. The tasks of a gang on one worker are ordered two
+	// at a time, which takes some milliseconds; a scheduling pass later, the choice of the worker may be outdated.
+	lateStartDelay = tickInterval
 	// maxRefusedConnections is the number of consecutive refused connections after which a worker's process counts as
 	// terminated.
 	maxRefusedConnections = 2
@@ -371,8 +374,11 @@
 	return valid
 }
 
-// logLateStart logs an order that is sent later than the decision in which its worker was chosen.
+// logLateStart logs an order that is repeated, or that waited for other orders to its worker longer than they usually take.
 func (l *link) logLateStart(r worker.Run, attempt int, after time.Duration) {
+	if attempt == 1 && after < lateStartDelay {
+		return
+	}
 	l.term.log.Named(logsink.Complete).Info("orders: late start", zap.String("job", string(r.Job)), zap.Int("step", r.Step), zap.Int("task", r.Index), zap.Uint64("run", uint64(r.Number)),
 		zap.String("worker", string(l.id)), zap.Int("attempt", attempt), zap.Duration("after", after), zap.Duration("listAge", l.term.listAge()))
 }
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -69,6 +69,11 @@
 		estimatesRevision store.Revision
 		estimatesSavedAt  time.Time
 		savedSamples      int
+		// savingSpeeds is set while the workers' speeds are being written, saveSpeedsAt is when they may be written next, and
+		// savedSpeedChanges counts the changes that the stored ones include.
+		savingSpeeds      bool
+		saveSpeedsAt      time.Time
+		savedSpeedChanges int
 		// lastSweep is when all links were last updated, and lastPurge when old jobs were last deleted.
 		lastSweep time.Time
 		lastPurge time.Time
@@ -196,7 +201,7 @@
 	sent := t.owner.now()
 	var config, workers, records []store.Entry
 	var configRev, workersRev store.Revision
-	var used, learned store.Entry
+	var used, learned, speeds store.Entry
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() (err error) {
 		config, configRev, err = t.owner.Store.List(ctx, t.owner.ConfigPrefix)
@@ -222,6 +227,12 @@
 		}
 		return errors.Wrap(err, "reading the estimates")
 	})
+	g.Go(func() (err error) {
+		if speeds, err = t.owner.Store.Get(ctx, keySpeeds); errors.Is(err, store.ErrNotFound) {
+			return nil
+		}
+		return errors.Wrap(err, "reading the workers' speeds")
+	})
 	if err := g.Wait(); err != nil {
 		return err
 	}
@@ -235,6 +246,7 @@
 	t.loadEstimates(learned)
 	t.setConfig(config, sent)
 	t.setWorkers(workers, sent)
+	t.loadSpeeds(speeds)
 	var jobs []*pool.Job
 	for _, e := range records {
 		j, err := pool.Decode(e.Value)
@@ -338,6 +350,7 @@
 		// The queue is full. This goroutine empties it, so it must not wait.
 	}
 	t.refuseWaiting(now)
+	t.saveSpeeds(now)
 	if now.Sub(t.lastPurge) > purgeInterval {
 		t.lastPurge = now
 		if retired := t.state.RemoveRetired(now); len(retired) > 0 {
