Spread a gang that waits for a rack in an idle pool

The rule for a free rack did not consider whether one is expected, nor whether the pool is idle.

While less than half of the service's accelerators is in use and the unit would fit twice anywhere, it is spread after 2 s if waiting for a rack would not end it sooner, and after 2.5 s in any case.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -328,6 +328,10 @@
 	if u.job.Priority == 0 && s.preempt(u, now) {
 		return true
 	}
+	if placement := s.spreadIfIdle(u, now); placement != nil {
+		s.startUnit(u, placement, now)
+		return true
+	}
 	s.reserve(u, now)
 	return false
 }
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -120,6 +120,10 @@
 		// fitsRack caches the result of fitsOneRack; it is valid while fitsRackVersion equals State.rackFitsVersion.
 		fitsRack        bool
 		fitsRackVersion uint64
+		// idleSince is when the pool became idle while the unit waited for a rack; zero if it is not idle. anyRack is set while a
+		// placement outside its rack is sought.
+		idleSince time.Time
+		anyRack   bool
 		// preemptionPlanned is set once a preemption plan was made for the unit: the next one relies on no run that ends by itself.
 		preemptionPlanned bool
 		// stragglerStops counts the stops of the unit to leave a slow worker.
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -104,6 +104,9 @@
 // or any workers of all of them if spread is set.
 func (s *State) candidateRacks(u *unit, now time.Time) (racks []*rack, spread bool) {
 	spec := u.spec()
+	if u.anyRack {
+		return s.racks, true
+	}
 	if spec.DataRack != "" {
 		if r := s.racksByID[spec.DataRack]; r != nil && s.fitsEmptyRack(u, r) {
 			return s.racks[r.index : r.index+1], false
--- a/internal/process/pool/placement_test.go
+++ b/internal/process/pool/placement_test.go
@@ -129,6 +129,65 @@
 	t.Fatal("the gang was not started")
 }
 
+// A gang that waits for a rack is spread only while the pool is idle, and not before the platform's limit if a rack is expected
+// soon enough to end it sooner.
+func TestGangWaitsForRack(t *testing.T) {
+	const racks, perRack = 8, 4
+	for name, test := range map[string]struct {
+		// runTime is the length of the runs that block the racks, and blocking is the number of blocked workers of each rack.
+		runTime  time.Duration
+		blocking int
+		// accelerators is the size of each blocking run, and gang is the gang's run time.
+		accelerators int
+		gang         time.Duration
+		// startedBy and remote are when and how the gang starts; zero means never.
+		startedBy time.Duration
+		remote    bool
+	}{
+		"a rack is expected in time":            {2400 * time.Millisecond, 3, 1, 10 * time.Second, 2500 * time.Millisecond, false},
+		"a rack is expected after the limit":    {10 * time.Second, 3, 1, 20 * time.Second, 2500 * time.Millisecond, true},
+		"no rack is expected":                   {time.Hour, 3, 1, time.Second, 2 * time.Second, true},
+		"more than half of the pool is in use":  {time.Hour, 3, 8, time.Second, 0, false},
+		"the gang's width is free, but no more": {time.Hour, 4, 1, time.Second, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(racks*perRack, perRack)
+			fillers := make(map[ids.JobID]bool)
+			for i, n := range s.sortedNodes() {
+				if i%perRack < test.blocking && (test.blocking < perRack || i >= 2*perRack || i%perRack > 0) {
+					n.Labels = []string{string(n.ID)}
+					filler := gangJob("filler"+string(n.ID), 1, 1, test.accelerators, test.runTime)
+					filler.Steps[0].Label = string(n.ID)
+					s.accept(filler, testStart)
+					fillers[filler.ID] = true
+				}
+			}
+			running := s.startAll(testStart)
+			require.Len(t, running, len(fillers))
+			gang := gangJob("gang", 1, 2, 8, test.gang)
+			s.accept(gang, testStart)
+			ends := make(map[ids.InstanceID]uint64)
+			for after := time.Duration(0); after < 4*time.Second; after += 50 * time.Millisecond {
+				now := testStart.Add(after)
+				for _, a := range running {
+					if after == test.runTime {
+						ends[a.Worker]++
+						s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: a.Run, Number: ends[a.Worker], Reason: worker.EndDone}}}, now, now)
+					}
+				}
+				if len(s.startAll(now)) == 0 {
+					continue
+				}
+				require.Positive(t, test.startedBy, "the gang was started after %v", after)
+				require.InDelta(t, test.startedBy, after, float64(100*time.Millisecond))
+				require.Equal(t, test.remote, gang.units[0].remote)
+				return
+			}
+			require.Zero(t, test.startedBy, "the gang was not started")
+		})
+	}
+}
+
 // A gang is spread over racks if each rack has a silent worker.
 func TestGangIsSpreadIfEachRackLacksAWorker(t *testing.T) {
 	s := testState(16, 8)
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -51,7 +51,7 @@
 		r.pin()
 		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint})
 	}
-	u.preemptionPlanned = false
+	u.preemptionPlanned, u.idleSince = false, time.Time{}
 	s.fairQueue.advance(u.job)
 	first := !u.job.started
 	u.job.started = true
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -81,6 +81,9 @@
 		retryAt time.Time
 		// guaranteedChanged is set when the jobs of priority 0 or the guarantees have changed.
 		guaranteedChanged bool
+		// usedShares caches usedShare by service; it is valid while capacityChanges equals usedSharesAt.
+		usedShares   map[ids.ServiceID]float64
+		usedSharesAt uint64
 		// rackFits caches, by shape, whether a gang fits into one rack.
 		rackFits map[gangShape]bool
 		// rackFitsVersion is incremented whenever rackFits is invalidated.
@@ -122,6 +125,8 @@
 		Restore time.Duration
 		// RemoteSlowdown is the factor by which tasks are slower away from their rack or data.
 		RemoteSlowdown float64
+		// IdleWait is the longest time for which nothing of a job may run while the pool is idle; see isIdleFor.
+		IdleWait time.Duration
 		// Retention is how long ended jobs are kept.
 		Retention time.Duration
 	}
@@ -191,6 +196,7 @@
 	s.Times.GuaranteedStart = cmp.Or(s.Times.GuaranteedStart, 2900*time.Millisecond)
 	s.Times.Restore = cmp.Or(s.Times.Restore, 100*time.Millisecond)
 	s.Times.RemoteSlowdown = cmp.Or(s.Times.RemoteSlowdown, 3)
+	s.Times.IdleWait = cmp.Or(s.Times.IdleWait, 3*time.Second)
 	s.Times.Retention = cmp.Or(s.Times.Retention, 2*time.Minute)
 }
 
