Drop what is malformed, late or old instead of acting on it, on the platform

- A worker that was only silent: its gang was stopped as stalled, by the first report after the silence, which updated the members one by one, or by the other members' reports before the silence was noticed.
- An order whose process was suspended between decision and sending was sent without a check of its age; an order that waited for a slot could be sent after its term; a call whose context was cancelled was sent.
- Job records and peers' calls without steps, with later steps or with too many tasks, unreadable lists of used workers and unreadable owner keys ended the process or kept the pool without an owner.
A client's number of occurrences could overflow the limit of tasks.
A panic ended the process; now it fails one call, or ends the term.
- One row of a worker's report that is not ours made the worker count as silent.
- A new owner believed lists older than its claim, with removed workers and revoked keys; a watch followed a replica that lags.

--- a/internal/connection/httpjson/httpjson.go
+++ b/internal/connection/httpjson/httpjson.go
@@ -97,6 +97,10 @@
 
 // Exchange sends in to a path, with header fields as pairs of name and value, and returns the response of any status.
 func (c *Client) Exchange(ctx context.Context, method, path string, in any, header ...string) (Response, error) {
+	// The transport only knows the deadline. Without this check, a call that was cancelled before it began would be sent.
+	if err := ctx.Err(); err != nil {
+		return Response{}, errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrNotSent)
+	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -191,6 +195,21 @@
 	return strconv.Itoa(max(1, int(seconds+0.999)))
 }
 
+// Recover returns a handler that replies with a fault if run panics, so that a panic fails one request and not the process.
+// onPanic is called with its cause.
+func Recover(run fasthttp.RequestHandler, fault Fault, onPanic func(cause any)) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				onPanic(cause)
+				ctx.Response.Reset()
+				ReplyFault(ctx, &fault)
+			}
+		}()
+		run(ctx)
+	}
+}
+
 // Handle returns a handler that decodes the request body, calls run and writes its result.
 // Errors that are not a *Fault are converted by the fault function.
 func Handle[In, Out any](run func(context.Context, In) (Out, error), fault func(error) *Fault) fasthttp.RequestHandler {
--- a/internal/connection/httpjson/httpjson_test.go
+++ b/internal/connection/httpjson/httpjson_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,3 +92,40 @@
 	require.True(t, errors.Is(call(100*time.Millisecond), ErrNoResponse))
 	require.NoError(t, call(2*time.Second))
 }
+
+// A call whose context was cancelled before it began is not sent: it may be an order of an owner that was replaced.
+func TestCancelledCallIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var calls atomic.Int32
+	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) { calls.Add(1) }}
+	go func() { _ = server.Serve(l) }() // ends with the listener
+	defer func() { _ = l.Close() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = NewClient(l.Addr().String()).Exchange(ctx, fasthttp.MethodPost, "/", struct{}{})
+	require.True(t, errors.Is(err, ErrNotSent))
+	require.Zero(t, calls.Load())
+}
+
+// A panic in a handler fails one call; the server goes on.
+func TestPanicFailsOneCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var causes atomic.Int32
+	handler := Recover(func(rc *fasthttp.RequestCtx) {
+		if string(rc.Path()) == "/panic" {
+			panic("test")
+		}
+	}, Fault{Status: fasthttp.StatusGatewayTimeout, Code: "OutcomeUnknown"}, func(any) { causes.Add(1) })
+	server := &fasthttp.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }() // ends with the listener
+	defer func() { _ = l.Close() }()
+	c := NewClient(l.Addr().String())
+	for path, status := range map[string]int{"/panic": fasthttp.StatusGatewayTimeout, "/": fasthttp.StatusOK} {
+		response, err := c.Exchange(context.Background(), fasthttp.MethodPost, path, nil)
+		require.NoError(t, err)
+		require.Equal(t, status, response.Status)
+	}
+	require.EqualValues(t, 1, causes.Load())
+}
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,6 +94,27 @@
 	})
 }
 
+// A panic in a method fails one call; the server goes on.
+func TestPanicFailsOneCall(t *testing.T) {
+	s := newServer()
+	var panicked atomic.Value
+	s.OnPanic = func(method string, _ any) { panicked.Store(method) }
+	Register(s, "Panic", func(context.Context, string) (string, error) { panic("test") })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.Serve(ctx, listener)
+	c := &Client{Address: listener.Addr().String()}
+	defer c.Close()
+	var out string
+	var fault *httpjson.Fault
+	require.ErrorAs(t, c.Call(context.Background(), "Panic", "", &out), &fault)
+	require.Equal(t, "Internal", fault.Code)
+	require.Equal(t, "Panic", panicked.Load())
+	require.NoError(t, c.Call(context.Background(), "Echo", "still there", &out))
+}
+
 func TestFaultKeepsItsStatus(t *testing.T) {
 	body, err := json.Marshal(carriedFault{Fault: httpjson.Fault{Code: "X", Message: "m"}, Status: 418})
 	require.NoError(t, err)
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -17,6 +17,9 @@
 type (
 	// Server serves the calls of peers.
 	Server struct {
+		// OnPanic is called with the cause of a panic in a method; nil ignores it.
+		OnPanic func(method string, cause any)
+
 		methods map[string]method
 	}
 
@@ -95,7 +98,16 @@
 	_ = conn.ReplyWithError(ctx, req.ID, rpcError(err))
 }
 
-func (s *Server) call(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+// call runs a method. A panic in it fails this call alone; the caller can't know whether it took effect.
+func (s *Server) call(ctx context.Context, req *jsonrpc2.Request) (result any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			if s.OnPanic != nil {
+				s.OnPanic(req.Method, cause)
+			}
+			result, err = nil, &httpjson.Fault{Status: 500, Code: "Internal", Message: "the call failed unexpectedly"}
+		}
+	}()
 	run, found := s.methods[req.Method]
 	if !found {
 		return nil, &httpjson.Fault{Status: 404, Code: "NoMethod", Message: "unknown method " + req.Method}
--- a/internal/connection/worker/runs.go
+++ b/internal/connection/worker/runs.go
@@ -75,6 +75,8 @@
 		Incarnation uint64
 		Active      []ActiveRun
 		Ended       []EndedRun
+		// Malformed describes the parts of the report that could not be read and were dropped.
+		Malformed []string
 	}
 
 	// RunClient holds the calls of a worker that starts runs without a prior Hold.
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -79,6 +79,14 @@
 	if r.Format != recordFormat {
 		return nil, errors.Wrapf(ErrFormat, "format %d", r.Format)
 	}
+	if err := Validate(r.Steps, r.Schedule); err != nil {
+		return nil, errors.Wrap(err, "malformed record")
+	}
+	switch r.State {
+	case Accepted, Completed, Failed, Cancelled:
+	default:
+		return nil, errors.Newf("malformed record: unknown state %q", r.State)
+	}
 	j := &Job{
 		ID: r.ID, Queue: r.Queue, Service: r.Service, Account: r.Account, Priority: r.Priority, Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule,
 		Submitted: r.Submitted, MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target, State: r.State, Finished: r.Finished,
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -42,6 +42,10 @@
 		listed[a.Run] = true
 		s.handleActive(n, a, now)
 	}
+	// The progress of all runs is recorded first: after a silence, those of one gang would seem to stall until the last is updated.
+	for _, u := range n.unitsOf(listed) {
+		s.updateProgress(u, now)
+	}
 	for _, r := range slices.Clone(n.runs) {
 		if listed[r.Run] {
 			continue
@@ -235,10 +239,20 @@
 			u.checkpoint = a.Checkpoint
 		}
 		s.updateSlowdown(r, now)
-		s.updateProgress(u, now)
 	}
 }
 
+// unitsOf returns the units whose latest runs are among those listed by a worker.
+func (n *node) unitsOf(listed map[worker.Run]bool) []*unit {
+	var list []*unit
+	for _, r := range n.runs {
+		if u := r.unit; u != nil && u.number == r.Number && listed[r.Run] && (u.count == 1 || !slices.Contains(list, u)) {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
 // updateProgress records the progress of a unit's slowest member, and stops a stalled unit.
 func (s *State) updateProgress(u *unit, now time.Time) {
 	minPercent := 100
@@ -256,8 +270,8 @@
 	var slowest []*node
 	for _, r := range u.runs {
 		if r.percent == minPercent {
-			if !r.node.silentSince.IsZero() {
-				// The current progress on a silent worker is unknown.
+			if !r.node.silentSince.IsZero() || r.node.reportedAt.Sub(u.progressedAt) < s.stallTimeout(u) {
+				// The current progress on a silent worker is unknown, also before a call to it has failed.
 				return
 			}
 			slowest = append(slowest, r.node)
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -195,3 +195,42 @@
 	require.Equal(t, StopRun, actions[0].Kind)
 	require.Equal(t, second.Run, actions[0].Run)
 }
+
+// A gang is not stopped as stalled because its worker was silent for a while: neither when the other members report before the
+// silence is noticed, nor by the first report after it, which lists the members one by one.
+func TestSilentWorkerIsNotStalled(t *testing.T) {
+	for name, perWorker := range map[string]int{"members on two workers": 1, "members on one worker": 2} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(2, 2)
+			j := gangJob("a", 1, 2, 8/perWorker, 2*time.Second)
+			j.Steps[0].Checkpoints = true
+			s.accept(j, testStart)
+			runs := s.startAllByWorker(testStart)
+			require.Len(t, runs, 2/perWorker)
+			report := func(id ids.InstanceID, percent int, now time.Time) {
+				r := worker.RunReport{Incarnation: 1}
+				for _, run := range runs[id] {
+					r.Active = append(r.Active, worker.ActiveRun{Run: run, Percent: percent})
+				}
+				s.Reported(id, r, now, now)
+				for _, a := range s.startedAndStopped(now) {
+					require.NotEqual(t, StopRun, a.Kind, "stopped after %v", now.Sub(testStart))
+				}
+			}
+			for id := range runs {
+				report(id, 10, testStart.Add(time.Second))
+			}
+			if perWorker == 1 {
+				report("w0001", 20, testStart.Add(2*time.Second))
+				report("w0001", 30, testStart.Add(3*time.Second))
+			}
+			report("w0000", 40, testStart.Add(4*time.Second))
+		})
+	}
+}
+
+// startedAndStopped returns all actions of a decision.
+func (s *State) startedAndStopped(now time.Time) []Action {
+	actions, _ := s.Decide(now)
+	return actions
+}
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -214,6 +214,10 @@
 	if c.Unsupported != "" {
 		return t.refuse(c, Refused, c.Unsupported+" is not offered", infeasibleRetryAfter), nil
 	}
+	if err := pool.Validate(c.Steps, c.Schedule); err != nil {
+		// Instances check clients' jobs, but another instance's call may be malformed.
+		return t.refuse(c, Invalid, err.Error(), 0), nil
+	}
 	if !t.storeFailingSince.IsZero() && now.Sub(t.storeFailingSince) > storeOutageThreshold {
 		return t.refuse(c, Refused, "the store does not answer", notNowRetryAfter), nil
 	}
--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -46,6 +46,7 @@
 		return 0, err
 	}
 	o.markContact()
+	o.markSeen(revision)
 	var current *OwnerRecord
 	for _, e := range entries {
 		current = decodeOwner(e)
@@ -57,13 +58,16 @@
 func decodeOwner(e store.Entry) *OwnerRecord {
 	c := &OwnerRecord{}
 	if err := json.Unmarshal(e.Value, c); err != nil {
-		// Only owners write the key. An unreadable value is overwritten by the next claim once its lease has expired.
+		// Only owners write the key. An unreadable value is overwritten by a claim after the longest time that a lease lasts.
 		return &OwnerRecord{revision: e.Revision}
 	}
 	c.revision = e.Revision
 	return c
 }
 
+// isUnreadable reports whether the owner key's value names no instance.
+func (c *OwnerRecord) isUnreadable() bool { return c != nil && c.Instance == "" }
+
 func (o *Owner) setCurrentOwner(c *OwnerRecord) {
 	if old := o.currentOwner.Swap(c); c != nil && (old == nil || old.revision != c.revision) {
 		o.Log.Info("member: new owner", zap.String("owner", string(c.Instance)), zap.Uint64("epoch", uint64(c.Epoch)))
@@ -81,6 +85,11 @@
 		if unowned {
 			wait = o.claimDelay()
 		}
+		unreadable := !unowned && o.currentOwner.Load().isUnreadable() && !o.leaving.Load()
+		if unreadable {
+			// The lease of an owner that wrote this value expires by then.
+			wait = max(wait, 2*o.Times.Lease)
+		}
 		if current := o.currentOwner.Load(); current != nil && current.Instance == o.Instance && !o.leaving.Load() {
 			// The key was set by an earlier process of this instance, or in a term that has ended.
 			o.claimAndRun(ctx, current.revision)
@@ -107,6 +116,10 @@
 			o.claimAndRun(ctx, store.Absent)
 			return
 		}
+		if unreadable && len(events) == 0 {
+			o.claimAndRun(ctx, o.currentOwner.Load().revision)
+			return
+		}
 	}
 }
 
@@ -133,6 +146,7 @@
 		return nil, 0, err
 	}
 	o.markContact()
+	o.markSeen(revision)
 	for _, e := range events {
 		if e.Deleted {
 			o.setCurrentOwner(nil)
@@ -164,6 +178,7 @@
 		return
 	}
 	o.setCurrentOwner(&c.OwnerRecord)
+	o.markSeen(c.revision)
 	o.runTerm(ctx, c)
 }
 
--- /dev/null
+++ b/internal/process/poolowner/faults_test.go
@@ -0,0 +1,270 @@
+package poolowner
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/internal/standin/runservice"
+	"github.com/jujubegrade/jujubegrade/internal/standin/storeservice"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// Malformed values of the store end no process and no other job: a record that can't be decided on is left alone, and an
+// unreadable list of used workers means that any worker may run tasks.
+func TestMalformedStoreEntries(t *testing.T) {
+	record := func(change func(r *pool.Record)) []byte {
+		r := pool.Record{Format: 1, ID: "x", State: pool.Accepted, MaxAttempts: 1, Steps: []pool.Step{{Tasks: 1}}}
+		change(&r)
+		value, err := json.Marshal(r)
+		require.NoError(t, err)
+		return value
+	}
+	for name, entry := range map[string]struct {
+		key   string
+		value []byte
+	}{
+		"a record without steps":          {prefixJobs + "x", record(func(r *pool.Record) { r.Steps = nil })},
+		"a record with a later step":      {prefixJobs + "x", record(func(r *pool.Record) { r.Steps[0].After = []int{3} })},
+		"a record of no tasks":            {prefixJobs + "x", record(func(r *pool.Record) { r.Steps[0].Tasks = -1 })},
+		"a record of too many tasks":      {prefixJobs + "x", record(func(r *pool.Record) { r.Schedule.Occurrences = 1 << 40 })},
+		"a record of negative resources":  {prefixJobs + "x", record(func(r *pool.Record) { r.Steps[0].Each.Accelerators = -8 })},
+		"a record in an unknown state":    {prefixJobs + "x", record(func(r *pool.Record) { r.State = "Paused" })},
+		"a record under another job's id": {prefixJobs + "y", record(func(*pool.Record) {})},
+		"a record that is not JSON":       {prefixJobs + "x", []byte("{")},
+		"a worker that is not JSON":       {testWorkerPrefix + "x", []byte("{")},
+		"used workers that are not JSON":  {keyWorkers, []byte("{")},
+		"estimates that are not JSON":     {keyEstimates, []byte("{")},
+		"an owner that is not JSON":       {keyOwner, []byte("{")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(3, 4)}, runTime: 8 * time.Second})
+				_, err := w.submit(w.instances[0], 1, "a")
+				require.NoError(t, err)
+				time.Sleep(time.Second)
+				w.ownerInstance().kill(false)
+				w.store.Set(entry.key, entry.value)
+				time.Sleep(5 * time.Second)
+				w.awaitState(1, "a", pool.Completed)
+				require.Equal(t, 3, w.checker.StartCount("a"), "the gang was started again")
+				w.defineJob("b", jobSpec{steps: []pool.Step{gangStep(2, 4)}, runTime: time.Second})
+				_, err = w.submit(w.awaitOwner(), 1, "b")
+				require.NoError(t, err)
+				w.awaitState(1, "b", pool.Completed)
+			})
+		})
+	}
+}
+
+// A malformed submission that another instance forwards is refused.
+func TestMalformedPeerCalls(t *testing.T) {
+	for name, steps := range map[string][]pool.Step{
+		"no steps":           nil,
+		"no tasks":           {{Tasks: 0}},
+		"too many tasks":     {{Tasks: 1 << 40}},
+		"a later step":       {{Tasks: 1, After: []int{1}}},
+		"a negative step":    {{Tasks: 1, After: []int{-1}}},
+		"negative resources": {{Tasks: 1, Each: ids.Resources{Accelerators: -1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				_, forwarder := w.ownerInstance().current()
+				answer, err := forwarder.servePeer(context.Background(), Call{Kind: Submit, Host: "host", Path: "/1/a", Key: testKey, Steps: steps})
+				require.NoError(t, err)
+				require.Equal(t, Invalid, answer.Result)
+			})
+		})
+	}
+}
+
+// A panic ends the term and not the process. The next owner takes over the runs.
+func TestPanicEndsTheTerm(t *testing.T) {
+	for name, cause := range map[string]func(t *term){
+		"in an event":               func(t *term) { t.post(func() { panic("test") }) },
+		"in one of its goroutines":  func(t *term) { t.spawn("test", func() { panic("test") }) },
+		"while it waits for a call": func(t *term) { _ = t.do(context.Background(), func() { panic("test") }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(3, 4)}, runTime: 8 * time.Second})
+				_, err := w.submit(w.instances[0], 1, "a")
+				require.NoError(t, err)
+				time.Sleep(time.Second)
+				first := w.ownerInstance()
+				owner, _ := first.current()
+				cause(owner.term.Load())
+				time.Sleep(3 * time.Second)
+				require.NotNil(t, w.ownerInstance(), "no instance owns the pool")
+				require.EqualValues(t, 1, owner.Metrics().Panics.Value())
+				w.awaitState(1, "a", pool.Completed)
+				require.Equal(t, 3, w.checker.StartCount("a"), "the gang was started again")
+			})
+		})
+	}
+}
+
+// An order whose process was suspended between the decision and the sending is not sent if its run is no longer wanted. Workers
+// that have restarted since know no epoch, so fencing does not stop it.
+func TestOrderDecidedBeforeSuspension(t *testing.T) {
+	const pause = 5 * time.Second
+	for name, decide := range map[string]func(now timestamp) timestamp{
+		"the process was stopped":   func(now timestamp) timestamp { return timestamp{at: now.at.Add(-pause)} },
+		"the machine was suspended": func(now timestamp) timestamp { return timestamp{at: now.at, suspended: -pause} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.defineJob("late", jobSpec{steps: []pool.Step{gangStep(1, 1)}, runTime: time.Second})
+				owner, _ := w.ownerInstance().current()
+				term := owner.term.Load()
+				l := term.links["worker00"]
+				l.start(pool.Action{Kind: pool.StartRun, Worker: l.id, Run: worker.Run{Task: worker.Task{Job: "late"}, Number: 1001}}, decide(owner.now()))
+				time.Sleep(time.Second)
+				require.Zero(t, w.checker.StartCount("late"))
+			})
+		})
+	}
+}
+
+// An order that waits for a slot when its term ends is not sent.
+func TestNoOrderAfterTheTerm(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		w.defineJob("late", jobSpec{steps: []pool.Step{gangStep(1, 1)}, runTime: time.Second})
+		owner, _ := w.ownerInstance().current()
+		term := owner.term.Load()
+		l := term.links["worker00"]
+		term.end("test")
+		for range 100 {
+			require.False(t, l.acquireSlot(), "an order got a slot after its term")
+		}
+		l.start(pool.Action{Kind: pool.StartRun, Worker: l.id, Run: worker.Run{Task: worker.Task{Job: "late"}, Number: 1001}}, owner.now())
+		time.Sleep(time.Second)
+		require.Zero(t, w.checker.StartCount("late"))
+	})
+}
+
+// A worker that is silent for less than its lease keeps its run, which is neither started again nor given up.
+func TestWorkerSilentForLessThanItsLease(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"shortly": time.Second, "for half of its lease": 3 * time.Second, "for most of its lease": 4500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(2, 4)}, runTime: 8 * time.Second})
+				_, err := w.submit(w.instances[0], 1, "a")
+				require.NoError(t, err)
+				time.Sleep(2 * time.Second)
+				for id := range w.listed {
+					w.fleet.Worker(id).SetPartitioned(true)
+				}
+				time.Sleep(silence)
+				for id := range w.listed {
+					w.fleet.Worker(id).SetPartitioned(false)
+				}
+				w.awaitState(1, "a", pool.Completed)
+				require.Equal(t, 2, w.checker.StartCount("a"), "the gang was started again")
+			})
+		})
+	}
+}
+
+// A start whose answer is lost, after which its worker restarts at once, leads to no second run at the same time and none after
+// the end: the checker verifies both.
+func TestLostStartAnswerBeforeRestart(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(1, 8)}, runTime: 3 * time.Second})
+		for id := range w.listed {
+			done := false
+			w.fleet.Worker(id).SetFault(func(call string) runservice.Fault {
+				if call != "start" || done {
+					return runservice.Fault{}
+				}
+				done = true
+				return runservice.Fault{LoseAnswer: true}
+			})
+		}
+		_, err := w.submit(w.instances[0], 1, "a")
+		require.NoError(t, err)
+		time.Sleep(200 * time.Millisecond)
+		for id := range w.listed {
+			w.fleet.Worker(id).Crash()
+			w.fleet.Worker(id).Restart()
+			w.listWorker(id)
+		}
+		w.awaitState(1, "a", pool.Completed)
+	})
+}
+
+// A submission whose write was executed but not answered when its owner was lost is accepted once; no instance says that it was
+// refused.
+func TestLostSubmissionAnswerAtHandOver(t *testing.T) {
+	for name, machineOff := range map[string]bool{"its process is killed": false, "its machine is off": true} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(2, 4)}, runTime: 2 * time.Second})
+				first := w.ownerInstance()
+				w.store.SetFault(func(client string, write bool) storeservice.CallFault {
+					return storeservice.CallFault{LoseAnswer: write && client == first.name}
+				})
+				time.AfterFunc(100*time.Millisecond, func() { first.kill(machineOff) })
+				for try := range 4 {
+					var other *instance
+					for other = w.instances[try%3]; other == first; other = w.instances[(try+1)%3] {
+					}
+					answer, err := w.submit(other, 1, "a")
+					if err == nil {
+						require.NotContains(t, []Result{Refused, NotNow}, answer.Result)
+						if answer.Result == OK {
+							break
+						}
+					}
+				}
+				w.awaitState(1, "a", pool.Completed)
+				require.Equal(t, 2, w.checker.StartCount("a"))
+			})
+		})
+	}
+}
+
+// All instances restart while lists show the store as it was before a key was revoked and a worker was removed, and watches get
+// no answer. The key is not accepted, and nothing starts on the worker.
+func TestOldListsAfterRestart(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(1, 8)}, runTime: time.Second})
+		w.defineJob("b", jobSpec{steps: []pool.Step{{Tasks: 6, Each: ids.Resources{Accelerators: 8, Cores: 1000, Memory: 1}, Estimate: time.Second}}, runTime: time.Second})
+		_, err := w.submit(w.instances[0], 1, "a")
+		require.NoError(t, err)
+		w.awaitState(1, "a", pool.Completed)
+		for _, i := range w.instances {
+			i.kill(false)
+		}
+		// The job is accepted before and waits; the removed worker would be needed to run all of its tasks at once.
+		w.store.FreezeLists(true)
+		delete(w.catalog.Keys, testKey)
+		w.catalog.Keys["other"] = testAccount
+		w.writeConfig()
+		w.unlistWorker("worker05")
+		w.store.SetWatchFault(func(_, prefix string) storeservice.CallFault {
+			return storeservice.CallFault{Silent: prefix != keyOwner}
+		})
+		for _, i := range w.instances {
+			i.start()
+		}
+		for range 80 {
+			time.Sleep(50 * time.Millisecond)
+			for _, i := range w.instances {
+				answer, err := w.call(i, Read, 1, "a", jobSpec{})
+				require.False(t, err == nil && answer.Result == OK, "a revoked key was accepted: %+v", answer)
+			}
+		}
+		w.store.FreezeLists(false)
+		w.store.SetWatchFault(nil)
+		owner, _ := w.awaitOwner().current()
+		require.NoError(t, owner.term.Load().do(context.Background(), func() {
+			require.NotContains(t, owner.term.Load().listed, ids.InstanceID("worker05"))
+		}))
+	})
+}
--- a/internal/process/poolowner/forward.go
+++ b/internal/process/poolowner/forward.go
@@ -85,8 +85,11 @@
 func (o *Owner) hasNoRecord(id ids.JobID) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), maxOwnerWait)
 	defer cancel()
-	_, err := o.Store.Get(ctx, prefixJobs+string(id))
-	return errors.Is(err, store.ErrNotFound)
+	key := prefixJobs + string(id)
+	seen := o.seenRevision.Load()
+	entries, revision, err := o.Store.List(ctx, key)
+	// An answer that is older than one seen before may lack the record of a job that was accepted since.
+	return err == nil && revision >= store.Revision(seen) && entryOf(entries, key).Revision == store.Absent
 }
 
 func (g *Forwarder) logUnknown(c Call) {
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -35,6 +35,8 @@
 		confirmedAt atomic.Pointer[timestamp]
 		// orderSlots limits the concurrent orders, and so the connections.
 		orderSlots chan struct{}
+		// malformed is set once a part of a report could not be read, which is logged once.
+		malformed atomic.Bool
 	}
 
 	desiredState struct {
@@ -67,6 +69,9 @@
 	// sweepInterval is the time between updates of all links, which also select a worker to probe. It is a fraction of
 	// the time after which the ownership lease counts as not confirmed.
 	sweepInterval = 200 * time.Millisecond
+	// maxOrderAge is the time from the decision to start a run within which the order is sent without a further check. It covers the
+	// usual waits of a busy processor; after a longer one the process may have been suspended, and much may have changed.
+	maxOrderAge = 50 * time.Millisecond
 	// maxConcurrentOrders limits the concurrent orders to one worker.
 	maxConcurrentOrders = 2
 	// maxRefusedConnections is the number of consecutive refused connections after which a worker's process counts as
@@ -81,7 +86,7 @@
 		wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxConcurrentOrders),
 	}
 	l.desired.Store(&desiredState{renew: true})
-	go l.renewLoop()
+	t.spawn("a worker's renewals", l.renewLoop)
 	return l
 }
 
@@ -252,6 +257,9 @@
 
 // deliverReport passes a report to the term and waits until it is handled, so that the next renewal reflects it.
 func (l *link) deliverReport(report worker.RunReport, sent time.Time) {
+	if len(report.Malformed) > 0 && !l.malformed.Swap(true) {
+		l.term.log.Warn("workers: a part of a report can't be read", zap.String("worker", string(l.id)), zap.Strings("parts", report.Malformed))
+	}
 	handled := make(chan struct{})
 	l.term.post(func() {
 		defer close(handled)
@@ -280,8 +288,8 @@
 	}
 }
 
-// dispatch sends the order of one action.
-func (t *term) dispatch(a pool.Action) {
+// dispatch sends the order of one action that was decided at a time.
+func (t *term) dispatch(a pool.Action, decided timestamp) {
 	l := t.links[a.Worker]
 	if l == nil {
 		return
@@ -289,9 +297,9 @@
 	switch a.Kind {
 	case pool.StartRun:
 		l.markLeaseOrdered()
-		go l.start(a)
+		t.spawn("a start order", func() { l.start(a, decided) })
 	case pool.StopRun:
-		go l.stop(a)
+		t.spawn("a stop order", func() { l.stop(a) })
 	}
 }
 
@@ -299,6 +307,11 @@
 func (l *link) acquireSlot() bool {
 	select {
 	case l.orderSlots <- struct{}{}:
+		if l.ctx.Err() != nil {
+			// Both were ready.
+			<-l.orderSlots
+			return false
+		}
 		return true
 	case <-l.ctx.Done():
 		return false
@@ -306,8 +319,8 @@
 }
 
 // start starts a run and reports the outcome to the term.
-func (l *link) start(a pool.Action) {
-	queued, decided := len(l.orderSlots) == cap(l.orderSlots), time.Now()
+func (l *link) start(a pool.Action, decided timestamp) {
+	queued := len(l.orderSlots) == cap(l.orderSlots)
 	if !l.acquireSlot() {
 		return
 	}
@@ -316,11 +329,14 @@
 	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Lease: t.owner.Times.WorkerLease, Checkpoint: a.Checkpoint}
 	unknown := false
 	for attempt := range maxStartAttempts {
-		if attempt > 0 || queued {
+		if attempt > 0 || queued || t.owner.since(decided) > maxOrderAge {
 			if !l.mayStart(a.Run) {
 				break
 			}
-			l.logLateStart(a.Run, attempt+1, time.Since(decided))
+			l.logLateStart(a.Run, attempt+1, t.owner.since(decided))
+		}
+		if l.ctx.Err() != nil {
+			return
 		}
 		l.markLeaseOrdered()
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -18,7 +18,9 @@
 type (
 	// Metrics are the metrics of an owner. Counters count from the start of the process.
 	Metrics struct {
-		Claims, Calls, Refused       expvar.Int
+		Claims, Calls, Refused expvar.Int
+		// Panics counts the panics that ended a term.
+		Panics                       expvar.Int
 		Writes, WritesFailed         expvar.Int
 		Renewals, RenewalsFailed     expvar.Int
 		Starts, StartsUnknown, Stops expvar.Int
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -54,6 +54,8 @@
 		currentOwner atomic.Pointer[OwnerRecord]
 		// lastContact is when the store last answered, on the monotonic clock.
 		lastContact atomic.Pointer[time.Time]
+		// seenRevision is the highest revision of the answers to reads of the owner's key and to writes.
+		seenRevision atomic.Uint64
 		// deadOwner is an owner whose process is known to have terminated, and cancelWatch cancels the watch in progress.
 		deadOwner   atomic.Pointer[OwnerRecord]
 		cancelWatch atomic.Pointer[context.CancelFunc]
@@ -163,6 +165,16 @@
 	return time.Since(*at)
 }
 
+// markSeen records a revision of an answer of the store.
+func (o *Owner) markSeen(revision store.Revision) {
+	for {
+		seen := o.seenRevision.Load()
+		if uint64(revision) <= seen || o.seenRevision.CompareAndSwap(seen, uint64(revision)) {
+			return
+		}
+	}
+}
+
 func (o *Owner) markContact() {
 	now := time.Now()
 	o.lastContact.Store(&now)
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -72,6 +72,8 @@
 		// lastSweep is when all links were last updated, and lastPurge when old jobs were last deleted.
 		lastSweep time.Time
 		lastPurge time.Time
+		// panicked is set if a panic ended the term.
+		panicked atomic.Bool
 	}
 
 	// listState is whether runs may be started by the list of workers.
@@ -105,10 +107,17 @@
 	maxClockDrift = 0.025
 	// clockRounding covers the rounding of the worker's clock and of this instance's.
 	clockRounding = 50 * time.Millisecond
+	// panicDelay is the time after a panic in which this instance doesn't claim ownership.
+	panicDelay = time.Second
 	// purgeInterval is the time between deletions of jobs that ended long ago.
 	purgeInterval = 10 * time.Second
+	// unreadableWorker stands for all workers of a list of used workers that can't be read.
+	unreadableWorker ids.InstanceID = "(unreadable)"
 )
 
+// errStale means that an answer of the store is older than one that this instance has seen.
+var errStale = errors.New("the store's answer is older than an earlier one")
+
 // runTerm schedules the pool until ownership is lost or given up, or ctx is done.
 func (o *Owner) runTerm(ctx context.Context, c *claim) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -124,17 +133,27 @@
 	t.log.Info("owner: ownership claimed")
 	o.metrics.Claims.Add(1)
 	o.recovering.Store(true)
-	go t.renewLease()
-	go t.watchSuccessor()
-	if t.loadState() {
-		t.run()
-	}
+	t.spawn("the renewal of the ownership lease", t.renewLease)
+	t.spawn("the watch of the owner's key", t.watchSuccessor)
+	t.serve()
 	o.recovering.Store(false)
 	o.term.Store(nil)
 	// In-flight calls end by their timeouts; their results are discarded.
 	cancel(nil)
 	t.log.Info("owner: ownership ended", zap.NamedError("cause", context.Cause(ctx)))
 	t.releaseOwnership()
+	if t.panicked.Load() {
+		// The cause may persist, so another instance claims first.
+		pause.For(ctx, panicDelay)
+	}
+}
+
+// serve recovers the state and schedules until the term ends.
+func (t *term) serve() {
+	defer t.endOnPanic("the decisions")
+	if t.loadState() {
+		t.run()
+	}
 }
 
 // releaseOwnership deletes the owner key if it is still this term's.
@@ -196,40 +215,35 @@
 	sent := t.owner.now()
 	var config, workers, records []store.Entry
 	var configRev, workersRev store.Revision
-	var used, learned store.Entry
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() (err error) {
-		config, configRev, err = t.owner.Store.List(ctx, t.owner.ConfigPrefix)
-		return errors.Wrap(err, "listing the configuration")
-	})
-	g.Go(func() (err error) {
-		workers, workersRev, err = t.owner.Store.List(ctx, t.owner.WorkerPrefix)
-		return errors.Wrap(err, "listing the workers")
-	})
-	g.Go(func() (err error) {
-		records, _, err = t.owner.Store.List(ctx, prefixJobs)
-		return errors.Wrap(err, "listing the jobs")
-	})
-	g.Go(func() (err error) {
-		if used, err = t.owner.Store.Get(ctx, keyWorkers); errors.Is(err, store.ErrNotFound) {
-			return nil
-		}
-		return errors.Wrap(err, "reading the used workers")
-	})
-	g.Go(func() (err error) {
-		if learned, err = t.owner.Store.Get(ctx, keyEstimates); errors.Is(err, store.ErrNotFound) {
-			return nil
-		}
-		return errors.Wrap(err, "reading the estimates")
-	})
+	list := func(what, prefix string, entries *[]store.Entry, revision *store.Revision) {
+		g.Go(func() (err error) {
+			*entries, *revision, err = t.owner.Store.List(ctx, prefix)
+			if err == nil && *revision < t.claim.revision {
+				// A replica that lags behind this term's claim may still have workers, keys and records as they were before.
+				err = errStale
+			}
+			return errors.Wrap(err, "listing "+what)
+		})
+	}
+	var usedList, learnedList []store.Entry
+	var ignored [3]store.Revision
+	list("the configuration", t.owner.ConfigPrefix, &config, &configRev)
+	list("the workers", t.owner.WorkerPrefix, &workers, &workersRev)
+	list("the jobs", prefixJobs, &records, &ignored[0])
+	list("the used workers", keyWorkers, &usedList, &ignored[1])
+	list("the estimates", keyEstimates, &learnedList, &ignored[2])
 	if err := g.Wait(); err != nil {
 		return err
 	}
 	t.owner.markContact()
+	used, learned := entryOf(usedList, keyWorkers), entryOf(learnedList, keyEstimates)
 	t.usedRevision = used.Revision
 	if used.Revision != store.Absent {
 		if err := json.Unmarshal(used.Value, &t.usedWorkers); err != nil {
-			return errors.Wrap(err, "malformed list of used workers")
+			// Any worker may run tasks of an earlier owner, so recovered jobs wait until all its leases have expired.
+			t.log.Error("owner: the list of used workers can't be decoded", zap.Error(err))
+			t.usedWorkers = []ids.InstanceID{unreadableWorker}
 		}
 	}
 	t.loadEstimates(learned)
@@ -238,6 +252,9 @@
 	var jobs []*pool.Job
 	for _, e := range records {
 		j, err := pool.Decode(e.Value)
+		if err == nil && prefixJobs+string(j.ID) != e.Key {
+			err = errors.Newf("the record is of job %q", j.ID)
+		}
 		if err != nil {
 			t.log.Error("owner: a job's record can't be decoded", zap.String("key", e.Key), zap.Error(err))
 			continue
@@ -247,11 +264,21 @@
 	}
 	t.state.Recover(jobs)
 	t.log.Info("owner: records read", zap.Int("jobs", len(jobs)), zap.Int("workers", len(t.listed)), zap.Duration("took", t.owner.since(sent)))
-	go t.watchConfig(config, configRev)
-	go t.watchWorkers(workers, workersRev)
+	t.spawn("the watch of the configuration", func() { t.watchConfig(config, configRev) })
+	t.spawn("the watch of the workers", func() { t.watchWorkers(workers, workersRev) })
 	return nil
 }
 
+// entryOf returns the entry of a key in a list; its revision is Absent if the key doesn't exist.
+func entryOf(list []store.Entry, key string) store.Entry {
+	for _, e := range list {
+		if e.Key == key {
+			return e
+		}
+	}
+	return store.Entry{}
+}
+
 // run handles events and schedules until the term ends.
 func (t *term) run() {
 	recovery := time.NewTimer(recoveryTimeout)
@@ -344,7 +371,7 @@
 			for _, id := range retired {
 				delete(t.jobRevisions, id)
 			}
-			go t.purgeJobs(retired)
+			t.spawn("the removal of old jobs", func() { t.purgeJobs(retired) })
 		}
 	}
 }
@@ -357,7 +384,7 @@
 
 // decide runs a scheduling pass and carries out its actions.
 func (t *term) decide() {
-	now := time.Now()
+	now, decided := time.Now(), t.owner.now()
 	for _, id := range t.state.Suspects() {
 		if l := t.links[id]; l != nil {
 			t.recordLeaseExpiry(l)
@@ -370,7 +397,7 @@
 		t.owner.metrics.observeNotice(n)
 	}
 	for _, a := range actions {
-		t.dispatch(a)
+		t.dispatch(a, decided)
 	}
 	t.updateLinks(now)
 	t.write()
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -96,6 +96,9 @@
 		sent := t.owner.now()
 		if mustList {
 			list, at, err := t.listPrefix(p.prefix, len(known))
+			if err == nil && at < revision {
+				err = errStale
+			}
 			if err != nil {
 				p.failed(t, &health, errors.Wrap(err, "listing"), sent, storeCallTimeout, revision)
 				continue
@@ -114,6 +117,10 @@
 		case errors.Is(err, store.ErrCompacted):
 			t.log.Info("store: the history of a watch was discarded", zap.String("prefix", p.prefix), zap.Uint64("revision", uint64(revision)))
 			mustList = true
+		case err == nil && at < revision:
+			// The events of a replica that lags could bring back entries that were removed.
+			mustList = true
+			p.failed(t, &health, errStale, sent, p.wait+watchMargin, revision)
 		case err != nil:
 			mustList = true
 			p.failed(t, &health, err, sent, p.wait+watchMargin, revision)
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -91,10 +91,10 @@
 	t.addEstimates(b)
 	t.writeBlocked = true
 	t.inFlight = b
-	go func() {
+	t.spawn("a write", func() {
 		outcome, revision := t.commit(b)
 		t.post(func() { t.finishBatch(b, outcome, revision) })
-	}()
+	})
 }
 
 // addEstimates adds the learned run times to a batch that has room for them, if they have changed and the save interval
@@ -170,6 +170,7 @@
 		switch {
 		case err == nil:
 			t.owner.markContact()
+			t.owner.markSeen(revision)
 			return written, revision
 		case errors.As(err, &conflict):
 			t.owner.markContact()
@@ -237,7 +238,7 @@
 			t.state.RequeueWrite(r.id)
 		}
 		t.writeBlocked = true
-		go t.refreshConfig()
+		t.spawn("the reading of the configuration", t.refreshConfig)
 		return
 	}
 	if b.used != nil {
--- a/internal/standin/storeservice/transactions.go
+++ b/internal/standin/storeservice/transactions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -28,10 +29,18 @@
 		outage     outage
 		fault      func(client string, write bool) CallFault
 		watchFault func(client, prefix string) CallFault
+		// old is the state that lists return instead of the current one; nil if they return the current one.
+		old *snapshot
 		// watches counts the watches, and silenced is the number of the last one that is never answered.
 		watches, silenced uint64
 	}
 
+	// snapshot is an earlier state of the service.
+	snapshot struct {
+		entries  map[string]store.Entry
+		revision store.Revision
+	}
+
 	lease struct {
 		ttl   time.Duration
 		timer *time.Timer
@@ -79,13 +88,17 @@
 		},
 		List: func(ctx context.Context, prefix string) (list []store.Entry, revision store.Revision, err error) {
 			err = s.call(ctx, name, false, func() error {
-				for key, e := range s.entries {
+				now := snapshot{s.entries, s.revision}
+				if s.old != nil {
+					now = *s.old
+				}
+				for key, e := range now.entries {
 					if strings.HasPrefix(key, prefix) {
 						list = append(list, e)
 					}
 				}
 				slices.SortFunc(list, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
-				revision = s.revision
+				revision = now.revision
 				return nil
 			})
 			return list, revision, err
@@ -156,6 +169,16 @@
 	s.silenced = s.watches
 }
 
+// FreezeLists makes all lists return the current state from now on, as a replica that lags does, or ends that.
+func (s *Transactional) FreezeLists(frozen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.old = nil
+	if frozen {
+		s.old = &snapshot{maps.Clone(s.entries), s.revision}
+	}
+}
+
 // Compact discards the history up to the current revision.
 func (s *Transactional) Compact() {
 	s.mu.Lock()
