Refuse malformed peers' calls, records and reports, and survive panics, on our own interface

A peer's submission or a stored record with a malformed shape, or a worker's report with a negative task index, could end the process, and the record would end each next owner too. They are refused or ignored; a panic fails one call or ends the term.

--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -19,6 +20,9 @@
 // readTimeout bounds the time to read one request, so that stalled connections don't accumulate.
 const readTimeout = 30 * time.Second
 
+// unexpected is the fault of a request whose handler panicked. Its outcome is unknown.
+var unexpected = httpjson.Fault{Status: fasthttp.StatusInternalServerError, Code: codeInternal, Message: "the request failed unexpectedly"}
+
 // startServers starts the HTTP servers for callers and operators, which run until the instance stops.
 func (e *Entry) startServers(callers, operators net.Listener) {
 	e.callerServer = e.newServer(e.callerRoutes())
@@ -36,12 +40,16 @@
 func (e *Entry) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	s := e.Settings
 	return &fasthttp.Server{
-		Handler: handler, Name: "jujubegrade", Concurrency: s.MaxConnections, ReadBufferSize: s.MaxHeader, MaxRequestBodySize: s.MaxBody,
+		Handler: httpjson.Recover(handler, unexpected, func(cause any) { e.logPanic("request", cause) }), Name: "jujubegrade", Concurrency: s.MaxConnections, ReadBufferSize: s.MaxHeader, MaxRequestBodySize: s.MaxBody,
 		ReadTimeout: readTimeout, IdleTimeout: 2 * readTimeout, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		ErrorHandler: replyMalformed,
 	}
 }
 
+func (e *Entry) logPanic(in string, cause any) {
+	e.Log.Error("server: panic", zap.String("in", in), zap.String("cause", fmt.Sprint(cause)), zap.Stack("stack"))
+}
+
 // replyMalformed replies to requests that are rejected before they reach a handler.
 func replyMalformed(ctx *fasthttp.RequestCtx, err error) {
 	fault := &httpjson.Fault{Status: fasthttp.StatusBadRequest, Code: codeInvalid, Message: err.Error()}
@@ -58,7 +66,7 @@
 
 // newPeerServer returns the server of the methods that the other entry instances call.
 func (e *Entry) newPeerServer() *peer.Server {
-	s := &peer.Server{}
+	s := &peer.Server{OnPanic: func(method string, cause any) { e.logPanic("peer call "+method, cause) }}
 	peer.Register(s, peer.MethodHeartbeat, func(_ context.Context, hb peer.Heartbeat) (peer.Heartbeat, error) {
 		e.members.ReceiveHeartbeat(hb, nil, 0)
 		return e.heartbeat(), nil
--- a/internal/process/owner/record.go
+++ b/internal/process/owner/record.go
@@ -62,6 +62,9 @@
 	if r.Format != RecordFormat {
 		return nil, errors.Wrapf(ErrUnknownFormat, "format %d", r.Format)
 	}
+	if err := r.Job.Shape.Validate(); err != nil {
+		return nil, errors.Wrap(err, "malformed record")
+	}
 	return r, nil
 }
 
--- a/internal/process/owner/session.go
+++ b/internal/process/owner/session.go
@@ -214,7 +214,7 @@
 // expected reports whether the state places a task on a worker.
 func (t *term) expected(id ids.InstanceID, ref worker.TaskRef) bool {
 	j := t.state.Job(ref.Job)
-	return j != nil && j.Attempt == ref.Attempt && ref.Index < len(j.Place) && j.Place[ref.Index] == id
+	return j != nil && j.Attempt == ref.Attempt && ref.Index >= 0 && ref.Index < len(j.Place) && j.Place[ref.Index] == id
 }
 
 // stopOrphan stops a task that an earlier owner or an earlier attempt left on a worker.
--- a/internal/process/owner/submit.go
+++ b/internal/process/owner/submit.go
@@ -22,6 +22,10 @@
 	if t == nil {
 		return caller.JobStatus{}, ErrNotOwner
 	}
+	if err := job.Validate(); err != nil {
+		// Entry instances check callers' jobs, but a peer's call may be malformed.
+		return caller.JobStatus{}, &placement.InfeasibleError{Reason: err.Error()}
+	}
 	j := &placement.Job{Job: job, ID: ids.JobIDFor(account, job.Key), Account: account, Submitted: time.Now()}
 	var status caller.JobStatus
 	var refusal error
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,14 +74,7 @@
 	}
 	o.event("OwnershipClaimed", l.epoch, "the lease was free")
 	t.spawn(t.renewLeaseLoop)
-	t.applyUpdates()
-	if t.recover() {
-		t.recovered = true
-		t.spawn(t.reconcile)
-		o.term.Store(t)
-		o.event("OwnershipTaken", l.epoch, "job records read and workers fenced")
-		t.eventLoop()
-	}
+	t.serve()
 	o.term.Store(nil)
 	cancel(nil)
 	t.join()
@@ -90,6 +84,28 @@
 	}
 }
 
+// serve recovers the jobs and serves until the term ends.
+func (t *term) serve() {
+	defer t.endOnPanic()
+	t.applyUpdates()
+	if t.recover() {
+		t.recovered = true
+		t.spawn(t.reconcile)
+		t.owner.term.Store(t)
+		t.owner.event("OwnershipTaken", t.lease.epoch, "job records read and workers fenced")
+		t.eventLoop()
+	}
+}
+
+// endOnPanic is deferred by the term's goroutines. A panic ends the term and not the process: what the term knows may be
+// inconsistent, and the next owner builds it again from the records and the workers.
+func (t *term) endOnPanic() {
+	if cause := recover(); cause != nil {
+		t.owner.event("Panic", t.lease.epoch, fmt.Sprintf("%v\n%s", cause, debug.Stack()))
+		t.end("panic")
+	}
+}
+
 // eventLoop handles events and makes decisions until the term ends.
 func (t *term) eventLoop() {
 	ticker := time.NewTicker(t.owner.Times.DecisionInterval)
@@ -200,7 +216,10 @@
 	t.spawnMu.Lock()
 	defer t.spawnMu.Unlock()
 	if !t.closed {
-		t.background.Go(run)
+		t.background.Go(func() {
+			defer t.endOnPanic()
+			run()
+		})
 	}
 }
 
