--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -340,6 +340,10 @@
 			return true
 		}
 	}
+	if placement := s.spreadIfIdle(u, now); placement != nil {
+		s.startUnit(u, placement, now)
+		return true
+	}
 	s.reserve(u, now)
 	return false
 }
--- a/internal/process/poolowner/speeds.go
+++ b/internal/process/poolowner/speeds.go
@@ -88,7 +88,7 @@
 	}
 	t.savingSpeeds = true
 	t.saveSpeedsAt = now.Add(max(speedsSaveInterval, time.Duration(len(value))*time.Second/speedsByteRate))
-	go func() {
+	t.spawn("the write of the workers' speeds", func() {
 		ctx, cancel := context.WithTimeout(t.ctx, storeCallTimeout)
 		defer cancel()
 		t.owner.metrics.Writes.Add(1)
@@ -101,5 +101,5 @@
 				t.savedSpeedChanges = changes
 			}
 		})
-	}()
+	})
 }
