Bound the search for moves out of an evacuated data centre

With many movable units and little room elsewhere, each check searched a placement for each of them. It now stops at 32 searches, skips shapes that found no place, and runs every 200 ms.

--- a/internal/process/pool/move.go
+++ b/internal/process/pool/move.go
@@ -29,8 +29,11 @@
 )
 
 const (
-	// moveCheckInterval is the time between checks for units that may move. Most passes follow events that change little.
-	moveCheckInterval = 100 * time.Millisecond
+	// moveCheckInterval is the time between checks for units that may move. A check takes up to 2 ms with 2,500 workers of which one data
+	// centre is full of movable tasks, so that all checks take 1% of a core.
+	moveCheckInterval = 200 * time.Millisecond
+	// maxMoveSearches limits the searches for a placement in one check, each of which may visit all workers.
+	maxMoveSearches = 32
 	// moveTimeout is the time after which a unit that was stopped to move no longer keeps others from moving to the same workers. It is
 	// several times the duration of a stop.
 	moveTimeout = 2 * time.Second
@@ -50,14 +53,21 @@
 		return
 	}
 	spare := s.spareResources(now)
+	searches, unplaceable := 0, make(map[gangShape]bool)
 	for _, m := range list {
 		u := m.unit
+		shape := u.shape()
 		need := u.spec().Each.Times(u.count)
-		if !spare[u.job.Service].Contains(need) {
+		if unplaceable[shape] || !spare[u.job.Service].Contains(need) {
 			continue
 		}
+		if searches++; searches > maxMoveSearches {
+			return
+		}
 		placement := s.movePlacement(u, now)
 		if placement == nil {
+			// Data in another rack may be the reason.
+			unplaceable[shape] = u.spec().DataRack == ""
 			continue
 		}
 		if !s.evacuations.MayMove(m.remaining, s.Times.Restore, now) {
--- a/internal/process/pool/move_test.go
+++ b/internal/process/pool/move_test.go
@@ -179,3 +179,39 @@
 	}
 	return list
 }
+
+// BenchmarkEvacuation measures a pass at the design target's size: single tasks with checkpoints fill one of 13 data centres, and others most of
+// the rest. With little room elsewhere, most tasks that may move find no place.
+func BenchmarkEvacuation(b *testing.B) {
+	for name, c := range map[string]struct {
+		evacuate bool
+		others   int
+	}{
+		"none": {others: 1600}, "room elsewhere": {evacuate: true, others: 1600}, "no room elsewhere": {evacuate: true, others: 2305},
+	} {
+		b.Run(name, func(b *testing.B) {
+			s := testState(2500, 8)
+			s.listWorkers(func(i int, w *Worker) { w.DataCentre = ids.DataCentreID(fmt.Sprint(i * 13 / 2500)) })
+			fill := func(id string, tasks, accelerators int) {
+				j := gangJob(id, 2, tasks, accelerators, time.Hour)
+				j.Steps[0].Gang, j.Steps[0].SameRack, j.Steps[0].Checkpoints = false, false, accelerators == 1
+				s.accept(j, testStart)
+				s.startAll(testStart)
+			}
+			fill("movable", 1536, 1)
+			fill("others", c.others, 8)
+			if c.evacuate {
+				s.SetEvacuations([]ids.DataCentreID{"0"}, testStart)
+			}
+			now := testStart
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(moveCheckInterval)
+				s.requestPass()
+				s.endStopped(first(s.Decide(now)), now)
+			}
+		})
+	}
+}
+
+func first(actions []Action, _ []Notice) []Action { return actions }
--- a/internal/process/pool/remaining.go
+++ b/internal/process/pool/remaining.go
@@ -59,8 +59,7 @@
 	if !s.remainingPool.reduced {
 		return true
 	}
-	spec := u.spec()
-	key := gangShape{service: u.job.Service, label: spec.Label, each: spec.Each, count: u.count, maxPerWorker: spec.MaxPerWorker}
+	spec, key := u.spec(), u.shape()
 	fits, known := s.remainingPool.fits[key]
 	if known {
 		return fits
@@ -83,6 +82,12 @@
 	return fits
 }
 
+// shape returns the cache key of what a unit requires of a set of workers.
+func (u *unit) shape() gangShape {
+	spec := u.spec()
+	return gangShape{service: u.job.Service, label: spec.Label, each: spec.Each, count: u.count, maxPerWorker: spec.MaxPerWorker}
+}
+
 // refuseEvacuated refuses a job with a step that fits only with workers in evacuated data centres. When these take work again is not
 // known, so the caller returns after the longest delay.
 func (s *State) refuseEvacuated(j *Job) *Refusal {
--- a/internal/process/poolowner/soak_test.go
+++ b/internal/process/poolowner/soak_test.go
@@ -54,7 +54,7 @@
 func (s *soak) act() {
 	faults := []func(){
 		s.killInstance, s.pauseInstance, s.storeOutage, s.storeFault, s.store.Compact,
-		s.crashWorker, s.disconnectWorker, s.breakWorker, s.delayOrders, s.expireEntry, s.changeConfig,
+		s.crashWorker, s.disconnectWorker, s.breakWorker, s.delayOrders, s.expireEntry, s.changeConfig, s.evacuateAny,
 	}
 	switch n := s.pick(2*len(faults)+2, "action"); {
 	case n < len(faults):
@@ -242,6 +242,13 @@
 	s.writeConfig()
 }
 
+// evacuateAny requests the evacuation of a data centre for a while. The time bound is not checked, since it doesn't hold during other faults.
+func (s *soak) evacuateAny() {
+	key := testEvacuatePrefix + string(testCentre(s.pick(testRacks, "data centre")))
+	s.store.Set(key, nil)
+	time.AfterFunc(time.Duration(s.pick(12000, "evacuated"))*time.Millisecond, func() { s.store.Remove(key) })
+}
+
 // describePool returns the pool as its owner sees it.
 func (s *soak) describePool() string {
 	i := s.ownerInstance()
