Test late orders by an outdated view and runs unknown after a takeover

The first test fails if the repeated order doesn't check the age of the view, the second if a data centre counts as empty before the workers have reported to a new owner or while one that doesn't answer may have runs of the earlier one.

--- a/internal/process/poolowner/evacuation_test.go
+++ b/internal/process/poolowner/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -175,3 +176,51 @@
 		})
 	}
 }
+
+// An order to start a run is not repeated once the view of the requests is outdated, although the worker takes runs by that view.
+func TestNoLateStartByOutdatedEvacuations(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		w.store.SetWatchFault(func(_, prefix string) storeservice.CallFault {
+			return storeservice.CallFault{Refuse: prefix == testConfigPrefix}
+		})
+		w.setListFault(func(prefix string) error {
+			if prefix == testConfigPrefix {
+				return store.ErrRefused
+			}
+			return nil
+		})
+		owner, _ := w.ownerInstance().current()
+		var mu sync.Mutex
+		var ages []time.Duration
+		for id := range w.listed {
+			w.fleet.Worker(id).SetFault(func(call string) runservice.Fault {
+				if call == "start" {
+					mu.Lock()
+					defer mu.Unlock()
+					ages = append(ages, owner.EvacuationAge())
+				}
+				return runservice.Fault{Silent: call == "start"}
+			})
+		}
+		task := pool.Step{Tasks: 1, Each: ids.Resources{Accelerators: 1, Cores: 1000, Memory: 1}, Estimate: time.Second}
+		w.defineJob("a", jobSpec{steps: []pool.Step{task}, runTime: time.Second})
+		// The configuration is too old to accept jobs somewhat before.
+		for owner.EvacuationAge() < defaultMaxConfigAge-100*time.Millisecond {
+			time.Sleep(10 * time.Millisecond)
+		}
+		answer, err := w.submit(w.instances[0], 1, "a")
+		require.NoError(t, err)
+		require.Equal(t, OK, answer.Result, answer.Reason)
+		time.Sleep(3 * time.Second)
+		mu.Lock()
+		require.Len(t, ages, 2, "%v", ages)
+		require.Less(t, ages[1], defaultMaxEvacuationAge)
+		mu.Unlock()
+		for id := range w.listed {
+			w.fleet.Worker(id).SetFault(nil)
+		}
+		w.store.SetWatchFault(nil)
+		w.setListFault(nil)
+		w.awaitState(1, "a", pool.Completed)
+	})
+}
--- a/internal/process/poolowner/evacuationfault_test.go
+++ b/internal/process/poolowner/evacuationfault_test.go
@@ -225,3 +225,26 @@
 	time.Sleep(time.Second)
 	require.Len(t, w.checker.ActiveWorkers(id), step.Tasks, w.checker.EventLog())
 }
+
+// After a takeover, the data centre does not count as empty while one of its workers, which does not answer, may have runs of the earlier owner.
+func TestNotEmptiedWhileRunsAreUnknown(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		w.fillPool(t, "fill", len(w.listed))
+		w.evacuate("centre0")
+		time.Sleep(time.Second)
+		w.fleet.Worker("worker00").SetPartitioned(true)
+		w.fleet.Worker("worker03").Crash()
+		w.ownerInstance().kill(true)
+		time.Sleep(100 * time.Millisecond)
+		w.awaitOwner()
+		time.Sleep(4 * time.Second)
+		require.NotContains(t, w.checker.EventLog(), "evacuation: emptied")
+		require.Positive(t, w.ownerInstance().owner.Metrics().RunsLeft()["centre0"])
+		w.fleet.Worker("worker00").SetPartitioned(false)
+		w.fleet.Worker("worker03").Restart()
+		w.listWorker("worker03")
+		w.awaitState(1, "fill", pool.Completed)
+		time.Sleep(time.Second)
+		w.requireLog(t, `evacuation: emptied\t.*"dataCentre": "centre0"`)
+	})
+}
