Add the key Evacuate of a data centre to the configuration

Operators need to take new work away from one data centre as a whole. The key is edited like an instance's Drain; an unknown data centre is an error, since a new section would offer it to jobs.

Both edits now find a section whose title has no quotes. They added a second section for it, and the document was refused as having a duplicate.

--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -41,6 +41,8 @@
 	DataCentre struct {
 		Region       string
 		Accelerators ids.Accelerators
+		// Evacuate requests that the data centre takes no new work.
+		Evacuate bool
 	}
 
 	// Account holds the settings of one client account.
@@ -89,7 +91,9 @@
 		Services:    make(map[ids.ServiceID]Service),
 	}
 	for _, p := range document.SectionsNamed("DataCentre") {
-		c.DataCentres[ids.DataCentreID(p.Title)] = DataCentre{Region: p.Text("Region"), Accelerators: ids.Accelerators(p.Int("Accelerators"))}
+		c.DataCentres[ids.DataCentreID(p.Title)] = DataCentre{
+			Region: p.Text("Region"), Accelerators: ids.Accelerators(p.Int("Accelerators")), Evacuate: p.Bool("Evacuate"),
+		}
 	}
 	totalShare := 0.0
 	for _, p := range document.SectionsNamed("ClientAccount") {
--- a/internal/version/config/config_test.go
+++ b/internal/version/config/config_test.go
@@ -11,6 +11,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/process/settings"
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/internal/version/inifile"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
 func TestEveryFaultIsFoundInOnePass(t *testing.T) {
@@ -76,6 +77,46 @@
 	require.Len(t, c.Guarantees, 7, "the rest of the document is unchanged")
 }
 
+// TestEditSectionWithoutQuotes guards against an edit that adds a second section for a title that the document has without
+// quotes. Such a document has a duplicate section and is refused.
+func TestEditSectionWithoutQuotes(t *testing.T) {
+	drain := true
+	text, err := config.EditInstance("[DataCentre d]\n[Instance w1]\n", "w1", config.InstanceEdit{Drain: &drain})
+	require.NoError(t, err)
+	text, err = config.EvacuateDataCentre(text, "d", true)
+	require.NoError(t, err)
+	c, err := config.Parse("edited", []byte(text))
+	require.NoError(t, err)
+	require.True(t, c.Instances["w1"].Drain)
+	require.True(t, c.DataCentres["d"].Evacuate)
+}
+
+// TestEvacuateDataCentre guards against an edit that changes more than one key, and against an unknown data centre that the
+// edit adds to the configuration.
+func TestEvacuateDataCentre(t *testing.T) {
+	before, err := config.Parse("before", []byte(examples.Kerotechni))
+	require.NoError(t, err)
+	require.Len(t, before.DataCentres, 3)
+	var id ids.DataCentreID
+	for id = range before.DataCentres {
+		require.False(t, before.DataCentres[id].Evacuate, "the default is no evacuation")
+	}
+	text := examples.Kerotechni
+	for _, evacuate := range []bool{true, true, false} {
+		text, err = config.EvacuateDataCentre(text, id, evacuate)
+		require.NoError(t, err)
+		after, err := config.Parse("edited", []byte(text))
+		require.NoError(t, err)
+		for other, want := range before.DataCentres {
+			want.Evacuate = evacuate && other == id
+			require.Equal(t, want, after.DataCentres[other])
+		}
+		require.Equal(t, before.Guarantees, after.Guarantees, "the rest of the document is unchanged")
+	}
+	_, err = config.EvacuateDataCentre(text, "nowhere", true)
+	require.ErrorContains(t, err, `"nowhere" is not a data centre`)
+}
+
 // TestConfigurationPage checks docs/CONFIGURATION.md against the tables in the code.
 // JUJUBEGRADE_WRITE_PAGES=1 regenerates the page.
 func TestConfigurationPage(t *testing.T) {
--- a/internal/version/config/edit.go
+++ b/internal/version/config/edit.go
@@ -27,13 +27,45 @@
 	if err != nil {
 		return "", errors.Wrap(err, "malformed document")
 	}
-	section := file.Section(fmt.Sprintf("Instance %q", string(id)))
+	section := findSection(file, "Instance", string(id))
+	if section == nil {
+		section = file.Section(fmt.Sprintf("Instance %q", string(id)))
+	}
 	if edit.Labels != nil {
 		section.Key("Labels").SetValue(mergeLabels(section.Key("Labels").String(), edit.Labels))
 	}
 	if edit.Drain != nil {
 		section.Key("Drain").SetValue(strconv.FormatBool(*edit.Drain))
 	}
+	return format(file)
+}
+
+// EvacuateDataCentre returns the document with the key Evacuate of a data centre set to a value. It returns an error if the
+// document has no section for the data centre: adding one would offer the data centre to jobs.
+func EvacuateDataCentre(text string, id ids.DataCentreID, evacuate bool) (string, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, []byte(text))
+	if err != nil {
+		return "", errors.Wrap(err, "malformed document")
+	}
+	section := findSection(file, "DataCentre", string(id))
+	if section == nil {
+		return "", errors.Newf("%q is not a data centre of the configuration", string(id))
+	}
+	section.Key("Evacuate").SetValue(strconv.FormatBool(evacuate))
+	return format(file)
+}
+
+// findSection returns the section with a name and a title, which may be written with or without quotes, or nil.
+func findSection(file *ini.File, name, title string) *ini.Section {
+	for _, section := range file.Sections() {
+		if n, t := inifile.SplitSectionName(section.Name()); n == name && t == title {
+			return section
+		}
+	}
+	return nil
+}
+
+func format(file *ini.File) (string, error) {
 	var out bytes.Buffer
 	if _, err := file.WriteTo(&out); err != nil {
 		return "", errors.Wrap(err, "write document")
--- a/internal/version/config/table.go
+++ b/internal/version/config/table.go
@@ -22,6 +22,7 @@
 	{Name: "DataCentre", Titled: true, Doc: "One data centre.", Keys: []inifile.KeySpec{
 		{Name: "Region", Kind: inifile.Text, Doc: "The region that the data centre belongs to."},
 		{Name: "Accelerators", Kind: inifile.Integer, Default: "0", Min: 0, Max: 100000, Unit: "accelerators", Doc: "Planned number of accelerators; zero disables the check against the guarantees."},
+		{Name: "Evacuate", Kind: inifile.Boolean, Default: "false", Doc: "Evacuates the data centre: its instances get no new work, and running jobs run to their end."},
 	}},
 	{Name: "ClientAccount", Titled: true, Doc: "One client account.", Keys: []inifile.KeySpec{
 		{Name: "Labels", Kind: inifile.Labels, Doc: "Labels of the account."},
--- a/internal/version/inifile/document.go
+++ b/internal/version/inifile/document.go
@@ -90,7 +90,7 @@
 }
 
 func parseSection(file string, raw *ini.Section, sections []SectionSpec, lines positions) (Section, Diagnostics) {
-	name, title := splitSectionName(raw.Name())
+	name, title := SplitSectionName(raw.Name())
 	section := Section{Name: name, Title: title, Line: lines.section(raw.Name()), values: make(map[string]string)}
 	diagnostic := func(key, format string, args ...any) Diagnostic {
 		return Diagnostic{File: file, Line: lines.key(raw.Name(), key), Section: raw.Name(), Key: key, Message: fmt.Sprintf(format, args...)}
@@ -130,7 +130,8 @@
 	return section, diags
 }
 
-func splitSectionName(full string) (name, title string) {
+// SplitSectionName splits the full name of a section into its name and its title, which may be quoted.
+func SplitSectionName(full string) (name, title string) {
 	name, rest, found := strings.Cut(full, " ")
 	if !found {
 		return full, ""
