Place nothing in a data centre that is being evacuated

Its nodes count as leaving: gangs that wait for others to stop are requeued, the reservation is dropped, and guarantees, free capacity and fit counts exclude the nodes at once. Running jobs run to their end, and queued ones wait. New jobs are refused with ErrEvacuated rather than as infeasible, since workers may already have been taken away. The evacuation's begin, end of the last run and withdrawal are notices.

--- a/internal/process/placement/action.go
+++ b/internal/process/placement/action.go
@@ -5,6 +5,7 @@
 
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
+	"github.com/jujubegrade/jujubegrade/pkg/operator"
 )
 
 type (
@@ -30,6 +31,8 @@
 		Account  ids.AccountID  `json:",omitempty"`
 		Instance ids.InstanceID `json:",omitempty"`
 		Cause    string         `json:",omitempty"`
+		// Evacuation is set in notices on the evacuation of the data centre.
+		Evacuation *operator.EvacuationStatus `json:",omitempty"`
 	}
 )
 
@@ -57,6 +60,10 @@
 	NoticeLost              NoticeKind = "InstanceLost"
 	NoticeLate              NoticeKind = "JobForecastLate"
 	NoticeReserved          NoticeKind = "PlaceReserved"
+
+	NoticeEvacuationBegun     NoticeKind = "EvacuationBegun"
+	NoticeEvacuationEmptied   NoticeKind = "EvacuationEmptied"
+	NoticeEvacuationWithdrawn NoticeKind = "EvacuationWithdrawn"
 )
 
 // CallerState returns the job's state as reported to its caller.
--- a/internal/process/placement/adopt.go
+++ b/internal/process/placement/adopt.go
@@ -65,7 +65,7 @@
 
 // addLostNode adds a node that a job refers to but the instance list no longer contains.
 func (s *State) addLostNode(id ids.InstanceID) *node {
-	n := &node{Node: Node{ID: id, Leaving: true}, down: true, jobs: make(map[ids.JobID]*Job)}
+	n := &node{Node: Node{ID: id, Leaving: true}, down: true, evacuated: s.evacuated, jobs: make(map[ids.JobID]*Job)}
 	s.nodes[id] = n
 	s.rebuildRacks()
 	return n
--- a/internal/process/placement/attempt.go
+++ b/internal/process/placement/attempt.go
@@ -27,10 +27,11 @@
 	}
 }
 
-// HasLeavingNode reports whether a node of an attempt is leaving, so that it takes no new work.
+// HasLeavingNode reports whether a node of an attempt accepts no new work because it is draining or its data centre is being
+// evacuated.
 func (s *State) HasLeavingNode(id ids.JobID, attempt ids.Attempt) bool {
 	j := s.jobs[id]
-	return j != nil && j.Attempt == attempt && slices.ContainsFunc(s.nodesOf(j), func(n *node) bool { return n.Leaving })
+	return j != nil && j.Attempt == attempt && slices.ContainsFunc(s.nodesOf(j), func(n *node) bool { return n.leaves() })
 }
 
 // StartFailed records that an attempt was not started and that all its holds were released or have expired. The job
--- a/internal/process/placement/decide.go
+++ b/internal/process/placement/decide.go
@@ -14,10 +14,13 @@
 	s.releaseQuarantined(now)
 	s.enqueueAfterBackoff(now)
 	s.expireAvoidance(now)
+	s.updateEvacuation(now)
 	s.repairEntitlements()
 	unplacedBefore := s.unplacedCount
-	s.placeGuaranteed(now)
-	s.placeBorrowers(now)
+	if !s.evacuated {
+		s.placeGuaranteed(now)
+		s.placeBorrowers(now)
+	}
 	s.startAllocated(now)
 	s.reportEntitlements()
 	if err := s.Check(unplacedBefore); err != nil {
--- a/internal/process/placement/entitlement.go
+++ b/internal/process/placement/entitlement.go
@@ -173,7 +173,7 @@
 	}
 	selector := s.account(e.guarantee.Account).Selector
 	for _, n := range e.place {
-		if s.nodes[n.ID] != n || n.down || n.quarantined() || (n.Leaving && e.userCount == 0) || (selector != nil && !selector.Matches(n.Labels) && e.userCount == 0) {
+		if s.nodes[n.ID] != n || n.down || n.quarantined() || (n.leaves() && e.userCount == 0) || (selector != nil && !selector.Matches(n.Labels) && e.userCount == 0) {
 			return false
 		}
 		left := n.uncommitted()
@@ -242,7 +242,7 @@
 	return search{
 		tasks: e.shape.Tasks, each: e.shape.Each, adjacent: e.shape.Adjacent,
 		available: func(n *node) ids.Resources {
-			if n.down || n.Leaving || n.quarantined() || (selector != nil && !selector.Matches(n.Labels)) {
+			if n.down || n.leaves() || n.quarantined() || (selector != nil && !selector.Matches(n.Labels)) {
 				return ids.Resources{}
 			}
 			if allowed != nil && !allowed(n) {
@@ -338,9 +338,12 @@
 
 // unplacedReason describes the capacity that is left for an unplaced shape.
 func (s *State) unplacedReason(e *entitlement) string {
+	if s.evacuated {
+		return evacuatedReason
+	}
 	free, nonPreemptible := 0, 0
 	for _, n := range s.nodes {
-		if n.down || n.Leaving {
+		if n.down || n.leaves() {
 			continue
 		}
 		free += int(n.uncommitted().Accelerators)
--- a/internal/process/placement/feasible.go
+++ b/internal/process/placement/feasible.go
@@ -3,14 +3,21 @@
 import (
 	"fmt"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
-// checkFeasible returns an *InfeasibleError if the job could not run even if all instances were free.
+// checkFeasible returns an *InfeasibleError if the job could not run even if all instances were free, and ErrEvacuated while
+// the data centre is being evacuated.
 func (s *State) checkFeasible(j *Job) error {
 	if quota := s.account(j.Account).Quota; quota > 0 && j.Shape.Total().Accelerators > quota {
 		return &InfeasibleError{fmt.Sprintf("the job needs %d accelerators, the quota of account %s is %d", j.Shape.Total().Accelerators, j.Account, quota)}
 	}
+	if s.evacuated {
+		// Instances may already have been taken away, so what fits once the evacuation is withdrawn is not known.
+		return errors.Wrapf(ErrEvacuated, "data centre %s", s.DataCentre)
+	}
 	matching := 0
 	for _, n := range s.nodes {
 		if s.selectorsMatch(j, n) {
--- a/internal/process/placement/forecast.go
+++ b/internal/process/placement/forecast.go
@@ -22,8 +22,16 @@
 	w.borrowed.add(waited.Seconds())
 }
 
-// remainingWait returns a quantile of a waiting job's remaining queueing delay.
+// remainingWait returns a quantile of a waiting job's remaining queueing delay. An evacuation is assumed to last for as long
+// again as it has lasted.
 func (s *State) remainingWait(j *Job, q float64, now time.Time) time.Duration {
+	if s.evacuated && !s.evacuatedSince.IsZero() {
+		return max(now.Sub(s.evacuatedSince), s.queueingDelay(j, q, now))
+	}
+	return s.queueingDelay(j, q, now)
+}
+
+func (s *State) queueingDelay(j *Job, q float64, now time.Time) time.Duration {
 	waited := now.Sub(j.Submitted)
 	if r := s.reservation; r != nil && r.job == j && r.expectedStart.After(now) {
 		return r.expectedStart.Sub(now)
@@ -66,6 +74,9 @@
 func (s *State) lateReason(j *Job) string {
 	switch j.phase {
 	case queued:
+		if s.evacuated {
+			return "waits in the queue: " + evacuatedReason
+		}
 		return "waits in the queue"
 	case allocated:
 		return "waits for preempted jobs to stop"
--- a/internal/process/placement/job.go
+++ b/internal/process/placement/job.go
@@ -117,7 +117,8 @@
 	return nil
 }
 
-// Admissible returns an *InfeasibleError if a new job could never run, or ErrQueueFull if its account's queue is full.
+// Admissible returns an *InfeasibleError if a new job could never run, ErrEvacuated while the data centre is being evacuated,
+// or ErrQueueFull if its account's queue is full.
 func (s *State) Admissible(j *Job) error {
 	s.init()
 	selector, err := labels.Parse(j.Selector)
--- a/internal/process/placement/node.go
+++ b/internal/process/placement/node.go
@@ -25,6 +25,8 @@
 		rack *rack
 		// down nodes are considered lost.
 		down bool
+		// evacuated nodes are in a data centre that is being evacuated.
+		evacuated bool
 		// used is the sum held by jobs, including those being stopped and those that wait for other jobs to stop.
 		used ids.Resources
 		// reserved is the sum of the guaranteed shapes placed here.
@@ -55,7 +57,7 @@
 	for _, n := range list {
 		known := s.nodes[n.ID]
 		if known == nil {
-			s.nodes[n.ID] = &node{Node: n, jobs: make(map[ids.JobID]*Job)}
+			s.nodes[n.ID] = &node{Node: n, evacuated: s.evacuated, jobs: make(map[ids.JobID]*Job)}
 			changed = true
 			continue
 		}
@@ -64,7 +66,7 @@
 			known.Node = n
 			changed = true
 			if leaves {
-				s.requeueAllocated(known)
+				s.requeueAllocated(known, "instance "+string(n.ID)+" is leaving")
 			}
 		}
 	}
@@ -76,11 +78,11 @@
 }
 
 // requeueAllocated requeues the jobs that have not started on a node that leaves.
-func (s *State) requeueAllocated(n *node) {
+func (s *State) requeueAllocated(n *node, reason string) {
 	for _, j := range sortedJobs(n.jobs) {
 		if j.phase == allocated {
 			s.release(j)
-			s.requeue(j, "instance "+string(n.ID)+" is leaving")
+			s.requeue(j, reason)
 		}
 	}
 }
@@ -158,7 +160,12 @@
 
 // isSchedulable reports whether new work may be placed on the node.
 func (n *node) isSchedulable() bool {
-	return !n.down && !n.Leaving && !n.quarantined()
+	return !n.down && !n.leaves() && !n.quarantined()
+}
+
+// leaves reports whether the node accepts no new work because it is draining or its data centre is being evacuated.
+func (n *node) leaves() bool {
+	return n.Leaving || n.evacuated
 }
 
 func (n *node) quarantined() bool {
@@ -169,11 +176,11 @@
 	return n.Total.Minus(n.used)
 }
 
-// free returns the free accelerators of a rack's live nodes.
+// free returns the free accelerators of a rack's live nodes. Those of an evacuated data centre don't count.
 func (r *rack) free() ids.Accelerators {
 	sum := ids.Accelerators(0)
 	for _, n := range r.nodes {
-		if !n.down {
+		if !n.down && !n.evacuated {
 			sum += n.free().Accelerators
 		}
 	}
@@ -181,11 +188,11 @@
 }
 
 // taskCapacity returns how many tasks with the given accelerators each fit on the free accelerators of a rack's live
-// nodes.
+// nodes. Those of an evacuated data centre don't count.
 func (r *rack) taskCapacity(each ids.Accelerators) int {
 	count := 0
 	for _, n := range r.nodes {
-		if !n.down {
+		if !n.down && !n.evacuated {
 			count += int(n.free().Accelerators / max(1, each))
 		}
 	}
--- a/internal/process/placement/report.go
+++ b/internal/process/placement/report.go
@@ -12,6 +12,9 @@
 		ID: j.ID, Account: j.Account, DataCentre: s.DataCentre, State: j.CallerState(), Reason: j.Reason, Attempt: j.Attempt,
 		Owed: j.RanUnderGuarantee, Instances: j.Place, Submitted: j.Submitted, Finished: j.Finished, Due: j.Due, Forecast: j.Forecast,
 	}
+	if j.phase == queued && s.evacuated {
+		status.Reason = evacuatedReason
+	}
 	if j.phase == running || j.phase == finished {
 		status.Started = j.Started
 	}
@@ -20,7 +23,7 @@
 
 // Report returns the data centre's status for the operators.
 func (s *State) Report() operator.Report {
-	r := operator.Report{DataCentre: s.DataCentre, Queued: s.Queued(), Late: s.LateJobs()}
+	r := operator.Report{DataCentre: s.DataCentre, Queued: s.Queued(), Late: s.LateJobs(), Evacuation: s.EvacuationStatus()}
 	for _, e := range s.entitlements {
 		g := operator.GuaranteeStatus{
 			Guarantee: e.guarantee.Name, Number: e.number, Account: e.guarantee.Account, DataCentre: s.DataCentre,
@@ -56,7 +59,7 @@
 		return "Lost"
 	case n.quarantined():
 		return "Quarantined"
-	case n.Leaving:
+	case n.leaves():
 		return "Leaving"
 	}
 	return "Live"
--- a/internal/process/placement/soak_test.go
+++ b/internal/process/placement/soak_test.go
@@ -84,6 +84,7 @@
 			}
 			for _, n := range s.state.nodesOf(a.Job) {
 				require.False(s.t, n.Leaving, "job %s was started on %s, which is leaving", a.Job.ID, n.ID)
+				require.False(s.t, s.config.DataCentres["d"].Evacuate, "job %s was started during an evacuation", a.Job.ID)
 			}
 			s.starts = append(s.starts, a)
 		case Stop:
@@ -148,6 +149,10 @@
 	}
 	j := &Job{Job: job, ID: ids.JobID(fmt.Sprintf("j%04d", s.next)), Account: account, Submitted: s.now}
 	if err := s.state.Submit(j); err != nil {
+		if s.config.DataCentres["d"].Evacuate {
+			require.ErrorIs(t, err, ErrEvacuated)
+			return
+		}
 		var infeasible *InfeasibleError
 		require.ErrorAs(t, err, &infeasible)
 	}
@@ -220,6 +225,14 @@
 	s.state.Configure(&c)
 }
 
+// evacuate requests the evacuation of the data centre or withdraws it.
+func (s *soak) evacuate(evacuate bool) {
+	c := *s.config
+	c.DataCentres = map[ids.DataCentreID]config.DataCentre{"d": {Evacuate: evacuate}}
+	s.config = &c
+	s.state.Configure(&c)
+}
+
 func (s *soak) actions() map[string]func(*rapid.T) {
 	step := func(run func()) func(*rapid.T) {
 		return func(t *rapid.T) {
@@ -270,6 +283,8 @@
 			}
 		}),
 		"reconfigure": step(s.reconfigure),
+		"evacuate":    step(func() { s.evacuate(true) }),
+		"withdraw":    step(func() { s.evacuate(false) }),
 		"wait": step(func() {
 			s.now = s.now.Add(rapid.SampledFrom([]time.Duration{time.Second, time.Minute, time.Hour}).Draw(s.t, "time"))
 		}),
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/jujubegrade/jujubegrade/internal/process/evacuation"
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
@@ -53,6 +54,13 @@
 		backingOff []*Job
 		// holdNonIdempotent keeps non-idempotent jobs in the queue.
 		holdNonIdempotent bool
+		// evacuated is set while the configuration requests the evacuation of this data centre, and evacuatedSince is when it
+		// was first seen.
+		evacuated      bool
+		evacuatedSince time.Time
+		evacuations    evacuation.Tracker
+		// hadNodes is set once an evacuated data centre had a node. One that never had any can't be emptied.
+		hadNodes bool
 	}
 
 	// Policy disables parts of the scheduling policy.
@@ -76,6 +84,7 @@
 func (s *State) Configure(c *config.Config) {
 	s.init()
 	s.config = c
+	s.setEvacuated(c.DataCentres[s.DataCentre].Evacuate)
 	s.largest, _ = s.findLargestShape()
 	s.rebuildEntitlements()
 	for _, j := range s.jobs {
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -24,6 +24,8 @@
 		Epoch   ids.Epoch      `json:",omitempty"`
 		Version ids.Version    `json:",omitempty"`
 		Cause   string         `json:",omitempty"`
+		// Evacuation is set in events on the evacuation of the data centre.
+		Evacuation *EvacuationStatus `json:",omitempty"`
 	}
 
 	// Filter selects events; zero fields match everything.
@@ -67,7 +69,7 @@
 		Version ids.Version
 		// Accepted reports that the change was stored; it is false for a dry run.
 		Accepted bool
-		// Effects describes the effects of the change on guarantees.
+		// Effects describes the effects of the change on guarantees and data centres.
 		Effects []string `json:",omitempty"`
 	}
 
@@ -147,6 +149,21 @@
 		Jobs  int
 	}
 
+	// EvacuationStatus is the status of the evacuation of one data centre.
+	EvacuationStatus struct {
+		DataCentre ids.DataCentreID
+		// Since is when the owner first saw the request.
+		Since time.Time
+		// RunsLeft is the number of jobs that run, or may still run, on the data centre's workers.
+		RunsLeft int
+		// Queued is the number of jobs that wait for the end of the evacuation.
+		Queued int
+		// Instances is the number of workers of the data centre.
+		Instances int
+		// ViewAge is the time since the owner's configuration was last confirmed to be the newest, in seconds.
+		ViewAge float64
+	}
+
 	// Report is an owner's report on its data centre.
 	Report struct {
 		DataCentre ids.DataCentreID
@@ -158,6 +175,8 @@
 		Racks      []RackStatus      `json:",omitempty"`
 		Unknown    []UnknownJob      `json:",omitempty"`
 		Instances  []InstanceStatus  `json:",omitempty"`
+		// Evacuation is set while the data centre is being evacuated.
+		Evacuation *EvacuationStatus `json:",omitempty"`
 	}
 )
 
