Keep to a requested evacuation across takeovers and late starts

A new owner acted by the configuration that its instance happened to know, which can be older than that of the last owner: it would have forgotten a request, or kept to a withdrawn one. It now reads the newest configuration from the store before its first decision.

A start is checked again right before its orders are sent, since the holds and the write of the start intent take up to a hold's duration. The check also reads the configuration itself, which the state follows only at its next decision.

Events on the evacuation have the runs left and the age of the configuration.

--- a/internal/process/owner/execute.go
+++ b/internal/process/owner/execute.go
@@ -117,8 +117,7 @@
 func (t *term) startGang(x *execution, g *gang) {
 	id, attempt := g.record.ID, g.record.Attempt
 	if t.hasLeavingNode(id, attempt) {
-		t.event("StartTooLate", g, "an instance of the gang is leaving")
-		t.abortStart(g, &callResults{})
+		t.abortOutdatedStart(g)
 		return
 	}
 	heldSince := time.Now()
@@ -140,6 +139,11 @@
 		t.abortStart(g, &callResults{})
 		return
 	}
+	if t.hasLeavingNode(id, attempt) {
+		// The holds and the write of the start intent may have taken as long as the holds last.
+		t.abortOutdatedStart(g)
+		return
+	}
 	started := t.callAll(g, 0, t.startOn)
 	switch {
 	case started.fenced:
@@ -160,9 +164,19 @@
 	}
 }
 
-// hasLeavingNode reports whether an instance of a gang is leaving. The start may have waited behind a write of the job's record
+// abortOutdatedStart aborts a start whose instances accept no new work since the decision.
+func (t *term) abortOutdatedStart(g *gang) {
+	t.event("StartTooLate", g, "an instance of the gang is leaving, or the data centre is being evacuated")
+	t.abortStart(g, &callResults{})
+}
+
+// hasLeavingNode reports whether an instance of a gang accepts no new work. The start may have waited behind a write of the job's record
 // for as long as the store was out.
 func (t *term) hasLeavingNode(id ids.JobID, attempt ids.Attempt) bool {
+	// The configuration is read here as well, since the state follows it only with the next decision.
+	if c := t.owner.Config(); c != nil && c.DataCentres[t.owner.DataCentre].Evacuate {
+		return true
+	}
 	leaving := false
 	if err := t.doSync(t.ctx, func() { leaving = t.state.HasLeavingNode(id, attempt) }); err != nil {
 		return true
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -48,6 +48,11 @@
 		OnViolation func(err error)
 		// Jitter randomizes an interval; nil uses a random spread.
 		Jitter func(d time.Duration) time.Duration
+		// RefreshConfig reads the newest configuration from the store. A new owner calls it before it starts anything, until it
+		// returns nil. If it is nil, the configuration that Config returns is taken for the newest.
+		RefreshConfig func(ctx context.Context) error
+		// ConfigAge returns the time since the configuration was last confirmed to be the newest; nil means that it always is.
+		ConfigAge func() time.Duration
 		// Changed is signalled when nodes or configuration change; nil relies on DecisionInterval.
 		Changed <-chan struct{}
 
@@ -56,6 +61,8 @@
 		handOver  atomic.Bool
 		abandoned atomic.Bool
 		queued    atomic.Int64
+		// evacuation is the evacuation's status after the last decision, or nil.
+		evacuation atomic.Pointer[operator.EvacuationStatus]
 	}
 
 	// safeguards names the safeguards that a test disables to show that the guarantees fail without them.
--- a/internal/process/owner/simulation_test.go
+++ b/internal/process/owner/simulation_test.go
@@ -43,11 +43,13 @@
 type (
 	// simulation is a store, workers and competing owners in one synctest bubble.
 	simulation struct {
-		t          *testing.T
-		store      storeservice.Service
-		workers    map[ids.InstanceID]*workerservice.Service
-		nodes      []placement.Node
-		config     *config.Config
+		t       *testing.T
+		store   storeservice.Service
+		workers map[ids.InstanceID]*workerservice.Service
+		nodes   []placement.Node
+		config  *config.Config
+		// current is the configuration in force: config, with or without an evacuation.
+		current    atomic.Pointer[config.Config]
 		candidates []*candidate
 		history    taskHistory
 		jobs       map[ids.JobID]caller.Job
@@ -83,6 +85,7 @@
 	c, err := config.Parse("simulation", []byte(simulationConfig))
 	require.NoError(t, err)
 	w.config = c
+	w.current.Store(c)
 	total := ids.Resources{Accelerators: 8, Cores: 64000, Memory: 256000}
 	for i := range 8 {
 		n := placement.Node{ID: ids.InstanceID(fmt.Sprintf("w%d", i)), Rack: ids.RackID(fmt.Sprintf("r%d", i/4)), Total: total}
@@ -106,7 +109,7 @@
 	c.Owner = &Owner{
 		Instance: ids.InstanceID(fmt.Sprintf("entry-%d", i)), DataCentre: "d", Store: c.pausableStore(w.store.Client()),
 		ShouldOwn: func() bool { return w.shouldOwn(i) },
-		Config:    func() *config.Config { return w.config },
+		Config:    func() *config.Config { return w.current.Load() },
 		Nodes:     func() ([]placement.Node, bool) { return w.nodes, true },
 		Worker:    func(id ids.InstanceID) worker.Client { return c.pausableWorker(w.workers[id].Client()) },
 		OnEvent:   w.event, Jitter: func(d time.Duration) time.Duration { return d },
@@ -257,6 +260,7 @@
 		w.accepted[id] = true
 	case errors.Is(err, ErrOutcomeUnknown):
 	case errors.Is(err, ErrNotOwner), errors.Is(err, ErrStoreUnavailable), errors.Is(err, placement.ErrQueueFull),
+		errors.Is(err, placement.ErrEvacuated),
 		errors.As(err, &infeasible):
 		w.refused[id] = err.Error()
 	}
@@ -295,8 +299,9 @@
 	return b.String()
 }
 
-// clearFaults ends all faults and makes the first candidate eligible.
+// clearFaults ends all faults and the evacuation, and makes the first candidate eligible.
 func (w *simulation) clearFaults() {
+	w.evacuate(false)
 	w.store.SetFaults(storeservice.Faults{})
 	for _, s := range w.workers {
 		s.SetFaults(workerservice.Faults{})
--- a/internal/process/owner/soak_test.go
+++ b/internal/process/owner/soak_test.go
@@ -26,6 +26,7 @@
 	"submit", "submit", "submit", "submit", "burst", "cancel", "kill", "pause", "resume", "takeOver", "heal",
 	"storeOut", "storeSlow", "storeLosesAnswers", "workerSilent", "workerUnreachable", "workerRefusesHolds",
 	"workerRefusesStarts", "workerLosesAnswers", "workerFailsTasks", "workerCrash", "rackSilent", "healWorkers", "healStore", "healWorkers",
+	"evacuate", "withdraw", "withdraw",
 }
 
 func drawSteps(t *rapid.T) []step {
@@ -108,6 +109,8 @@
 	case "storeLosesAnswers":
 		n := 0
 		w.store.SetFaults(storeservice.Faults{LoseAnswer: func(string) bool { n++; return n%3 == 0 }})
+	case "evacuate", "withdraw":
+		w.evacuate(s.kind == "evacuate")
 	case "healStore":
 		w.store.SetFaults(storeservice.Faults{})
 	case "healWorkers":
--- a/internal/process/owner/submit.go
+++ b/internal/process/owner/submit.go
@@ -15,8 +15,8 @@
 )
 
 // Submit accepts a job: it returns once the job's record is in the store. If the job was accepted before, it returns the
-// job's status. After *placement.InfeasibleError, placement.ErrQueueFull, ErrNotOwner and ErrStoreUnavailable the job is
-// certain not to run; after ErrOutcomeUnknown it may run.
+// job's status. After *placement.InfeasibleError, placement.ErrEvacuated, placement.ErrQueueFull, ErrNotOwner and
+// ErrStoreUnavailable the job is certain not to run; after ErrOutcomeUnknown it may run.
 func (o *Owner) Submit(ctx context.Context, account ids.AccountID, job caller.Job) (caller.JobStatus, error) {
 	t := o.term.Load()
 	if t == nil {
@@ -212,6 +212,7 @@
 	if err := t.doSync(ctx, func() {
 		report = t.state.Report()
 		report.Unknown = append(report.Unknown, t.unknownJobs...)
+		report.Evacuation = t.withViewAge(report.Evacuation)
 	}); err != nil {
 		return report, errors.Mark(err, ErrNotOwner)
 	}
@@ -220,5 +221,9 @@
 	return report, nil
 }
 
+// Evacuation returns the status of the data centre's evacuation after the last decision, or nil if there is none or this
+// instance doesn't own the data centre.
+func (o *Owner) Evacuation() *operator.EvacuationStatus { return o.evacuation.Load() }
+
 // Queued returns the number of jobs that were queued after the last decision.
 func (o *Owner) Queued() int { return int(o.queued.Load()) }
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -73,8 +73,9 @@
 	}
 	o.event("OwnershipClaimed", l.epoch, "the lease was free")
 	t.spawn(t.renewLeaseLoop)
+	refreshed := t.refreshConfig()
 	t.applyUpdates()
-	if t.recover() {
+	if refreshed && t.recover() {
 		t.recovered = true
 		t.spawn(t.reconcile)
 		o.term.Store(t)
@@ -82,6 +83,7 @@
 		t.eventLoop()
 	}
 	o.term.Store(nil)
+	o.evacuation.Store(nil)
 	cancel(nil)
 	t.join()
 	o.event("OwnershipEnded", l.epoch, context.Cause(ctx).Error())
@@ -126,6 +128,16 @@
 	}
 }
 
+// refreshConfig reads the newest configuration. The one that this instance knows may be older than that of the last owner: a
+// request for an evacuation would be forgotten, or a withdrawn one be in force again. It returns false if the term ended
+// meanwhile.
+func (t *term) refreshConfig() bool {
+	if t.owner.RefreshConfig == nil {
+		return true
+	}
+	return t.retry(func() bool { return t.owner.RefreshConfig(t.ctx) == nil })
+}
+
 // applyUpdates applies changes of the configuration and of the instance list.
 func (t *term) applyUpdates() {
 	nodes, known := t.owner.Nodes()
@@ -158,17 +170,30 @@
 	t.state.HoldNonIdempotent(t.storeUnavailable.Load())
 	actions, notices := t.state.Decide(time.Now())
 	t.owner.queued.Store(int64(t.state.Queued()))
+	t.owner.evacuation.Store(t.withViewAge(t.state.EvacuationStatus()))
 	for _, n := range notices {
-		t.owner.OnEvent(operator.Event{
+		e := operator.Event{
 			Kind: string(n.Kind), DataCentre: t.owner.DataCentre, Epoch: t.lease.epoch,
-			Job: n.Job, Account: n.Account, Target: n.Instance, Cause: n.Cause,
-		})
+			Job: n.Job, Account: n.Account, Target: n.Instance, Cause: n.Cause, Evacuation: t.withViewAge(n.Evacuation),
+		}
+		if n.Evacuation != nil && t.config != nil {
+			e.Version = t.config.Version
+		}
+		t.owner.OnEvent(e)
 	}
 	for _, a := range actions {
 		t.perform(a)
 	}
 }
 
+// withViewAge sets the age of the configuration in a status, which may be nil.
+func (t *term) withViewAge(status *operator.EvacuationStatus) *operator.EvacuationStatus {
+	if status != nil && t.owner.ConfigAge != nil {
+		status.ViewAge = t.owner.ConfigAge().Seconds()
+	}
+	return status
+}
+
 // doSync runs a function on the term's goroutine and waits for it.
 func (t *term) doSync(ctx context.Context, run func()) error {
 	done := make(chan struct{})
