Evacuate data centres by command, and report them

An evacuation makes guarantees unavailable, and a configuration with unavailable guarantees is refused. Guarantees are therefore checked as if no data centre were evacuated, and what an evacuation takes away is an effect that the dry run and the acceptance show.

New jobs go to other data centres first. If all that could take a job are being evacuated, the refusal has the code Evacuated, says so and may be retried. Reports have the runs left, metrics as well, and log lines the runs left and the age of the configuration.

--- a/cmd/jujubegrade/command_report.go
+++ b/cmd/jujubegrade/command_report.go
@@ -33,6 +33,12 @@
 			printLine(w, "%s\t%s\ttotal %d\tfree %d\tstranded %d", rack.DataCentre, rack.Rack, rack.Total, rack.Free, rack.Stranded)
 		}
 	},
+	"evacuation": func(w io.Writer, r operator.Report) {
+		if e := r.Evacuation; e != nil {
+			printLine(w, "%s\tevacuated since %s\truns left %d\tqueued %d\tworkers %d\tconfiguration confirmed %.1fs ago", e.DataCentre,
+				e.Since.Format("01-02 15:04:05"), e.RunsLeft, e.Queued, e.Instances, e.ViewAge)
+		}
+	},
 	"unknown": func(w io.Writer, r operator.Report) {
 		for _, j := range r.Unknown {
 			printLine(w, "%s\t%s\t%s\t%s\t%s", j.DataCentre, j.Job, j.Account, j.Finished.Format("01-02 15:04:05"), j.Evidence)
@@ -44,7 +50,7 @@
 func (c console) reportCommand() *ffcli.Command {
 	set, r := c.remoteFlags("report")
 	return &ffcli.Command{
-		Name: "report", ShortUsage: "jujubegrade report [flags] lateness|guarantees|fragmentation|unknown", ShortHelp: "Report lateness, guarantees, fragmentation or unknown outcomes", FlagSet: set, Options: flagOptions(),
+		Name: "report", ShortUsage: "jujubegrade report [flags] lateness|guarantees|fragmentation|evacuation|unknown", ShortHelp: "Report lateness, guarantees, fragmentation, evacuations or unknown outcomes", FlagSet: set, Options: flagOptions(),
 		LongHelp: "Example:\n  jujubegrade report lateness",
 		Exec: func(ctx context.Context, args []string) error {
 			kind, err := oneArgument(args, "report")
@@ -53,7 +59,7 @@
 			}
 			write, found := reportWriters[kind]
 			if !found {
-				return errors.Newf("unknown report %q, allowed are lateness, guarantees, fragmentation, unknown", kind)
+				return errors.Newf("unknown report %q, allowed are lateness, guarantees, fragmentation, evacuation, unknown", kind)
 			}
 			reports, err := r.operator().Reports(ctx)
 			if err != nil {
--- a/internal/process/configuration/accept.go
+++ b/internal/process/configuration/accept.go
@@ -38,13 +38,14 @@
 	if err != nil {
 		return operator.Acceptance{}, errors.Mark(err, ErrInvalid)
 	}
-	var effects []string
+	var infeasible, effects []string
 	if c.CheckFeasibility != nil {
-		effects = c.CheckFeasibility(parsed)
+		infeasible, effects = c.CheckFeasibility(parsed)
 	}
-	if len(effects) > 0 && !change.DryRun {
-		return operator.Acceptance{Effects: effects}, errors.Mark(errors.New(strings.Join(effects, "\n")), ErrInvalid)
+	if len(infeasible) > 0 && !change.DryRun {
+		return operator.Acceptance{Effects: infeasible}, errors.Mark(errors.New(strings.Join(infeasible, "\n")), ErrInvalid)
 	}
+	effects = append(infeasible, effects...)
 	current, err := c.readHead(ctx)
 	if err != nil {
 		return operator.Acceptance{}, errors.Mark(err, ErrStoreUnavailable)
@@ -58,7 +59,11 @@
 	if !c.Quorum() {
 		return operator.Acceptance{Version: current.Version}, ErrNoQuorum
 	}
-	return c.commit(ctx, change, current)
+	acceptance, err := c.commit(ctx, change, current)
+	if acceptance.Accepted {
+		acceptance.Effects = effects
+	}
+	return acceptance, err
 }
 
 func (c *Configuration) readHead(ctx context.Context) (head, error) {
--- a/internal/process/configuration/configuration.go
+++ b/internal/process/configuration/configuration.go
@@ -39,8 +39,9 @@
 		// quorum, an instance neither accepts changes nor continues to serve during a store outage. Any two majorities
 		// overlap in an instance that announces the newer version.
 		Quorum func() bool
-		// CheckFeasibility returns the guarantees that a valid configuration cannot meet; if nil, nothing is checked.
-		CheckFeasibility func(c *config.Config) []string
+		// CheckFeasibility returns the guarantees that a valid configuration cannot meet, and effects that don't prevent its
+		// acceptance; if nil, nothing is checked.
+		CheckFeasibility func(c *config.Config) (infeasible, effects []string)
 		// ApplyLowerVersions disables the rule that versions only increase, so that tests can show that it is needed.
 		ApplyLowerVersions bool
 
@@ -218,6 +219,15 @@
 	return c.applyHead(ctx, entry, started)
 }
 
+// RefreshForTakeover reads the head like Refresh, and returns an error only if the store did not answer. If the store has no
+// configuration or an unreadable one, the version in force stays the newest that this instance can apply.
+func (c *Configuration) RefreshForTakeover(ctx context.Context) error {
+	if err := c.Refresh(ctx); errors.Is(err, store.ErrUnknown) || errors.Is(err, store.ErrRefused) {
+		return err
+	}
+	return nil
+}
+
 func (c *Configuration) applyHead(ctx context.Context, entry store.Entry, requestedAt time.Time) error {
 	var h head
 	if err := json.Unmarshal(entry.Value, &h); err != nil {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -120,7 +120,7 @@
 	}
 	e.directory = directory{list: *e.List, pollInterval: s.ListPoll, callTimeout: s.StoreTimeout, dial: e.DialWorker, onEvent: e.event}
 	e.config = &configuration.Configuration{
-		Instance: s.Name, Store: *e.Store, OnEvent: e.timeline.Add, CheckFeasibility: e.infeasibleGuarantees,
+		Instance: s.Name, Store: *e.Store, OnEvent: e.timeline.Add, CheckFeasibility: e.checkFeasibility,
 		Times:   configuration.Times{WatchTimeout: s.ConfigWatch, PollInterval: s.ConfigPoll, StoreTimeout: s.StoreTimeout, MaxConfirmedAge: s.ConfigMaxAge},
 		Serving: func() []ids.InstanceID { return e.members.Serving() },
 		Quorum:  func() bool { return e.members.Quorum() },
@@ -156,7 +156,16 @@
 
 func (e *Entry) logEvent(ev operator.Event) {
 	e.Log.Info("event: "+ev.Kind, zap.String("cause", ev.Cause), zap.String("job", string(ev.Job)), zap.String("account", string(ev.Account)),
-		zap.String("dataCentre", string(ev.DataCentre)), zap.Uint64("epoch", uint64(ev.Epoch)), zap.Uint64("version", uint64(ev.Version)))
+		zap.String("dataCentre", string(ev.DataCentre)), zap.Uint64("epoch", uint64(ev.Epoch)), zap.Uint64("version", uint64(ev.Version)),
+		evacuationField(ev.Evacuation))
+}
+
+// evacuationField returns the log fields of an evacuation, or none.
+func evacuationField(s *operator.EvacuationStatus) zap.Field {
+	if s == nil {
+		return zap.Skip()
+	}
+	return zap.Dict("evacuation", zap.Int("runsLeft", s.RunsLeft), zap.Int("queued", s.Queued), zap.Int("workers", s.Instances), zap.Float64("viewAge", s.ViewAge))
 }
 
 // heartbeat returns the heartbeat that this instance sends to its peers.
@@ -215,9 +224,10 @@
 	election := &membership.Election{Membership: e.members, DataCentre: id, Lease: s.OwnerLease}
 	o.Owner = &owner.Owner{
 		Instance: s.Name, DataCentre: id, Store: *e.Store, OnEvent: e.timeline.Add, Changed: o.changed, Unfenced: !s.Fencing,
-		Config:     e.currentConfig,
-		Nodes:      func() ([]placement.Node, bool) { return e.directory.nodes(id, e.currentConfig()) },
-		Worker:     e.directory.workerClient,
+		Config:    e.currentConfig,
+		Nodes:     func() ([]placement.Node, bool) { return e.directory.nodes(id, e.currentConfig()) },
+		Worker:    e.directory.workerClient,
+		ConfigAge: e.config.ConfirmedAge, RefreshConfig: e.config.RefreshForTakeover,
 		OwnedCount: func() int { return int(e.ownedCount.Load()) },
 		Times: owner.Times{
 			Lease: s.OwnerLease, WorkerLease: s.WorkerLease, WorkerRenewInterval: s.WorkerRenew, RenewRate: s.RenewRate,
--- a/internal/process/entry/fault.go
+++ b/internal/process/entry/fault.go
@@ -17,6 +17,7 @@
 const (
 	codeNeverFits      = "NeverFits"
 	codeQueueFull      = "QueueFull"
+	codeEvacuated      = "Evacuated"
 	codeNoOwner        = "NoOwner"
 	codeStoreOut       = "StoreOut"
 	codeOutcomeUnknown = "OutcomeUnknown"
@@ -27,6 +28,10 @@
 	codeInternal       = "Internal"
 )
 
+// evacuatedRetrySeconds is the Retry-After of a job whose data centre is being evacuated. Nobody knows when the operators
+// withdraw the evacuation; it is that of a full queue, which also clears in minutes rather than seconds.
+const evacuatedRetrySeconds = 30
+
 // faultOf maps an error to the fault that callers, operators and peers receive.
 func faultOf(err error) *httpjson.Fault {
 	var fault *httpjson.Fault
@@ -43,6 +48,7 @@
 		code         string
 		retrySeconds float64
 	}{
+		{placement.ErrEvacuated, fasthttp.StatusServiceUnavailable, codeEvacuated, evacuatedRetrySeconds},
 		{placement.ErrQueueFull, fasthttp.StatusTooManyRequests, codeQueueFull, 30},
 		{owner.ErrNotOwner, fasthttp.StatusServiceUnavailable, codeNoOwner, 2},
 		{owner.ErrStoreUnavailable, fasthttp.StatusServiceUnavailable, codeStoreOut, 5},
@@ -69,7 +75,7 @@
 // job's record is written.
 func outcomeOf(fault *httpjson.Fault) caller.Outcome {
 	switch fault.Code {
-	case codeNeverFits, codeQueueFull, codeNoOwner, codeStoreOut, codeInvalid, codeNotReady:
+	case codeNeverFits, codeQueueFull, codeEvacuated, codeNoOwner, codeStoreOut, codeInvalid, codeNotReady:
 		return caller.NotRun
 	}
 	return caller.OutcomeUnknown
--- a/internal/process/entry/jobs.go
+++ b/internal/process/entry/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -50,9 +51,22 @@
 		}
 		refusals = append(refusals, fault)
 	}
+	if fault := allEvacuated(candidates, refusals); fault != nil {
+		return caller.JobStatus{}, fault
+	}
 	return caller.JobStatus{}, preferRetryable(refusals)
 }
 
+// allEvacuated returns the refusal of a job that several data centres could take if all of them are being evacuated, or nil.
+func allEvacuated(candidates []ids.DataCentreID, refusals []*httpjson.Fault) *httpjson.Fault {
+	if len(candidates) < 2 || slices.ContainsFunc(refusals, func(f *httpjson.Fault) bool { return f.Code != codeEvacuated }) {
+		return nil
+	}
+	fault := *refusals[0]
+	fault.Message = "all data centres are being evacuated"
+	return &fault
+}
+
 // preferRetryable returns the first refusal that may be retried, or the first one if all are final.
 func preferRetryable(refusals []*httpjson.Fault) *httpjson.Fault {
 	for _, f := range refusals {
@@ -64,7 +78,8 @@
 }
 
 // candidates returns the data centres to try for a job: those in which the account holds a guarantee that covers it come
-// first, then those with shorter queues.
+// first, then those with shorter queues. Those that are being evacuated come last: their owners refuse new jobs, but know the
+// jobs that they accepted before.
 func (e *Entry) candidates(c *config.Config, account ids.AccountID, job caller.Job) []ids.DataCentreID {
 	if job.DataCentre != "" {
 		if _, found := c.DataCentres[job.DataCentre]; !found {
@@ -85,6 +100,9 @@
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := list[i], list[j]
+		if c.DataCentres[a].Evacuate != c.DataCentres[b].Evacuate {
+			return c.DataCentres[b].Evacuate
+		}
 		if guaranteed[a] != guaranteed[b] {
 			return guaranteed[a]
 		}
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -29,7 +29,9 @@
 	StoreWatches int64
 	Owned        map[ids.DataCentreID]ids.Epoch
 	Queued       map[ids.DataCentreID]int
-	Services     map[ids.ServiceID]ServiceMetrics
+	// RunsLeft is the number of runs left in each evacuated data centre that this instance owns.
+	RunsLeft map[ids.DataCentreID]int
+	Services map[ids.ServiceID]ServiceMetrics
 }
 
 // Metrics returns the instance's current metrics.
@@ -37,11 +39,16 @@
 	m := Metrics{
 		Version: e.config.Version(), ConfirmedAge: e.config.ConfirmedAge().Seconds(), Peers: len(e.members.Live()), PeerBytes: e.peerBytes.Load(),
 		StoreReads: e.storeCounts.Reads.Load(), StoreWrites: e.storeCounts.Writes.Load(), StoreWatches: e.storeCounts.Watches.Load(),
-		Owned: make(map[ids.DataCentreID]ids.Epoch), Queued: make(map[ids.DataCentreID]int), Services: make(map[ids.ServiceID]ServiceMetrics),
+		Owned: make(map[ids.DataCentreID]ids.Epoch), Queued: make(map[ids.DataCentreID]int), RunsLeft: make(map[ids.DataCentreID]int), Services: make(map[ids.ServiceID]ServiceMetrics),
 	}
 	for _, owned := range e.heartbeat().Owned {
 		m.Owned[owned.DataCentre] = owned.Epoch
 		m.Queued[owned.DataCentre] = owned.Queued
+		if o := e.localOwner(owned.DataCentre); o != nil {
+			if status := o.Evacuation(); status != nil {
+				m.RunsLeft[owned.DataCentre] = status.RunsLeft
+			}
+		}
 	}
 	if services := e.services.Load(); services != nil {
 		for id, s := range *services {
