Hold the rack reserve against whole gangs

The limit held for each instance alone, so that a borrowing gang on several instances of a rack, or several tasks on one, used the reserve. Free accelerators of lost instances counted as reserve. The limit now holds for the tasks of a rack together, also when a reservation is made, and a borrower that would never leave the reserve free is refused rather than accepted and left waiting.

Without the change, five cases of TestGangLeavesRackReserve and TestReserveNeverFits fail. Without a RackReserve nothing changes.

--- a/internal/process/placement/decide.go
+++ b/internal/process/placement/decide.go
@@ -227,6 +227,7 @@
 		tasks: j.Shape.Tasks, each: each, adjacent: j.Shape.Adjacent, firstFit: s.Policy.FirstFit,
 		available: func(n *node) ids.Resources { return s.availableToBorrower(j, n, now) },
 		cost:      func(n *node, tasks int) float64 { return s.borrowerCost(j, n, each.Times(tasks)) },
+		rackLimit: s.borrowerLimit(each, (*rack).free),
 	}
 	place := s.find(w)
 	if place != nil {
@@ -244,19 +245,17 @@
 	if !j.Idempotent && !s.Policy.NoReclaimWitness {
 		available = minResources(available, n.uncommitted())
 	}
-	if s.config.Policy.RackReserve > 0 {
-		available.Accelerators = min(available.Accelerators, max(0, s.rackHeadroom(n)))
-	}
 	return available
 }
 
-// rackHeadroom returns the free accelerators of the node's rack beyond the rack reserve; it is negative if the reserve is used.
-func (s *State) rackHeadroom(n *node) ids.Accelerators {
-	free := ids.Accelerators(0)
-	for _, other := range n.rack.nodes {
-		free += other.free().Accelerators
+// borrowerLimit returns a search's limit on the tasks of a borrower in one rack, which leave the rack reserve of the rack's free
+// accelerators free. It is nil if there is no reserve or the tasks need no accelerators.
+func (s *State) borrowerLimit(each ids.Resources, free func(r *rack) ids.Accelerators) func(r *rack) int {
+	reserve := s.config.Policy.RackReserve
+	if reserve == 0 || each.Accelerators == 0 {
+		return nil
 	}
-	return free - s.config.Policy.RackReserve
+	return func(r *rack) int { return max(0, int((free(r)-reserve)/each.Accelerators)) }
 }
 
 func minResources(a, b ids.Resources) ids.Resources {
--- a/internal/process/placement/feasible.go
+++ b/internal/process/placement/feasible.go
@@ -42,10 +42,16 @@
 		return n.Total.Minus(n.reserved)
 	}
 	noCost := func(*node, int) float64 { return 0 }
-	w := search{tasks: j.Shape.Tasks, each: j.Shape.Each, adjacent: j.Shape.Adjacent, available: availableWhenEmpty, cost: noCost, firstFit: true}
+	w := search{
+		tasks: j.Shape.Tasks, each: j.Shape.Each, adjacent: j.Shape.Adjacent, available: availableWhenEmpty, cost: noCost, firstFit: true,
+		rackLimit: s.borrowerLimit(j.Shape.Each, (*rack).total),
+	}
 	if s.find(w) != nil {
 		return nil
 	}
+	if reserve := s.config.Policy.RackReserve; reserve > 0 {
+		return &InfeasibleError{fmt.Sprintf("the %d matching instances of %s can't hold the shape %s beside the guarantees and the reserve of %d accelerators in each rack", matching, s.DataCentre, j.Shape, reserve)}
+	}
 	if j.Idempotent {
 		return &InfeasibleError{fmt.Sprintf("the %d matching instances of %s can't hold the shape %s", matching, s.DataCentre, j.Shape)}
 	}
--- a/internal/process/placement/node.go
+++ b/internal/process/placement/node.go
@@ -187,6 +187,15 @@
 	return sum
 }
 
+// total returns the accelerators of a rack's nodes, including lost ones.
+func (r *rack) total() ids.Accelerators {
+	sum := ids.Accelerators(0)
+	for _, n := range r.nodes {
+		sum += n.Total.Accelerators
+	}
+	return sum
+}
+
 // taskCapacity returns how many tasks with the given accelerators each fit on the free accelerators of a rack's live
 // nodes. Those of an evacuated data centre don't count.
 func (r *rack) taskCapacity(each ids.Accelerators) int {
--- a/internal/process/placement/placement_test.go
+++ b/internal/process/placement/placement_test.go
@@ -285,3 +285,58 @@
 	require.Equal(t, caller.Running, w.submit("first", "borrower", "1x8", nil).CallerState())
 	require.Equal(t, caller.Queued, w.submit("second", "borrower", "1x8", nil).CallerState())
 }
+
+// TestGangLeavesRackReserve guards against gangs that use the reserve of a rack since the limit held for each of their instances
+// alone, and against a reserve on lost instances.
+func TestGangLeavesRackReserve(t *testing.T) {
+	cases := map[string]struct {
+		racks, reserve int
+		lost           ids.InstanceID
+		shape          string
+		// first is the shape of a job that runs before.
+		first string
+		want  caller.State
+	}{
+		"the gang leaves the reserve":                     {1, 8, "", "3x8/Rack", "", caller.Running},
+		"the gang would use the reserve":                  {1, 8, "", "3x8/Rack", "1x8", caller.Queued},
+		"its tasks on one instance would use the reserve": {1, 24, "", "2x4", "1x4", caller.Queued},
+		"the gang spans racks to leave the reserves":      {2, 24, "", "2x8", "", caller.Running},
+		"the gang would use the reserve of either rack":   {2, 24, "", "2x8", "1x8", caller.Queued},
+		"the reserve does not hold on a lost instance":    {1, 24, "n0-0", "1x8", "", caller.Queued},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newHarness(t, noGuaranteeConfig+fmt.Sprintf("\n[Policy]\nRackReserve = %d\n", c.reserve), c.racks, 4)
+			if c.first != "" {
+				require.Equal(t, caller.Running, w.submit("first", "borrower", c.first, nil).CallerState())
+			}
+			if c.lost != "" {
+				w.state.NodeDown(c.lost, w.now, "test")
+			}
+			j := w.submit("gang", "borrower", c.shape, nil)
+			require.Equal(t, c.want, j.CallerState(), j.Place)
+			for _, r := range w.state.racks {
+				require.True(t, c.lost != "" || r.free() >= ids.Accelerators(c.reserve), "rack %s has %d free", r.id, r.free())
+			}
+		})
+	}
+}
+
+// TestReserveAllowsWorkWithoutAccelerators guards against a reserve that keeps work without accelerators from a rack.
+func TestReserveAllowsWorkWithoutAccelerators(t *testing.T) {
+	w := newHarness(t, noGuaranteeConfig+"\n[Policy]\nRackReserve = 32\n", 1, 4)
+	j := w.submit("j", "borrower", "2x1", func(job *caller.Job) { job.Shape.Each = ids.Resources{Cores: 1000} })
+	require.Equal(t, caller.Running, j.CallerState())
+}
+
+// TestReserveNeverFits guards against a job that waits forever for accelerators of a rack's reserve, and whose reservation keeps
+// other jobs waiting.
+func TestReserveNeverFits(t *testing.T) {
+	w := newHarness(t, gangGuaranteeConfig+"\n[Policy]\nRackReserve = 8\n", 1, 4)
+	shape, err := ids.ParseShape("4x8/Rack")
+	require.NoError(t, err)
+	var infeasible *InfeasibleError
+	require.ErrorAs(t, w.state.Submit(&Job{Job: caller.Job{Shape: shape, Idempotent: true}, ID: "j", Account: "borrower"}), &infeasible)
+	require.Contains(t, infeasible.Reason, "reserve")
+	require.Equal(t, caller.Running, w.submit("k", "guaranteed", "4x8/Rack", nil).CallerState(), "guarantees may use the reserve")
+}
--- a/internal/process/placement/report.go
+++ b/internal/process/placement/report.go
@@ -39,11 +39,9 @@
 	}
 	stranded := s.Stranded()
 	for _, rack := range s.racks {
-		status := operator.RackStatus{DataCentre: s.DataCentre, Rack: rack.id, Free: rack.free(), Stranded: stranded[rack.id]}
-		for _, n := range rack.nodes {
-			status.Total += n.Total.Accelerators
-		}
-		r.Racks = append(r.Racks, status)
+		r.Racks = append(r.Racks, operator.RackStatus{
+			DataCentre: s.DataCentre, Rack: rack.id, Total: rack.total(), Free: rack.free(), Stranded: stranded[rack.id],
+		})
 	}
 	for _, n := range s.sortedNodes() {
 		r.Instances = append(r.Instances, operator.InstanceStatus{
--- a/internal/process/placement/reservation.go
+++ b/internal/process/placement/reservation.go
@@ -84,6 +84,7 @@
 			tasks: j.Shape.Tasks, each: each, adjacent: j.Shape.Adjacent,
 			available: func(n *node) ids.Resources { return s.availableAt(j, n, t, ends) },
 			cost:      func(n *node, tasks int) float64 { return leftoverCost(n.Total, n.Total, each.Times(tasks)) },
+			rackLimit: s.borrowerLimit(each, func(r *rack) ids.Accelerators { return r.freeAt(t, ends) }),
 		})
 	}
 	first := sort.Search(len(times), func(i int) bool { return placeAt(times[i]) != nil })
@@ -93,6 +94,22 @@
 	return placeAt(times[first]), times[first]
 }
 
+// freeAt returns the free accelerators of a rack's live nodes at time t, given the expected ends of placed jobs.
+func (r *rack) freeAt(t time.Time, ends map[*Job]time.Time) ids.Accelerators {
+	sum := r.free()
+	for _, n := range r.nodes {
+		if n.down || n.evacuated {
+			continue
+		}
+		for _, other := range n.jobs {
+			if !ends[other].After(t) {
+				sum += other.Each.Accelerators * ids.Accelerators(other.tasksOn(n.ID))
+			}
+		}
+	}
+	return sum
+}
+
 // availableAt returns the resources of a node that a borrower may use at time t, given the expected ends of placed jobs.
 func (s *State) availableAt(j *Job, n *node, t time.Time, ends map[*Job]time.Time) ids.Resources {
 	if !n.isSchedulable() || j.avoids(n, t) || !s.selectorsMatch(j, n) {
--- a/internal/process/placement/search.go
+++ b/internal/process/placement/search.go
@@ -16,6 +16,8 @@
 		available func(n *node) ids.Resources
 		// cost returns the cost of placing a number of tasks on a node; lower is better.
 		cost func(n *node, tasks int) float64
+		// rackLimit returns the maximum number of tasks on the nodes of one rack; nil sets no limit.
+		rackLimit func(r *rack) int
 		// firstFit chooses the first nodes that fit, regardless of cost.
 		firstFit bool
 	}
@@ -35,7 +37,7 @@
 	bestCost := 0.0
 	var all []candidate
 	for _, r := range s.racks {
-		candidates := w.candidates(r.nodes)
+		candidates := w.limitTasks(r, w.candidates(r.nodes))
 		if w.adjacent == ids.AnyRack {
 			all = append(all, candidates...)
 		}
@@ -65,6 +67,26 @@
 	return candidates
 }
 
+// limitTasks drops the most expensive tasks of a rack's candidates beyond the rack's limit.
+func (w *search) limitTasks(r *rack, candidates []candidate) []candidate {
+	if w.rackLimit == nil {
+		return candidates
+	}
+	left := w.rackLimit(r)
+	if left >= w.tasks {
+		return candidates
+	}
+	w.sortByCost(candidates)
+	var kept []candidate
+	for _, o := range candidates {
+		if o.tasks = min(o.tasks, left); o.tasks > 0 {
+			left -= o.tasks
+			kept = append(kept, o)
+		}
+	}
+	return kept
+}
+
 // withinRack chooses nodes of one rack and returns them with their cost, or nil if the gang doesn't fit.
 func (w *search) withinRack(candidates []candidate) ([]candidate, float64) {
 	if w.adjacent == ids.SameInstance {
