End the owner of a data centre that was removed

Instances competed for a removed data centre until their shutdown, so that its queued jobs still started there, also after it had been evacuated. A data centre that the configuration lacks now takes no new work. Its owner stays until its runs have ended and their records are written, and instances that don't own it no longer compete. Waiting jobs stay recorded and start if it returns.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/process/settings"
 	"github.com/jujubegrade/jujubegrade/internal/process/timeline"
 	"github.com/jujubegrade/jujubegrade/internal/request/service"
+	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 	"github.com/jujubegrade/jujubegrade/pkg/operator"
 )
@@ -196,13 +197,15 @@
 	}
 }
 
-// startOwners starts an owner for each data centre of the configuration, including those added later, until ctx ends.
+// startOwners starts an owner for each data centre of the configuration, including those added later, until ctx ends. It stops
+// the owners of removed data centres.
 func (e *Entry) startOwners(ctx context.Context) {
 	for ctx.Err() == nil {
 		if c := e.config.Current(); c != nil {
 			for id := range c.DataCentres {
 				e.startOwner(ctx, id)
 			}
+			e.stopOwners(c.Config)
 		}
 		select {
 		case <-ctx.Done():
@@ -212,6 +215,19 @@
 	}
 }
 
+// stopOwners stops competing for the data centres that were removed from the configuration. An instance that owns one of them
+// stays its owner until the runs have ended.
+func (e *Entry) stopOwners(c *config.Config) {
+	e.ownersLock.Lock()
+	defer e.ownersLock.Unlock()
+	for id, o := range e.owners {
+		if _, owns := o.Owns(); !owns && !c.HasDataCentre(id) {
+			o.stop()
+			delete(e.owners, id)
+		}
+	}
+}
+
 func (e *Entry) startOwner(ctx context.Context, id ids.DataCentreID) {
 	e.ownersLock.Lock()
 	defer e.ownersLock.Unlock()
@@ -243,6 +259,9 @@
 		return owns
 	}
 	o.ShouldOwn = func() bool {
+		if c := e.currentConfig(); c != nil && !c.HasDataCentre(id) && (!election.Owns() || o.Emptied()) {
+			return false // the owner of a removed data centre stays until its runs have ended
+		}
 		_, fresh := e.config.Fresh()
 		return election.ShouldOwn() && (fresh || election.Owns())
 	}
--- a/internal/process/entry/evacuation_test.go
+++ b/internal/process/entry/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
 	"github.com/jujubegrade/jujubegrade/internal/process/entry"
 	"github.com/jujubegrade/jujubegrade/internal/standin/platform"
+	"github.com/jujubegrade/jujubegrade/internal/standin/workerservice"
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -165,3 +167,50 @@
 		return strings.Join(seen, " ") == strings.Join(want, " ")
 	}, 10*time.Second, 10*time.Millisecond, "%v are evacuated, wanted %v", &seen, want)
 }
+
+// TestRemovedDataCentre guards against an owner that competes for a data centre, and starts jobs there, after it was removed from
+// the configuration, and against running work that is lost by the removal. It also shows that jobs wait for its return.
+func TestRemovedDataCentre(t *testing.T) {
+	_, entries := startFleet(t, 2, 4)
+	operators := operator.NewClient(entries[0].Settings.Operators, platform.OperatorToken)
+	apply := func(text string) {
+		current, err := operators.Config(context.Background())
+		require.NoError(t, err)
+		_, err = operators.Apply(context.Background(), operator.Change{Base: current.Version, Author: "test", Text: text})
+		require.NoError(t, err)
+	}
+	callers := caller.NewClient(entries[0].Settings.Callers, "secret-a")
+	submit := func(key string) ids.JobID {
+		payload, err := json.Marshal(workerservice.Payload{RunTime: time.Second})
+		require.NoError(t, err)
+		job := caller.Job{Key: key, Shape: ids.Shape{Tasks: 4, Each: ids.Resources{Accelerators: 8}}, DataCentre: "d", Payload: payload}
+		status, err := callers.Submit(context.Background(), "", job)
+		require.NoError(t, err)
+		return status.ID
+	}
+	awaitState := func(id ids.JobID, state caller.State) {
+		require.Eventually(t, func() bool {
+			status, err := callers.Status(context.Background(), id, "")
+			return err == nil && status.State == state
+		}, 20*time.Second, 10*time.Millisecond, "%s is not %s", id, state)
+	}
+	running, waiting := submit("running"), submit("waiting")
+	awaitState(running, caller.Running)
+	without := strings.Replace(fleetConfig, `[DataCentre "d"]`, `[DataCentre "e"]`, 1)
+	apply(without)
+	awaitState(running, caller.Done)
+	require.Eventually(t, func() bool {
+		for _, e := range entries {
+			if _, owns := e.Metrics().Owned["d"]; owns {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 10*time.Millisecond, "the removed data centre has an owner")
+	time.Sleep(entries[0].Settings.OwnerLease)
+	for _, e := range entries {
+		require.NotContains(t, e.Metrics().Owned, ids.DataCentreID("d"))
+	}
+	apply(fleetConfig)
+	awaitState(waiting, caller.Done)
+}
--- a/internal/process/owner/execute.go
+++ b/internal/process/owner/execute.go
@@ -174,7 +174,7 @@
 // for as long as the store was out.
 func (t *term) hasLeavingNode(id ids.JobID, attempt ids.Attempt) bool {
 	// The configuration is read here as well, since the state follows it only with the next decision.
-	if c := t.owner.Config(); c != nil && c.DataCentres[t.owner.DataCentre].Evacuate {
+	if c := t.owner.Config(); c != nil && c.TakesNoWork(t.owner.DataCentre) {
 		return true
 	}
 	leaving := false
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -63,6 +63,7 @@
 		queued    atomic.Int64
 		// evacuation is the evacuation's status after the last decision, or nil.
 		evacuation atomic.Pointer[operator.EvacuationStatus]
+		emptied    atomic.Bool
 	}
 
 	// safeguards names the safeguards that a test disables to show that the guarantees fail without them.
--- a/internal/process/owner/submit.go
+++ b/internal/process/owner/submit.go
@@ -225,5 +225,8 @@
 // instance doesn't own the data centre.
 func (o *Owner) Evacuation() *operator.EvacuationStatus { return o.evacuation.Load() }
 
+// Emptied reports whether the data centre is being evacuated or was removed, no run is left, and the end of each is recorded.
+func (o *Owner) Emptied() bool { return o.emptied.Load() }
+
 // Queued returns the number of jobs that were queued after the last decision.
 func (o *Owner) Queued() int { return int(o.queued.Load()) }
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -84,6 +84,7 @@
 	}
 	o.term.Store(nil)
 	o.evacuation.Store(nil)
+	o.emptied.Store(false)
 	cancel(nil)
 	t.join()
 	o.event("OwnershipEnded", l.epoch, context.Cause(ctx).Error())
@@ -108,7 +109,7 @@
 			t.state.UpdateForecasts(time.Now())
 			t.purgeExpired(time.Now())
 			if !t.owner.ShouldOwn() {
-				t.end("another instance should own the data centre")
+				t.end("this instance should no longer own the data centre")
 			}
 		}
 		t.applyUpdates()
@@ -170,7 +171,9 @@
 	t.state.HoldNonIdempotent(t.storeUnavailable.Load())
 	actions, notices := t.state.Decide(time.Now())
 	t.owner.queued.Store(int64(t.state.Queued()))
-	t.owner.evacuation.Store(t.withViewAge(t.state.EvacuationStatus()))
+	status := t.withViewAge(t.state.EvacuationStatus())
+	t.owner.evacuation.Store(status)
+	defer func() { t.owner.emptied.Store(status != nil && status.RunsLeft == 0 && !t.hasPendingActions()) }()
 	for _, n := range notices {
 		e := operator.Event{
 			Kind: string(n.Kind), DataCentre: t.owner.DataCentre, Epoch: t.lease.epoch,
@@ -186,6 +189,16 @@
 	}
 }
 
+// hasPendingActions reports whether the orders or the record of a job are not complete.
+func (t *term) hasPendingActions() bool {
+	for _, x := range t.executions {
+		if x.busy || len(x.pending) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // withViewAge sets the age of the configuration in a status, which may be nil.
 func (t *term) withViewAge(status *operator.EvacuationStatus) *operator.EvacuationStatus {
 	if status != nil && t.owner.ConfigAge != nil {
--- a/internal/process/placement/evacuation.go
+++ b/internal/process/placement/evacuation.go
@@ -65,7 +65,10 @@
 }
 
 func (s *State) evacuationCause(e evacuation.Event) string {
+	_, found := s.config.DataCentres[s.DataCentre]
 	switch {
+	case e.Phase == evacuation.Begun && !found:
+		return "the data centre was removed from the configuration"
 	case e.Phase == evacuation.Begun && len(s.nodes) == 0:
 		return "requested, but no worker names the data centre"
 	case e.Phase == evacuation.Begun:
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -54,7 +54,7 @@
 		backingOff []*Job
 		// holdNonIdempotent keeps non-idempotent jobs in the queue.
 		holdNonIdempotent bool
-		// evacuated is set while the configuration requests the evacuation of this data centre, and evacuatedSince is when it
+		// evacuated is set while the configuration requests the evacuation of this data centre or lacks it, and evacuatedSince is when it
 		// was first seen.
 		evacuated      bool
 		evacuatedSince time.Time
@@ -84,7 +84,7 @@
 func (s *State) Configure(c *config.Config) {
 	s.init()
 	s.config = c
-	s.setEvacuated(c.DataCentres[s.DataCentre].Evacuate)
+	s.setEvacuated(c.TakesNoWork(s.DataCentre))
 	s.largest, _ = s.findLargestShape()
 	s.rebuildEntitlements()
 	for _, j := range s.jobs {
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -178,6 +178,19 @@
 	return diags
 }
 
+// HasDataCentre reports whether the configuration has a data centre.
+func (c *Config) HasDataCentre(id ids.DataCentreID) bool {
+	_, found := c.DataCentres[id]
+	return found
+}
+
+// TakesNoWork reports whether a data centre takes no new work because it is being evacuated or was removed from the
+// configuration.
+func (c *Config) TakesNoWork(id ids.DataCentreID) bool {
+	planned, found := c.DataCentres[id]
+	return !found || planned.Evacuate
+}
+
 // Service returns the settings of a service, or the defaults if the document has no section for it.
 func (c *Config) Service(id ids.ServiceID) Service {
 	if s, found := c.Services[id]; found {
