Release workers that move to another data centre

The owner of the old data centre went on renewing the worker's lease and counting its capacity, and stopped the runs of the other owner there as unknown ones: an at-most-once job ended as Unknown. A worker that the instance list has in another data centre now counts as lost in the old one.

TestWorkerChangesDataCentre fails without the change, at the number of workers and, with that check left out, at the job's outcome; 8 runs pass with it.

--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -38,6 +38,8 @@
 	instanceSnapshot struct {
 		instances []instancelist.Instance
 		addresses map[ids.InstanceID]string
+		// workerCentres holds the data centre of each worker.
+		workerCentres map[ids.InstanceID]ids.DataCentreID
 	}
 
 	workerConnection struct {
@@ -80,9 +82,14 @@
 }
 
 func newSnapshot(instances []instancelist.Instance) *instanceSnapshot {
-	s := &instanceSnapshot{instances: instances, addresses: make(map[ids.InstanceID]string, len(instances))}
+	s := &instanceSnapshot{
+		instances: instances, addresses: make(map[ids.InstanceID]string, len(instances)), workerCentres: make(map[ids.InstanceID]ids.DataCentreID),
+	}
 	for _, instance := range instances {
 		s.addresses[instance.ID] = instance.Address
+		if instance.Role == instancelist.Worker {
+			s.workerCentres[instance.ID] = instance.DataCentre
+		}
 	}
 	return s
 }
@@ -118,6 +125,16 @@
 	return nodes, true
 }
 
+// hasMoved reports whether a worker is listed in another data centre than the given one.
+func (d *directory) hasMoved(id ids.InstanceID, from ids.DataCentreID) bool {
+	s := d.snapshot.Load()
+	if s == nil {
+		return false
+	}
+	at, found := s.workerCentres[id]
+	return found && at != from
+}
+
 // runners returns, for each listed service, the runners that accept new requests, which may be none.
 func (d *directory) runners(c *config.Config) map[ids.ServiceID][]*runner.Runner {
 	found := make(map[ids.ServiceID][]*runner.Runner)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -242,6 +242,7 @@
 		Instance: s.Name, DataCentre: id, Store: *e.Store, OnEvent: e.timeline.Add, Changed: o.changed, Unfenced: !s.Fencing,
 		Config:    e.currentConfig,
 		Nodes:     func() ([]placement.Node, bool) { return e.directory.nodes(id, e.currentConfig()) },
+		Moved:     func(w ids.InstanceID) bool { return e.directory.hasMoved(w, id) },
 		Worker:    e.directory.workerClient,
 		ConfigAge: e.config.ConfirmedAge, RefreshConfig: e.config.RefreshForTakeover,
 		OwnedCount: func() int { return int(e.ownedCount.Load()) },
--- a/internal/process/entry/evacuation_test.go
+++ b/internal/process/entry/evacuation_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+	"github.com/jujubegrade/jujubegrade/internal/connection/instancelist"
 	"github.com/jujubegrade/jujubegrade/internal/process/entry"
 	"github.com/jujubegrade/jujubegrade/internal/standin/platform"
 	"github.com/jujubegrade/jujubegrade/internal/standin/workerservice"
@@ -214,3 +215,43 @@
 	apply(fleetConfig)
 	awaitState(waiting, caller.Done)
 }
+
+// TestWorkerChangesDataCentre guards against an owner that keeps a worker after the worker moved to another data centre: it would
+// count its capacity, and stop the runs of the other owner there as unknown ones. The worker's old data centre is being evacuated.
+func TestWorkerChangesDataCentre(t *testing.T) {
+	p, entries := startFleet(t, 2, 4)
+	operators := operator.NewClient(entries[0].Settings.Operators, platform.OperatorToken)
+	_, err := operators.Apply(context.Background(), operator.Change{Base: 1, Author: "test", Text: fleetConfig + "[DataCentre \"e\"]\n"})
+	require.NoError(t, err)
+	awaitOwners(t, operators, 2, 4)
+	evacuateCentre(t, operators, false, true, "d")
+	awaitEvacuation(t, operators, "d")
+	const moved = ids.InstanceID("d-worker-000")
+	p.VisitWorkers(func(id ids.InstanceID, w *workerservice.Service) {
+		if id == moved {
+			w.Crash() // it restarts in its new place
+		}
+	})
+	p.Instances.Set(instancelist.Instance{
+		ID: moved, Role: instancelist.Worker, Address: string(moved), DataCentre: "e", Rack: "e-rack", Total: ids.Resources{Accelerators: 8, Cores: 64000, Memory: 250000},
+	})
+	require.Eventually(t, func() bool {
+		reports, err := operators.Reports(context.Background())
+		return err == nil && len(reports.Reports) == 2 && len(reports.Reports[0].Instances) == 3 && len(reports.Reports[1].Instances) == 1
+	}, 10*time.Second, 10*time.Millisecond, "the worker is counted twice or not at all")
+	callers := caller.NewClient(entries[0].Settings.Callers, "secret-a")
+	payload, err := json.Marshal(workerservice.Payload{RunTime: 2 * time.Second})
+	require.NoError(t, err)
+	job := caller.Job{Key: "once", Shape: ids.Shape{Tasks: 1, Each: ids.Resources{Accelerators: 8}}, Payload: payload}
+	var status caller.JobStatus
+	require.Eventually(t, func() bool {
+		status, err = callers.Submit(context.Background(), "", job)
+		return err == nil
+	}, 10*time.Second, 100*time.Millisecond)
+	require.EqualValues(t, "e", status.DataCentre)
+	require.Eventually(t, func() bool {
+		status, err = callers.Status(context.Background(), status.ID, "")
+		return err == nil && status.State.IsTerminal()
+	}, 20*time.Second, 10*time.Millisecond)
+	require.Equal(t, caller.Done, status.State, status.Reason)
+}
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -24,7 +24,7 @@
 
 type (
 	// Owner competes for the ownership of one data centre and schedules its jobs while it holds it. The fields up to
-	// Times are required.
+	// Times are required, except Moved.
 	Owner struct {
 		Instance   ids.InstanceID
 		DataCentre ids.DataCentreID
@@ -35,6 +35,8 @@
 		Config func() *config.Config
 		// Nodes returns the data centre's workers, and false if the instance list is not known yet.
 		Nodes func() ([]placement.Node, bool)
+		// Moved reports whether the instance list has a worker in another data centre; nil means that workers don't move.
+		Moved func(id ids.InstanceID) bool
 		// Worker returns the client of a worker.
 		Worker func(id ids.InstanceID) worker.Client
 		// OnEvent is called for each event.
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -159,7 +159,14 @@
 		}
 	}
 	for id := range t.sessions {
-		if !listed[id] && !t.state.IsLive(id) {
+		if listed[id] {
+			continue
+		}
+		if t.owner.Moved != nil && t.owner.Moved(id) {
+			// The owner of its new data centre would take the runs of this one for unknown ones, and the other way round.
+			t.state.NodeDown(id, time.Now(), "it moved to another data centre")
+		}
+		if !t.state.IsLive(id) {
 			t.removeSession(id)
 			t.state.RemoveNode(id)
 		}
