Count silent workers among the runs left of an evacuation

After a takeover, a worker that does not answer may run tasks of a start that was not recorded. The data centre counted as emptied although its lease had not expired. Such a worker counts as one run until then, or until it answers.

TestSilentWorkerIsNotEmptied fails without the change; 40 runs pass with it.

--- a/internal/process/owner/evacuation_test.go
+++ b/internal/process/owner/evacuation_test.go
@@ -201,3 +201,25 @@
 		w.evacuate(false)
 	}))
 }
+
+// TestSilentWorkerIsNotEmptied guards against a data centre that counts as emptied after a takeover while a worker that does not
+// answer may still run something that no record mentions.
+func TestSilentWorkerIsNotEmptied(t *testing.T) {
+	require.NoError(t, simulate(t, safeguards{}, func(w *simulation) {
+		w.awaitOwner()
+		w.evacuate(true)
+		time.Sleep(time.Second)
+		require.Contains(t, w.evacuationEvents(), "EvacuationEmptied")
+		w.kill(0)
+		w.workers["w3"].SetFaults(workerservice.Faults{Silent: true})
+		before := len(w.evacuationEvents())
+		w.start(0)
+		o := w.awaitOwner()
+		time.Sleep(time.Second)
+		require.Equal(t, 1, o.Evacuation().RunsLeft)
+		require.Equal(t, []string{"EvacuationBegun"}, w.evacuationEvents()[before:])
+		time.Sleep(o.Times.WorkerLease)
+		require.Zero(t, o.Evacuation().RunsLeft, "the worker's lease has expired")
+		require.Equal(t, []string{"EvacuationBegun", "EvacuationEmptied"}, w.evacuationEvents()[before:])
+	}))
+}
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -176,6 +176,9 @@
 // decide runs one scheduling decision and starts its actions.
 func (t *term) decide() {
 	t.state.HoldNonIdempotent(t.storeUnavailable.Load())
+	if t.state.Evacuated() {
+		t.state.SetSilentWorkers(t.countSilentWorkers(time.Now()))
+	}
 	actions, notices := t.state.Decide(time.Now())
 	t.owner.queued.Store(int64(t.state.Queued()))
 	status := t.withViewAge(t.state.EvacuationStatus())
@@ -196,6 +199,23 @@
 	}
 }
 
+// countSilentWorkers returns the number of lost workers without known runs whose lease has not expired. They may run tasks that no
+// record mentions.
+func (t *term) countSilentWorkers(now time.Time) int {
+	count := 0
+	for id, session := range t.sessions {
+		if !t.state.IsLive(id) && !t.state.HasJobs(id) && now.Before(session.expiry()) {
+			count++
+		}
+	}
+	for _, expiry := range t.removedLeases {
+		if now.Before(expiry) {
+			count++
+		}
+	}
+	return count
+}
+
 // hasPendingActions reports whether the orders or the record of a job are not complete.
 func (t *term) hasPendingActions() bool {
 	for _, x := range t.executions {
--- a/internal/process/placement/evacuation.go
+++ b/internal/process/placement/evacuation.go
@@ -82,9 +82,13 @@
 // Evacuated reports whether the data centre is being evacuated.
 func (s *State) Evacuated() bool { return s.evacuated }
 
-// RunsLeft returns the number of jobs that run, or may still run, on the data centre's instances.
+// SetSilentWorkers sets the number of workers that may run tasks that the State doesn't know.
+func (s *State) SetSilentWorkers(count int) { s.silentWorkers = count }
+
+// RunsLeft returns the number of jobs that run, or may still run, on the data centre's instances. Each worker that may run unknown
+// tasks counts as one.
 func (s *State) RunsLeft() int {
-	count := 0
+	count := s.silentWorkers
 	for _, j := range s.placed {
 		if j.phase != allocated {
 			count++
--- a/internal/process/placement/node.go
+++ b/internal/process/placement/node.go
@@ -158,6 +158,12 @@
 	return n != nil && !n.down
 }
 
+// HasJobs reports whether jobs are assigned to a worker.
+func (s *State) HasJobs(id ids.InstanceID) bool {
+	n := s.nodes[id]
+	return n != nil && len(n.jobs) > 0
+}
+
 // isSchedulable reports whether new work may be placed on the node.
 func (n *node) isSchedulable() bool {
 	return !n.down && !n.leaves() && !n.quarantined()
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -59,6 +59,8 @@
 		evacuated      bool
 		evacuatedSince time.Time
 		evacuations    evacuation.Tracker
+		// silentWorkers is the number of workers that may run unknown tasks.
+		silentWorkers int
 		// hadNodes is set once an evacuated data centre had a node. One that never had any can't be emptied.
 		hadNodes bool
 	}
