--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/process/settings"
 	"github.com/jujubegrade/jujubegrade/internal/process/timeline"
 	"github.com/jujubegrade/jujubegrade/internal/request/service"
+	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 	"github.com/jujubegrade/jujubegrade/pkg/operator"
 )
@@ -120,7 +121,7 @@
 	}
 	e.directory = directory{list: *e.List, pollInterval: s.ListPoll, callTimeout: s.StoreTimeout, dial: e.DialWorker, onEvent: e.event}
 	e.config = &configuration.Configuration{
-		Instance: s.Name, Store: *e.Store, OnEvent: e.timeline.Add, CheckFeasibility: e.infeasibleGuarantees,
+		Instance: s.Name, Store: *e.Store, OnEvent: e.timeline.Add, CheckFeasibility: e.checkFeasibility,
 		Times:   configuration.Times{WatchTimeout: s.ConfigWatch, PollInterval: s.ConfigPoll, StoreTimeout: s.StoreTimeout, MaxConfirmedAge: s.ConfigMaxAge},
 		Serving: func() []ids.InstanceID { return e.members.Serving() },
 		Quorum:  func() bool { return e.members.Quorum() },
@@ -156,7 +157,16 @@
 
 func (e *Entry) logEvent(ev operator.Event) {
 	e.Log.Info("event: "+ev.Kind, zap.String("cause", ev.Cause), zap.String("job", string(ev.Job)), zap.String("account", string(ev.Account)),
-		zap.String("dataCentre", string(ev.DataCentre)), zap.Uint64("epoch", uint64(ev.Epoch)), zap.Uint64("version", uint64(ev.Version)))
+		zap.String("dataCentre", string(ev.DataCentre)), zap.Uint64("epoch", uint64(ev.Epoch)), zap.Uint64("version", uint64(ev.Version)),
+		evacuationField(ev.Evacuation))
+}
+
+// evacuationField returns the log fields of an evacuation, or none.
+func evacuationField(s *operator.EvacuationStatus) zap.Field {
+	if s == nil {
+		return zap.Skip()
+	}
+	return zap.Dict("evacuation", zap.Int("runsLeft", s.RunsLeft), zap.Int("queued", s.Queued), zap.Int("workers", s.Instances), zap.Float64("viewAge", s.ViewAge))
 }
 
 // heartbeat returns the heartbeat that this instance sends to its peers.
@@ -187,13 +197,15 @@
 	}
 }
 
-// startOwners starts an owner for each data centre of the configuration, including those added later, until ctx ends.
+// startOwners starts an owner for each data centre of the configuration, including those added later, until ctx ends. It stops
+// the owners of removed data centres.
 func (e *Entry) startOwners(ctx context.Context) {
 	for ctx.Err() == nil {
 		if c := e.config.Current(); c != nil {
 			for id := range c.DataCentres {
 				e.startOwner(ctx, id)
 			}
+			e.stopOwners(c.Config)
 		}
 		select {
 		case <-ctx.Done():
@@ -203,6 +215,19 @@
 	}
 }
 
+// stopOwners stops competing for the data centres that were removed from the configuration. An instance that owns one of them
+// stays its owner until the runs have ended.
+func (e *Entry) stopOwners(c *config.Config) {
+	e.ownersLock.Lock()
+	defer e.ownersLock.Unlock()
+	for id, o := range e.owners {
+		if _, owns := o.Owns(); !owns && !c.HasDataCentre(id) {
+			o.stop()
+			delete(e.owners, id)
+		}
+	}
+}
+
 func (e *Entry) startOwner(ctx context.Context, id ids.DataCentreID) {
 	e.ownersLock.Lock()
 	defer e.ownersLock.Unlock()
@@ -215,9 +240,11 @@
 	election := &membership.Election{Membership: e.members, DataCentre: id, Lease: s.OwnerLease}
 	o.Owner = &owner.Owner{
 		Instance: s.Name, DataCentre: id, Store: *e.Store, OnEvent: e.timeline.Add, Changed: o.changed, Unfenced: !s.Fencing,
-		Config:     e.currentConfig,
-		Nodes:      func() ([]placement.Node, bool) { return e.directory.nodes(id, e.currentConfig()) },
-		Worker:     e.directory.workerClient,
+		Config:    e.currentConfig,
+		Nodes:     func() ([]placement.Node, bool) { return e.directory.nodes(id, e.currentConfig()) },
+		Moved:     func(w ids.InstanceID) bool { return e.directory.hasMoved(w, id) },
+		Worker:    e.directory.workerClient,
+		ConfigAge: e.config.ConfirmedAge, RefreshConfig: e.config.RefreshForTakeover,
 		OwnedCount: func() int { return int(e.ownedCount.Load()) },
 		Times: owner.Times{
 			Lease: s.OwnerLease, WorkerLease: s.WorkerLease, WorkerRenewInterval: s.WorkerRenew, RenewRate: s.RenewRate,
@@ -233,6 +260,9 @@
 		return owns
 	}
 	o.ShouldOwn = func() bool {
+		if c := e.currentConfig(); c != nil && !c.HasDataCentre(id) && (!election.Owns() || o.Emptied()) {
+			return false // the owner of a removed data centre stays until its runs have ended
+		}
 		_, fresh := e.config.Fresh()
 		return election.ShouldOwn() && (fresh || election.Owns())
 	}
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -24,7 +24,7 @@
 
 type (
 	// Owner competes for the ownership of one data centre and schedules its jobs while it holds it. The fields up to
-	// Times are required.
+	// Times are required, except Moved.
 	Owner struct {
 		Instance   ids.InstanceID
 		DataCentre ids.DataCentreID
@@ -35,6 +35,8 @@
 		Config func() *config.Config
 		// Nodes returns the data centre's workers, and false if the instance list is not known yet.
 		Nodes func() ([]placement.Node, bool)
+		// Moved reports whether the instance list has a worker in another data centre; nil means that workers don't move.
+		Moved func(id ids.InstanceID) bool
 		// Worker returns the client of a worker.
 		Worker func(id ids.InstanceID) worker.Client
 		// OnEvent is called for each event.
@@ -48,6 +50,11 @@
 		OnViolation func(err error)
 		// Jitter randomizes an interval; nil uses a random spread.
 		Jitter func(d time.Duration) time.Duration
+		// RefreshConfig reads the newest configuration from the store. A new owner calls it before it starts anything, until it
+		// returns nil. If it is nil, the configuration that Config returns is taken for the newest.
+		RefreshConfig func(ctx context.Context) error
+		// ConfigAge returns the time since the configuration was last confirmed to be the newest; nil means that it always is.
+		ConfigAge func() time.Duration
 		// Changed is signalled when nodes or configuration change; nil relies on DecisionInterval.
 		Changed <-chan struct{}
 
@@ -56,6 +63,9 @@
 		handOver  atomic.Bool
 		abandoned atomic.Bool
 		queued    atomic.Int64
+		// evacuation is the evacuation's status after the last decision, or nil.
+		evacuation atomic.Pointer[operator.EvacuationStatus]
+		emptied    atomic.Bool
 	}
 
 	// safeguards names the safeguards that a test disables to show that the guarantees fail without them.
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -76,6 +76,8 @@
 	t.spawn(t.renewLeaseLoop)
 	t.serve()
 	o.term.Store(nil)
+	o.evacuation.Store(nil)
+	o.emptied.Store(false)
 	cancel(nil)
 	t.join()
 	o.event("OwnershipEnded", l.epoch, context.Cause(ctx).Error())
@@ -87,8 +89,9 @@
 // serve recovers the jobs and serves until the term ends.
 func (t *term) serve() {
 	defer t.endOnPanic()
+	refreshed := t.refreshConfig()
 	t.applyUpdates()
-	if t.recover() {
+	if refreshed && t.recover() {
 		t.recovered = true
 		t.spawn(t.reconcile)
 		t.owner.term.Store(t)
@@ -122,7 +125,7 @@
 			t.state.UpdateForecasts(time.Now())
 			t.purgeExpired(time.Now())
 			if !t.owner.ShouldOwn() {
-				t.end("another instance should own the data centre")
+				t.end("this instance should no longer own the data centre")
 			}
 		}
 		t.applyUpdates()
@@ -142,6 +145,16 @@
 	}
 }
 
+// refreshConfig reads the newest configuration. The one that this instance knows may be older than that of the last owner: a
+// request for an evacuation would be forgotten, or a withdrawn one be in force again. It returns false if the term ended
+// meanwhile.
+func (t *term) refreshConfig() bool {
+	if t.owner.RefreshConfig == nil {
+		return true
+	}
+	return t.retry(func() bool { return t.owner.RefreshConfig(t.ctx) == nil })
+}
+
 // applyUpdates applies changes of the configuration and of the instance list.
 func (t *term) applyUpdates() {
 	nodes, known := t.owner.Nodes()
@@ -162,7 +175,14 @@
 		}
 	}
 	for id := range t.sessions {
-		if !listed[id] && !t.state.IsLive(id) {
+		if listed[id] {
+			continue
+		}
+		if t.owner.Moved != nil && t.owner.Moved(id) {
+			// The owner of its new data centre would take the runs of this one for unknown ones, and the other way round.
+			t.state.NodeDown(id, time.Now(), "it moved to another data centre")
+		}
+		if !t.state.IsLive(id) {
 			t.removeSession(id)
 			t.state.RemoveNode(id)
 		}
@@ -172,19 +192,64 @@
 // decide runs one scheduling decision and starts its actions.
 func (t *term) decide() {
 	t.state.HoldNonIdempotent(t.storeUnavailable.Load())
+	if t.state.Evacuated() {
+		t.state.SetSilentWorkers(t.countSilentWorkers(time.Now()))
+	}
 	actions, notices := t.state.Decide(time.Now())
 	t.owner.queued.Store(int64(t.state.Queued()))
+	status := t.withViewAge(t.state.EvacuationStatus())
+	t.owner.evacuation.Store(status)
+	defer func() { t.owner.emptied.Store(status != nil && status.RunsLeft == 0 && !t.hasPendingActions()) }()
 	for _, n := range notices {
-		t.owner.OnEvent(operator.Event{
+		e := operator.Event{
 			Kind: string(n.Kind), DataCentre: t.owner.DataCentre, Epoch: t.lease.epoch,
-			Job: n.Job, Account: n.Account, Target: n.Instance, Cause: n.Cause,
-		})
+			Job: n.Job, Account: n.Account, Target: n.Instance, Cause: n.Cause, Evacuation: t.withViewAge(n.Evacuation),
+		}
+		if n.Evacuation != nil && t.config != nil {
+			e.Version = t.config.Version
+		}
+		t.owner.OnEvent(e)
 	}
 	for _, a := range actions {
 		t.perform(a)
 	}
 }
 
+// countSilentWorkers returns the number of lost workers without known runs whose lease has not expired. They may run tasks that no
+// record mentions.
+func (t *term) countSilentWorkers(now time.Time) int {
+	count := 0
+	for id, session := range t.sessions {
+		if !t.state.IsLive(id) && !t.state.HasJobs(id) && now.Before(session.expiry()) {
+			count++
+		}
+	}
+	for _, expiry := range t.removedLeases {
+		if now.Before(expiry) {
+			count++
+		}
+	}
+	return count
+}
+
+// hasPendingActions reports whether the orders or the record of a job are not complete.
+func (t *term) hasPendingActions() bool {
+	for _, x := range t.executions {
+		if x.busy || len(x.pending) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// withViewAge sets the age of the configuration in a status, which may be nil.
+func (t *term) withViewAge(status *operator.EvacuationStatus) *operator.EvacuationStatus {
+	if status != nil && t.owner.ConfigAge != nil {
+		status.ViewAge = t.owner.ConfigAge().Seconds()
+	}
+	return status
+}
+
 // doSync runs a function on the term's goroutine and waits for it.
 func (t *term) doSync(ctx context.Context, run func()) error {
 	done := make(chan struct{})
--- a/internal/process/placement/report.go
+++ b/internal/process/placement/report.go
@@ -12,6 +12,9 @@
 		ID: j.ID, Account: j.Account, DataCentre: s.DataCentre, State: j.CallerState(), Reason: j.Reason, Attempt: j.Attempt,
 		Owed: j.RanUnderGuarantee, Instances: j.Place, Submitted: j.Submitted, Finished: j.Finished, Due: j.Due, Forecast: j.Forecast,
 	}
+	if j.phase == queued && s.evacuated {
+		status.Reason = evacuatedReason
+	}
 	if j.phase == running || j.phase == finished {
 		status.Started = j.Started
 	}
@@ -20,7 +23,7 @@
 
 // Report returns the data centre's status for the operators.
 func (s *State) Report() operator.Report {
-	r := operator.Report{DataCentre: s.DataCentre, Queued: s.Queued(), Late: s.LateJobs()}
+	r := operator.Report{DataCentre: s.DataCentre, Queued: s.Queued(), Late: s.LateJobs(), Evacuation: s.EvacuationStatus()}
 	for _, e := range s.entitlements {
 		g := operator.GuaranteeStatus{
 			Guarantee: e.guarantee.Name, Number: e.number, Account: e.guarantee.Account, DataCentre: s.DataCentre,
@@ -36,11 +39,9 @@
 	}
 	stranded := s.Stranded()
 	for _, rack := range s.racks {
-		status := operator.RackStatus{DataCentre: s.DataCentre, Rack: rack.id, Free: rack.free(), Stranded: stranded[rack.id]}
-		for _, n := range rack.nodes {
-			status.Total += n.Total.Accelerators
-		}
-		r.Racks = append(r.Racks, status)
+		r.Racks = append(r.Racks, operator.RackStatus{
+			DataCentre: s.DataCentre, Rack: rack.id, Total: rack.total(), Free: rack.free(), Stranded: stranded[rack.id],
+		})
 	}
 	for _, n := range s.sortedNodes() {
 		r.Instances = append(r.Instances, operator.InstanceStatus{
@@ -56,7 +57,7 @@
 		return "Lost"
 	case n.quarantined():
 		return "Quarantined"
-	case n.Leaving:
+	case n.leaves():
 		return "Leaving"
 	}
 	return "Live"
