Count what fits by speed class only in pools of unequal workers

Cause: a decision with many single tasks took a third longer, since all counts were copied with their classes.

--- a/internal/process/pool/fitcount.go
+++ b/internal/process/pool/fitcount.go
@@ -18,6 +18,10 @@
 		// sum is the sum over all racks, and most is the largest count of a rack.
 		sum, most taskCounts
 		countedAt uint64
+		// byRackAndClass and sumByClass are the counts by speed class of the workers on which nothing has failed since their last
+		// success. They are kept only in a pool of unequal workers.
+		byRackAndClass []classCounts
+		sumByClass     classCounts
 	}
 
 	rackFitCount struct {
@@ -25,12 +29,11 @@
 		countedAt uint64
 	}
 
-	// taskCounts are the numbers of tasks that fit on all workers, on the preferred ones, and in a pool of unequal workers on those of
-	// each class.
-	taskCounts struct {
-		all, preferred int
-		byClass        [speedClasses]int
-	}
+	// taskCounts are the numbers of tasks that fit on all workers, and on the preferred ones.
+	taskCounts struct{ all, preferred int }
+
+	// classCounts are numbers of tasks by speed class.
+	classCounts [speedClasses]int
 )
 
 const (
@@ -74,6 +77,12 @@
 	}
 	c.countedAt = s.capacityChanges
 	c.most = taskCounts{}
+	if s.speeds.unequal && c.byRackAndClass == nil {
+		c.byRackAndClass = make([]classCounts, len(s.racks))
+		for i, rack := range s.racks {
+			c.countClasses(s, i, rack)
+		}
+	}
 	for i, rack := range s.racks {
 		old := c.byRack[i]
 		if old.countedAt == rack.changedAt {
@@ -87,20 +96,31 @@
 			if n.preferred() {
 				counts.preferred += tasks
 			}
-			if s.speeds.unequal && n.failures == 0 {
-				counts.byClass[n.class] += tasks
-			}
 		}
 		c.byRack[i] = rackFitCount{counts, rack.changedAt}
 		c.most = c.most.max(counts)
 		c.sum.all += counts.all - old.all
 		c.sum.preferred += counts.preferred - old.preferred
-		for class := range counts.byClass {
-			c.sum.byClass[class] += counts.byClass[class] - old.byClass[class]
+		if s.speeds.unequal {
+			c.countClasses(s, i, rack)
 		}
 	}
 }
 
+// countClasses updates the counts of a rack by class.
+func (c *fitCount) countClasses(s *State, i int, r *rack) {
+	counts := classCounts{}
+	for _, n := range r.nodes {
+		if n.failures == 0 {
+			counts[n.class] += c.tasksOn(n)
+		}
+	}
+	for class := range counts {
+		c.sumByClass[class] += counts[class] - c.byRackAndClass[i][class]
+	}
+	c.byRackAndClass[i] = counts
+}
+
 // tasksOn returns the number of tasks that fit on a worker now.
 func (c *fitCount) tasksOn(n *node) int {
 	if !n.schedulable() || n.Service != c.shape.service || !n.hasLabel(c.shape.label) {
@@ -109,29 +129,39 @@
 	return n.free().Copies(c.shape.each, maxTasksPerWorker)
 }
 
-// max returns the larger counts, except by class.
 func (c taskCounts) max(o taskCounts) taskCounts {
-	return taskCounts{all: max(c.all, o.all), preferred: max(c.preferred, o.preferred)}
+	return taskCounts{max(c.all, o.all), max(c.preferred, o.preferred)}
 }
 
-// of returns the count of the workers that pass a filter; for proven workers it is an upper bound.
-func (c taskCounts) of(filter workerFilter) int {
-	if filter.byClass {
+// total returns the count of the workers that pass a filter; for proven workers it is an upper bound.
+func (c *fitCount) total(filter workerFilter) int { return filter.count(c.sum, &c.sumByClass) }
+
+// inRack is total for one rack.
+func (c *fitCount) inRack(r *rack, filter workerFilter) int {
+	if !filter.byClass {
+		return filter.count(c.byRack[r.index].taskCounts, nil)
+	}
+	return filter.count(taskCounts{}, &c.byRackAndClass[r.index])
+}
+
+// count returns the count of the workers that pass the filter.
+func (f workerFilter) count(counts taskCounts, byClass *classCounts) int {
+	switch {
+	case f.byClass:
 		sum := 0
-		for _, tasks := range c.byClass[filter.fastest : filter.slowest+1] {
+		for _, tasks := range byClass[f.fastest : f.slowest+1] {
 			sum += tasks
 		}
 		return sum
+	case f.kind == everyWorker:
+		return counts.all
 	}
-	if filter.kind == everyWorker {
-		return c.all
-	}
-	return c.preferred
+	return counts.preferred
 }
 
 // unreserved returns the number of tasks that fit on the workers outside the given reservations.
 func (c *fitCount) unreserved(s *State, conflicts uint64, filter workerFilter) int {
-	tasks := c.sum.of(filter)
+	tasks := c.total(filter)
 	for i := range s.reserved.list {
 		bit := uint64(1) << i
 		if conflicts&bit == 0 {
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -109,7 +109,7 @@
 // uses only workers that pass the filter.
 func (s *State) bestPlacement(u *unit, now time.Time, conflicts uint64, filter workerFilter) []*node {
 	fits := s.fitCountFor(u.stage)
-	if fits.sum.of(filter) < u.count {
+	if fits.total(filter) < u.count {
 		return nil
 	}
 	racks, spread := s.candidateRacks(u, now)
@@ -121,7 +121,7 @@
 	}
 	fitting := s.fittingRacks[:0]
 	for _, r := range racks {
-		if fits.byRack[r.index].of(filter) >= u.count {
+		if fits.inRack(r, filter) >= u.count {
 			fitting = append(fitting, r)
 		}
 	}
@@ -235,7 +235,7 @@
 	fits := s.fitCountFor(u.stage)
 	list := s.candidateList[:0]
 	for _, r := range racks {
-		if fits.byRack[r.index].of(filter) == 0 {
+		if fits.inRack(r, filter) == 0 {
 			continue
 		}
 		for _, n := range r.nodes {
--- a/internal/process/pool/speed.go
+++ b/internal/process/pool/speed.go
@@ -71,7 +71,7 @@
 	// logStragglerThreshold, from which they count as unequal, so that noise doesn't switch between the two.
 	equalSpread = 0.3
 	// speedsInterval is the time between updates of the summary.
-	speedsInterval = 250 * time.Millisecond
+	speedsInterval = 500 * time.Millisecond
 	// noticeableChange is the change of an estimate that is worth storing.
 	noticeableChange = 0.1
 )
--- a/internal/process/pool/spread.go
+++ b/internal/process/pool/spread.go
@@ -22,6 +22,9 @@
 // unit should go on waiting. Tasks run slower there, so the unit waits if that is expected to end it sooner. After
 // Times.IdleWait it waits no longer, and takes workers that are reserved for others too.
 func (s *State) spreadIfIdle(u *unit, now time.Time) []*node {
+	if spec := u.spec(); spec.DataRack == "" && !spec.SameRack {
+		return nil
+	}
 	if !s.isIdleFor(u, now) {
 		u.idleSince = time.Time{}
 		return nil
