--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -57,6 +57,9 @@
 			s.notice(Notice{Kind: "WorkerGone", Worker: id, Cause: "it never reported, and leases of an earlier owner have expired"})
 		}
 	}
+	if s.adopting {
+		s.endAdoption(now)
+	}
 	for n := range s.suspects {
 		id := n.ID
 		if !n.quarantinedUntil.IsZero() && !now.Before(n.quarantinedUntil) {
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -367,10 +367,25 @@
 	}
 	for _, j := range slices.Clone(s.live) {
 		for _, u := range j.units {
-			if u.phase == starting && len(u.runs) < u.count {
+			s.failIfExhausted(u, now)
+		}
+	}
+	s.adopting = true
+	s.endAdoption(now)
+}
+
+// endAdoption stops the gangs of an earlier owner of which only a part was found running, once all workers that may have the other
+// members have reported or are lost. Until then none of them could be started again anyway; see blocked.
+func (s *State) endAdoption(now time.Time) {
+	if !s.adopting || len(s.unknown) > 0 {
+		return
+	}
+	s.adopting = false
+	for _, j := range slices.Clone(s.live) {
+		for _, u := range j.units {
+			if u.phase == starting && u.adopted && len(u.runs) < u.count {
 				s.stopUnit(u, "only a part of the gang was found running", now)
 			}
-			s.failIfExhausted(u, now)
 		}
 	}
 }
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -69,6 +69,8 @@
 		recoveredAt time.Time
 		// recovering blocks all starts until the workers have reported.
 		recovering bool
+		// adopting is set after recovery until endAdoption has run.
+		adopting bool
 		// held blocks all starts; see HoldStarts.
 		held bool
 		// preempting holds the units in phase preempting.
--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -34,10 +34,20 @@
 		catalog   catalog.Catalog
 		listed    map[ids.InstanceID]ListedWorker
 
+		// entryTime is the time that an entry of a list takes over an instance's link, and callTime the time of an instance's
+		// processor that a call to a worker takes.
+		entryTime, callTime time.Duration
+
 		mu    sync.Mutex
 		specs map[ids.JobID]jobSpec
 	}
 
+	// serial is a link or a processor, which serves its uses one after the other.
+	serial struct {
+		mu   sync.Mutex
+		free time.Time
+	}
+
 	// jobSpec is what the workers know of a job.
 	jobSpec struct {
 		steps    []pool.Step
@@ -61,9 +71,28 @@
 		// dead means that the process has terminated, and machineOff that its machine is off too.
 		dead, machineOff bool
 		paused           chan struct{}
+
+		link, processor serial
 	}
 )
 
+// use takes the resource for a time, after those who use it already. It fails if the call's time limit passes before.
+func (s *serial) use(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	now := time.Now()
+	if s.free.Before(now) {
+		s.free = now
+	}
+	s.free = s.free.Add(d)
+	wait := s.free.Sub(now)
+	s.mu.Unlock()
+	time.Sleep(wait)
+	return ctx.Err()
+}
+
 const (
 	testConfigKey    = "Config/Current"
 	testConfigPrefix = "Config/"
@@ -283,7 +312,11 @@
 			if l.waitRunning() != nil {
 				return nil, 0, store.ErrRefused
 			}
-			return s.List(ctx, prefix)
+			entries, revision, err := s.List(ctx, prefix)
+			if err == nil && l.instance.link.use(ctx, time.Duration(len(entries))*l.instance.cluster.entryTime) != nil {
+				return nil, 0, store.ErrUnknown
+			}
+			return entries, revision, err
 		},
 		Watch: func(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 			if l.waitRunning() != nil {
@@ -343,7 +376,14 @@
 			if err := checkConnection(); err != nil {
 				return worker.RunReport{}, err
 			}
-			return r.Renew(ctx, o)
+			if err := l.instance.processor.use(ctx, l.instance.cluster.callTime/2); err != nil {
+				return worker.RunReport{}, err
+			}
+			report, err := r.Renew(ctx, o)
+			if err == nil {
+				err = l.instance.processor.use(ctx, l.instance.cluster.callTime/2)
+			}
+			return report, err
 		},
 		Close: r.Close,
 	}
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -74,6 +74,10 @@
 	maxOrderAge = 50 * time.Millisecond
 	// maxConcurrentOrders limits the concurrent orders to one worker.
 	maxConcurrentOrders = 2
+	// maxFirstRenewals limits the first renewals in flight. An instance with little processor time answers so many within the time limit
+	// of a call: a call takes 0.12 ms of a core, and with a seventh of one 256 calls take 0.21 s. The limit keeps the wait for the
+	// processor out of the call's time.
+	maxFirstRenewals = 256
 	// maxRefusedConnections is the number of consecutive refused connections after which a worker's process counts as
 	// terminated.
 	maxRefusedConnections = 2
@@ -188,6 +192,10 @@
 				}
 			}
 		}
+		first := answered.IsZero()
+		if first && !l.acquireFirst() {
+			return
+		}
 		// The lease of a worker that doesn't answer is not extended, so that its runs end by a known time.
 		if failures == 0 {
 			o.Lease = l.term.owner.Times.WorkerLease
@@ -195,6 +203,9 @@
 		}
 		sent := l.term.owner.now()
 		report, err := l.sendRenewal(o)
+		if first {
+			<-l.term.firstRenewals
+		}
 		if l.ctx.Err() != nil {
 			return
 		}
@@ -225,6 +236,16 @@
 	}
 }
 
+// acquireFirst waits until the first renewal may be sent. A new owner of a large pool sends them to all workers at once.
+func (l *link) acquireFirst() bool {
+	select {
+	case l.term.firstRenewals <- struct{}{}:
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
 func (l *link) sendRenewal(o worker.RenewRunsRequest) (worker.RunReport, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, o.Wait+workerCallTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/process/poolowner/takeover_test.go
@@ -0,0 +1,86 @@
+package poolowner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// All instances of a large pool are killed at once, and one with a slow link and a third of a processor takes over: it serves soon,
+// hears of all workers soon, and starts no gang again that runs.
+func TestPatternLargeTakeover(t *testing.T) {
+	for name, test := range map[string]struct {
+		workers, jobs       int
+		entryTime, callTime time.Duration
+		// serves and reported bound the times until the pool is served and until all workers have reported.
+		serves, reported time.Duration
+	}{
+		"a slow link":      {3000, 300, listEntryTime, 0, 2 * time.Second, 3 * time.Second},
+		"a slow processor": {3000, 300, 0, 200 * time.Microsecond, 2 * time.Second, 3 * time.Second},
+		// The first attempt to read takes longer than its limit.
+		"a very slow link":      {3000, 300, 2 * listEntryTime, 0, 7 * time.Second, 8 * time.Second},
+		"a link and processor":  {3000, 300, listEntryTime / 4, 200 * time.Microsecond, 2 * time.Second, 3 * time.Second},
+		"neither, 300 workers":  {300, 40, 0, 0, 500 * time.Millisecond, time.Second},
+		"neither, 3000 workers": {3000, 300, 0, 0, 500 * time.Millisecond, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newCluster(t, 2, test.workers)
+				defer w.stop()
+				const (
+					tasks = 5
+					limit = 20 * time.Second
+					// workerLease is how long runs go on without an owner.
+					workerLease = defaultWorkerLease
+				)
+				var jobs []ids.JobID
+				for i := range test.jobs {
+					id := ids.JobID(fmt.Sprintf("job%06d", i))
+					w.defineJob(id, jobSpec{steps: []pool.Step{gangStep(tasks, 8)}, runTime: 20 * time.Second})
+					_, err := w.submit(w.ownerInstance(), 1, id)
+					require.NoError(t, err)
+					jobs = append(jobs, id)
+				}
+				time.Sleep(2 * time.Second)
+				next := w.ownerInstance()
+				for _, i := range w.instances {
+					i.kill(false)
+				}
+				w.entryTime, w.callTime = test.entryTime, test.callTime
+				killed := time.Now()
+				next.start()
+				for !next.owns() && time.Since(killed) < limit {
+					time.Sleep(10 * time.Millisecond)
+				}
+				require.True(t, next.owns(), "the pool is not served")
+				served := time.Since(killed)
+				owner, _ := next.current()
+				for reported := false; !reported && time.Since(killed) < limit; time.Sleep(10 * time.Millisecond) {
+					require.NoError(t, owner.term.Load().do(context.Background(), func() { reported = owner.term.Load().allReported() }))
+				}
+				reported := time.Since(killed)
+				time.Sleep(30 * time.Second)
+				again := 0
+				for _, id := range jobs {
+					if w.checker.StartCount(id) > tasks {
+						again++
+					}
+				}
+				m := owner.Metrics()
+				t.Logf("served after %v, all workers reported after %v, %d of %d gangs started again, %v renewals failed", served, reported, again, len(jobs), m.RenewalsFailed.Value())
+				if reported < workerLease {
+					require.Zero(t, again)
+				}
+				require.LessOrEqual(t, served, test.serves)
+				require.LessOrEqual(t, reported, test.reported)
+			})
+		})
+	}
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -49,6 +49,8 @@
 		// malformedEntries are the unreadable entries of the instance list, each logged once.
 		malformedEntries map[string]bool
 		links            map[ids.InstanceID]*link
+		// firstRenewals limits the first renewals in flight.
+		firstRenewals chan struct{}
 		// jobRevisions are the store's revisions of the jobs' records.
 		jobRevisions map[ids.JobID]store.Revision
 		waiters      map[ids.JobID][]*waiter
@@ -93,8 +95,15 @@
 	eventQueueSize = 4096
 	// tickInterval is the interval of scheduling passes without events.
 	tickInterval = 100 * time.Millisecond
-	// recoveryTimeout is how long a new owner waits for the workers' first reports: the time of two calls.
-	recoveryTimeout = 900 * time.Millisecond
+	// recoveryTimeout is how long a new owner waits for the workers' first reports: the time of two calls. While reports of a large pool
+	// arrive, it is extended by recoveryExtension each time, up to maxRecoveryTimeout.
+	recoveryTimeout    = 900 * time.Millisecond
+	recoveryExtension  = 100 * time.Millisecond
+	maxRecoveryTimeout = 2 * recoveryTimeout
+	// readTimeout limits the reading of the stored state. It doubles after each attempt that took longer although the store answers
+	// other calls: a large state over a slow link would never be read otherwise.
+	readTimeout    = 4 * storeCallTimeout
+	maxReadTimeout = 8 * readTimeout
 	// leaseGrace is how long an owner that can't renew its lease continues to manage its runs: longer than the store's
 	// usual outages. Orders stay fenced, and no job is accepted meanwhile.
 	leaseGrace = 9 * time.Second
@@ -127,7 +136,7 @@
 		events: make(chan func(), eventQueueSize),
 		state:  &pool.State{Epoch: c.Epoch, Times: o.Pool},
 		listed: make(map[ids.InstanceID]ListedWorker), malformedEntries: make(map[string]bool), links: make(map[ids.InstanceID]*link),
-		jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
+		firstRenewals: make(chan struct{}, maxFirstRenewals), jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
 	}
 	t.leaseRenewedAt.Store(&c.grantedAt)
 	t.log.Info("owner: ownership claimed")
@@ -198,19 +207,23 @@
 
 // loadState reads what earlier owners stored, and retries until the term ends.
 func (t *term) loadState() bool {
-	for t.ctx.Err() == nil {
-		err := t.readStore()
+	for timeout := readTimeout; t.ctx.Err() == nil; {
+		sent := t.owner.now()
+		err := t.readStore(timeout)
 		if err == nil {
 			return true
 		}
+		if t.owner.since(sent) >= timeout && !t.isStoreUnavailable() {
+			timeout = min(2*timeout, maxReadTimeout)
+		}
 		t.log.Warn("owner: reading the stored state failed", zap.Error(err))
 		pause.For(t.ctx, jitter(storeRetryDelay))
 	}
 	return false
 }
 
-func (t *term) readStore() error {
-	ctx, cancel := context.WithTimeout(t.ctx, 4*storeCallTimeout)
+func (t *term) readStore(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
 	sent := t.owner.now()
 	var config, workers, records []store.Entry
@@ -281,6 +294,7 @@
 
 // run handles events and schedules until the term ends.
 func (t *term) run() {
+	began, stillMissing := time.Now(), len(t.listed)
 	recovery := time.NewTimer(recoveryTimeout)
 	defer recovery.Stop()
 	ticker := time.NewTicker(tickInterval)
@@ -294,6 +308,11 @@
 			event()
 			t.drainEvents()
 		case <-recovery.C:
+			if missing := t.missingReports(); missing < stillMissing && time.Since(began) < maxRecoveryTimeout {
+				stillMissing = missing
+				recovery.Reset(recoveryExtension)
+				break
+			}
 			t.endRecovery()
 		case <-ticker.C:
 			t.tick()
@@ -327,6 +346,17 @@
 	return true
 }
 
+// missingReports returns the number of listed workers that have not reported.
+func (t *term) missingReports() int {
+	missing := 0
+	for id := range t.listed {
+		if !t.state.HasReported(id) {
+			missing++
+		}
+	}
+	return missing
+}
+
 // isServing reports whether recovery, in which the workers report their runs, is over.
 func (t *term) isServing() bool { return t.owner.term.Load() == t }
 
