--- a/internal/process/poolowner/faults_test.go
+++ b/internal/process/poolowner/faults_test.go
@@ -268,3 +268,42 @@
 		}))
 	})
 }
+
+// A list in place of a watch that failed shows the store as it was before a worker was removed: the worker stays removed.
+func TestOldListAfterFailedWatch(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		owner, _ := w.ownerInstance().current()
+		term := owner.term.Load()
+		w.store.FreezeLists(true)
+		w.unlistWorker("worker05")
+		time.Sleep(time.Second)
+		w.store.Compact()
+		for range 20 {
+			time.Sleep(50 * time.Millisecond)
+			require.NoError(t, term.do(context.Background(), func() { require.NotContains(t, term.listed, ids.InstanceID("worker05")) }))
+		}
+		w.store.FreezeLists(false)
+	})
+}
+
+// A submission is repeated at an instance whose lists show the store as it was before the job was accepted, while no instance serves:
+// it is not refused.
+func TestRepeatedSubmissionWithOldLists(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(2, 4)}, runTime: time.Second})
+		w.store.FreezeLists(true)
+		first := w.ownerInstance()
+		_, err := w.submit(first, 1, "a")
+		require.NoError(t, err)
+		time.Sleep(2 * time.Second)
+		first.kill(false)
+		for _, other := range w.instances {
+			if other != first {
+				answer, err := w.submit(other, 1, "a")
+				require.ErrorIs(t, err, ErrUnknown, "answered %+v", answer)
+			}
+		}
+		w.store.FreezeLists(false)
+		w.awaitState(1, "a", pool.Completed)
+	})
+}
