--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,7 +37,7 @@
 
 		// entryTime is the time that an entry of a list takes over an instance's link, and callTime the time of an instance's
 		// processor that a call to a worker takes.
-		entryTime, callTime time.Duration
+		entryTime, callTime atomic.Int64
 
 		mu    sync.Mutex
 		specs map[ids.JobID]jobSpec
@@ -313,7 +314,7 @@
 				return nil, 0, store.ErrRefused
 			}
 			entries, revision, err := s.List(ctx, prefix)
-			if err == nil && l.instance.link.use(ctx, time.Duration(len(entries))*l.instance.cluster.entryTime) != nil {
+			if err == nil && l.instance.link.use(ctx, time.Duration(len(entries))*time.Duration(l.instance.cluster.entryTime.Load())) != nil {
 				return nil, 0, store.ErrUnknown
 			}
 			return entries, revision, err
@@ -376,12 +377,12 @@
 			if err := checkConnection(); err != nil {
 				return worker.RunReport{}, err
 			}
-			if err := l.instance.processor.use(ctx, l.instance.cluster.callTime/2); err != nil {
+			if err := l.instance.processor.use(ctx, time.Duration(l.instance.cluster.callTime.Load())/2); err != nil {
 				return worker.RunReport{}, err
 			}
 			report, err := r.Renew(ctx, o)
 			if err == nil {
-				err = l.instance.processor.use(ctx, l.instance.cluster.callTime/2)
+				err = l.instance.processor.use(ctx, time.Duration(l.instance.cluster.callTime.Load())/2)
 			}
 			return report, err
 		},
--- a/internal/process/poolowner/takeover_test.go
+++ b/internal/process/poolowner/takeover_test.go
@@ -51,7 +51,8 @@
 				for _, i := range w.instances {
 					i.kill(false)
 				}
-				w.entryTime, w.callTime = test.entryTime, test.callTime
+				w.entryTime.Store(int64(test.entryTime))
+				w.callTime.Store(int64(test.callTime))
 				killed := time.Now()
 				next.start()
 				for !next.owns() && time.Since(killed) < limit {
