--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -72,6 +72,8 @@
 		recoveredAt time.Time
 		// recovering blocks all starts until the workers have reported.
 		recovering bool
+		// adopting is set after recovery until endAdoption has run.
+		adopting bool
 		// held blocks all starts; see HoldStarts.
 		held bool
 		// evacuations holds the data centres that take no new runs, and evacuationEvents their changes that were not returned yet.
--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,12 +35,22 @@
 		catalog   catalog.Catalog
 		listed    map[ids.InstanceID]ListedWorker
 
+		// entryTime is the time that an entry of a list takes over an instance's link, and callTime the time of an instance's
+		// processor that a call to a worker takes.
+		entryTime, callTime atomic.Int64
+
 		mu    sync.Mutex
 		specs map[ids.JobID]jobSpec
 		// listFault is called before each list of a prefix of the store; the list fails with its error.
 		listFault func(prefix string) error
 	}
 
+	// serial is a link or a processor, which serves its uses one after the other.
+	serial struct {
+		mu   sync.Mutex
+		free time.Time
+	}
+
 	// jobSpec is what the workers know of a job.
 	jobSpec struct {
 		steps    []pool.Step
@@ -63,9 +74,28 @@
 		// dead means that the process has terminated, and machineOff that its machine is off too.
 		dead, machineOff bool
 		paused           chan struct{}
+
+		link, processor serial
 	}
 )
 
+// use takes the resource for a time, after those who use it already. It fails if the call's time limit passes before.
+func (s *serial) use(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	now := time.Now()
+	if s.free.Before(now) {
+		s.free = now
+	}
+	s.free = s.free.Add(d)
+	wait := s.free.Sub(now)
+	s.mu.Unlock()
+	time.Sleep(wait)
+	return ctx.Err()
+}
+
 const (
 	testConfigKey    = "Config/Current"
 	testConfigPrefix = "Config/"
@@ -296,7 +326,11 @@
 			if err := l.instance.cluster.faultOfList(prefix); err != nil {
 				return nil, 0, err
 			}
-			return s.List(ctx, prefix)
+			entries, revision, err := s.List(ctx, prefix)
+			if err == nil && l.instance.link.use(ctx, time.Duration(len(entries))*time.Duration(l.instance.cluster.entryTime.Load())) != nil {
+				return nil, 0, store.ErrUnknown
+			}
+			return entries, revision, err
 		},
 		Watch: func(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 			if l.waitRunning() != nil {
@@ -356,7 +390,14 @@
 			if err := checkConnection(); err != nil {
 				return worker.RunReport{}, err
 			}
-			return r.Renew(ctx, o)
+			if err := l.instance.processor.use(ctx, time.Duration(l.instance.cluster.callTime.Load())/2); err != nil {
+				return worker.RunReport{}, err
+			}
+			report, err := r.Renew(ctx, o)
+			if err == nil {
+				err = l.instance.processor.use(ctx, time.Duration(l.instance.cluster.callTime.Load())/2)
+			}
+			return report, err
 		},
 		Close: r.Close,
 	}
