Count a worker's lease from renewals whose answer is lost

The owner counted a worker's lease only from answered renewals. If renewals arrived and their answers were lost, the worker's tasks ran on after the time at which the owner started them elsewhere: TestLostRenewalAnswers saw one job run on two workers at once.

The expiry now counts every renewal that may have arrived, from its sending with the call's timeout, and allows for a clock that is 2.5% slow and for rounding. After an unanswered renewal the owner sends probes whose lease ends within the known expiry, so that the worker's tasks end by a known time. An answered probe is followed by a whole renewal at once.

The stand-in can lose the answers of renewals; the soak draws this fault.

--- a/internal/process/owner/session.go
+++ b/internal/process/owner/session.go
@@ -24,20 +24,30 @@
 	sequence uint64
 	// incarnation is the worker's incarnation in its last report.
 	incarnation uint64
-	// leaseExpiry is the time by which the worker's lease must have expired if it isn't renewed.
+	// leaseExpiry is the time by which the worker's lease must have expired if it isn't renewed. It counts every renewal that
+	// may have arrived, also one in flight.
 	leaseExpiry time.Time
 	// unanswered counts the consecutive renewals without an answer.
 	unanswered int
 }
 
-// maxUnansweredRenewals is the number of unanswered renewals after which a worker is considered lost.
-const maxUnansweredRenewals = 2
+const (
+	// maxUnansweredRenewals is the number of unanswered renewals after which a worker is considered lost.
+	maxUnansweredRenewals = 2
+	// maxClockDrift is the fraction by which a worker's clock may be slow: the 2% that the platform specifies, with a margin.
+	maxClockDrift = 0.025
+	// clockRounding covers the rounding of the worker's clock and of this instance's.
+	clockRounding = 50 * time.Millisecond
+	// minProbeLease is the lease of a worker whose earlier leases have expired. It must be positive, and its worker runs nothing.
+	minProbeLease = time.Millisecond
+)
 
 // newSession starts renewing a worker's lease.
 func (t *term) newSession(id ids.InstanceID) *workerSession {
 	ctx, cancel := context.WithCancel(t.ctx)
-	// An earlier owner may just have renewed the lease.
-	leaseExpiry := time.Now().Add(t.workerLease())
+	// An earlier owner may just have renewed the lease, or an earlier session of this term one that was longer.
+	leaseExpiry := latest(time.Now().Add(maxLeaseTime(t.workerLease())), t.removedLeases[id])
+	delete(t.removedLeases, id)
 	session := &workerSession{term: t, id: id, cancel: cancel, renewNow: make(chan struct{}, 1), leaseExpiry: leaseExpiry}
 	t.spawn(func() { session.run(ctx) })
 	return session
@@ -62,10 +72,24 @@
 	return max(t.owner.Times.WorkerLease, renewals*t.renewInterval())
 }
 
+// maxLeaseTime returns how long a lease can last on a worker, whose clock may be slow.
+func maxLeaseTime(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*(1+maxClockDrift)) + clockRounding
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (l *workerSession) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		lease := l.term.workerLease()
-		l.renew(ctx, lease)
+		if probed := l.renew(ctx, lease); probed {
+			continue
+		}
 		// The interval may have grown since the lease was renewed.
 		timer := time.NewTimer(min(l.term.owner.jitter(l.term.renewInterval()), lease/2))
 		select {
@@ -77,33 +101,60 @@
 	}
 }
 
-// renew renews the lease once and passes the report to the term.
-func (l *workerSession) renew(ctx context.Context, lease time.Duration) {
+// renew renews the lease once and passes the report to the term. After an unanswered renewal it sends a probe, which doesn't extend
+// the lease beyond the known expiry; it returns true if the probe was answered and the lease must be renewed at once.
+func (l *workerSession) renew(ctx context.Context, lease time.Duration) (probed bool) {
 	o := l.term.owner
-	ctx, cancel := context.WithTimeout(ctx, o.Times.WorkerCallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, o.Times.WorkerCallTimeout)
 	defer cancel()
+	sent := time.Now()
 	l.mu.Lock()
+	if ctx.Err() != nil {
+		// removeSession may have read the expiry already.
+		l.mu.Unlock()
+		return false
+	}
+	probe := l.unanswered > 0
+	expiry := l.leaseExpiry
+	// The call may arrive until its timeout.
+	if probe {
+		lease = min(lease, probeLease(expiry.Sub(sent)-o.Times.WorkerCallTimeout))
+	} else {
+		l.leaseExpiry = latest(expiry, sent.Add(o.Times.WorkerCallTimeout+maxLeaseTime(lease)))
+	}
 	sequence, incarnation := l.sequence, l.incarnation
 	l.mu.Unlock()
-	sent := time.Now()
-	report, err := o.Worker(l.id).Renew(ctx, worker.Renew{Epoch: l.term.lease.epoch, TTL: lease, Since: sequence, Incarnation: incarnation})
+	report, err := o.Worker(l.id).Renew(callCtx, worker.Renew{Epoch: l.term.lease.epoch, TTL: lease, Since: sequence, Incarnation: incarnation})
 	if l.term.ctx.Err() != nil {
-		return
+		return false
 	}
 	if err != nil {
-		l.renewalFailed(err)
-		return
+		l.renewalFailed(err, expiry)
+		return false
 	}
 	l.mu.Lock()
 	l.unanswered = 0
-	// The worker counts the lease from the receipt of the call, which is before now.
-	l.leaseExpiry = time.Now().Add(lease)
-	l.sequence, l.incarnation = report.Sequence, report.Incarnation
+	if !probe {
+		// The worker counts the lease from the receipt of the call, which is before now.
+		l.leaseExpiry = latest(expiry, time.Now().Add(maxLeaseTime(lease)))
+		l.sequence, l.incarnation = report.Sequence, report.Incarnation
+	}
 	l.mu.Unlock()
+	if probe {
+		// The worker takes new work only under a whole lease, so its report counts with the next renewal.
+		return true
+	}
 	l.term.doAsync(func() { l.term.handleReport(l, report, sent) })
+	return false
 }
 
-func (l *workerSession) renewalFailed(err error) {
+// probeLease returns the longest lease that can't last longer than a time.
+func probeLease(left time.Duration) time.Duration {
+	return max(minProbeLease, time.Duration(float64(left-clockRounding)/(1+maxClockDrift)))
+}
+
+// renewalFailed handles a renewal without an answer. Before it was sent, the lease was to expire at the given time.
+func (l *workerSession) renewalFailed(err error, expiry time.Time) {
 	if errors.Is(err, worker.ErrFenced) {
 		l.term.end("worker " + string(l.id) + " has seen a newer epoch")
 		return
@@ -111,6 +162,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unanswered++
+	if errors.Is(err, worker.ErrUnreachable) {
+		l.leaseExpiry = expiry
+	}
 	// The worker may have restarted meanwhile, so the next report must be a full one.
 	l.sequence = 0
 	if l.unanswered >= maxUnansweredRenewals {
--- a/internal/process/owner/soak_test.go
+++ b/internal/process/owner/soak_test.go
@@ -26,7 +26,7 @@
 	"submit", "submit", "submit", "submit", "burst", "cancel", "kill", "pause", "resume", "takeOver", "heal",
 	"storeOut", "storeSlow", "storeLosesAnswers", "workerSilent", "workerUnreachable", "workerRefusesHolds",
 	"workerRefusesStarts", "workerLosesAnswers", "workerFailsTasks", "workerCrash", "rackSilent", "healWorkers", "healStore", "healWorkers",
-	"evacuate", "withdraw", "withdraw",
+	"evacuate", "withdraw", "withdraw", "workerLosesRenewAnswers",
 }
 
 func drawSteps(t *rapid.T) []step {
@@ -132,6 +132,7 @@
 	return workerservice.Faults{
 		Silent: kind == "workerSilent", Unreachable: kind == "workerUnreachable", RefuseHolds: kind == "workerRefusesHolds",
 		RefuseStarts: kind == "workerRefusesStarts", LoseAnswers: kind == "workerLosesAnswers", FailTasks: kind == "workerFailsTasks",
+		LoseRenewAnswers: kind == "workerLosesRenewAnswers",
 	}
 }
 
--- a/internal/standin/workerservice/workerservice.go
+++ b/internal/standin/workerservice/workerservice.go
@@ -46,6 +46,8 @@
 		RefuseHolds, RefuseStarts bool
 		// LoseAnswers executes holds, starts and stops but never answers them.
 		LoseAnswers bool
+		// LoseRenewAnswers executes renewals but never answers them.
+		LoseRenewAnswers bool
 		// FailTasks makes each task that starts end as failed after its run time.
 		FailTasks bool
 		// Delay is added to each call.
@@ -305,6 +307,16 @@
 	if err := s.beginCall(ctx, r.Epoch); err != nil {
 		return worker.Report{}, err
 	}
+	report, lose := s.renewLease(r)
+	if lose {
+		<-ctx.Done()
+		return worker.Report{}, worker.ErrUnknown
+	}
+	return report, nil
+}
+
+// renewLease extends the lease and returns the report, and whether the answer is lost.
+func (s *Service) renewLease(r worker.Renew) (report worker.Report, lose bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaseTimer != nil {
@@ -314,7 +326,10 @@
 	renewal := s.renewals
 	s.leaseTimer = time.AfterFunc(r.TTL, func() { s.expireLease(renewal) })
 	incarnation := s.BootID + s.restarts
-	report := worker.Report{Sequence: s.sequence, Incarnation: incarnation, Full: r.Since == 0 || r.Incarnation != incarnation}
+	report = worker.Report{Sequence: s.sequence, Incarnation: incarnation, Full: r.Since == 0 || r.Incarnation != incarnation}
+	if s.faults.LoseRenewAnswers {
+		return report, true
+	}
 	for _, t := range s.sortedTasks() {
 		if report.Full || t.sequence > r.Since {
 			report.Tasks = append(report.Tasks, t.report)
@@ -322,7 +337,7 @@
 			delete(s.tasks, t.report.TaskRef)
 		}
 	}
-	return report, nil
+	return report, false
 }
 
 // expireLease stops all tasks unless the lease was renewed after the given renewal.
