Retry accepting connections after a temporary error

Peer.Server.Serve and the HTTP servers ended for good at any error of Accept. A process without file descriptors for a moment was then deaf to its peers or callers; on the platform it exited.

--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -131,3 +133,35 @@
 	_, err = conn.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// emfileListener fails the first call of Accept as a process without file descriptors does.
+type emfileListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *emfileListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServeAfterAcceptError guards against a server that ends for good when the process has no file descriptors for a moment.
+func TestServeAfterAcceptError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := newServer()
+	logged := make(chan error, 1)
+	s.OnAcceptError = func(err error) { logged <- err }
+	go s.Serve(ctx, &emfileListener{Listener: listener})
+	c := &Client{Address: listener.Addr().String()}
+	defer c.Close()
+	callCtx, cancelCall := context.WithTimeout(ctx, 5*time.Second)
+	defer cancelCall()
+	var out string
+	require.NoError(t, c.Call(callCtx, "Echo", "hello", &out))
+	require.ErrorIs(t, <-logged, syscall.EMFILE)
+}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
+	"github.com/jujubegrade/jujubegrade/internal/connection/tcp"
 )
 
 type (
@@ -19,6 +20,8 @@
 	Server struct {
 		// OnPanic is called with the cause of a panic in a method; nil ignores it.
 		OnPanic func(method string, cause any)
+		// OnAcceptError is called once for each disturbance in which connections can't be accepted; nil ignores it.
+		OnAcceptError func(err error)
 
 		methods map[string]method
 	}
@@ -66,6 +69,7 @@
 
 // Serve serves the calls on all connections of a listener until ctx is done.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
+	listener = tcp.NewRetryListener(listener, s.OnAcceptError)
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	for {
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
 	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
+	"github.com/jujubegrade/jujubegrade/internal/connection/tcp"
 	"github.com/jujubegrade/jujubegrade/internal/process/owner"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -32,11 +33,16 @@
 }
 
 func (e *Entry) serveListener(server *fasthttp.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil {
+	if err := server.Serve(tcp.NewRetryListener(listener, e.logAcceptError)); err != nil {
 		e.Log.Info("server: listener closed", zap.Error(err))
 	}
 }
 
+// logAcceptError logs the first error of a disturbance in which connections can't be accepted.
+func (e *Entry) logAcceptError(err error) {
+	e.Log.Warn("server: connections can't be accepted, retrying", zap.Error(err))
+}
+
 func (e *Entry) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	s := e.Settings
 	return &fasthttp.Server{
@@ -66,7 +72,7 @@
 
 // newPeerServer returns the server of the methods that the other entry instances call.
 func (e *Entry) newPeerServer() *peer.Server {
-	s := &peer.Server{OnPanic: func(method string, cause any) { e.logPanic("peer call "+method, cause) }}
+	s := &peer.Server{OnPanic: func(method string, cause any) { e.logPanic("peer call "+method, cause) }, OnAcceptError: e.logAcceptError}
 	peer.Register(s, peer.MethodHeartbeat, func(_ context.Context, hb peer.Heartbeat) (peer.Heartbeat, error) {
 		e.members.ReceiveHeartbeat(hb, nil, 0)
 		return e.heartbeat(), nil
