Claim an epoch above those of all data centres

Epochs were counted for each data centre, but a worker keeps the highest one that it has seen. A worker that moved from a data centre with a higher epoch ended its new owner's term at each claim, until the epoch had caught up by one per claim: TestWorkerOfHigherEpochJoins counted 1000 claims, during which the data centre served nobody.

A claim now reads all epochs and exceeds the highest, so that one claim suffices. The former owner's orders remain fenced at the moved worker.

--- a/internal/process/owner/lease.go
+++ b/internal/process/owner/lease.go
@@ -32,15 +32,20 @@
 // leaseMarginDivisor sets the safety margin: 1/leaseMarginDivisor of the TTL at the end of a lease is not used.
 const leaseMarginDivisor = 5
 
+// epochPrefix is the prefix of the epoch keys of all data centres.
+const epochPrefix = "Epoch/"
+
 var errLeaseLost = errors.New("the ownership lease is lost")
 
 func (o *Owner) leaseKey() string { return "Lease/" + string(o.DataCentre) }
-func (o *Owner) epochKey() string { return "Epoch/" + string(o.DataCentre) }
+func (o *Owner) epochKey() string { return epochPrefix + string(o.DataCentre) }
 
 // claim acquires the lease if nobody holds it, then raises the epoch.
 // The epoch is read before the lease is acquired, so that a claimant that is paused in between fails to raise it.
+// The new epoch exceeds those of all data centres: a worker that moves here refuses lower epochs than its former owner's, and
+// continues to refuse that owner.
 func (o *Owner) claim(ctx context.Context) (*lease, error) {
-	ctx, cancel := context.WithTimeout(ctx, 4*o.Times.StoreCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 5*o.Times.StoreCallTimeout)
 	defer cancel()
 	var current epochRecord
 	entry, err := o.Store.Get(ctx, o.epochKey())
@@ -50,7 +55,11 @@
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return nil, err
 	}
-	l := &lease{epoch: current.Epoch + 1}
+	highest, err := o.highestEpoch(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l := &lease{epoch: max(current.Epoch, highest) + 1}
 	if err := o.acquireLease(ctx, l); err != nil {
 		return nil, err
 	}
@@ -66,6 +75,23 @@
 	return l, nil
 }
 
+// highestEpoch returns the highest epoch of all data centres. It skips unreadable epochs of other data centres, which must not prevent
+// a claim of this one.
+func (o *Owner) highestEpoch(ctx context.Context) (ids.Epoch, error) {
+	entries, err := o.Store.ListAll(ctx, epochPrefix)
+	if err != nil {
+		return 0, err
+	}
+	var highest ids.Epoch
+	for _, e := range entries {
+		var r epochRecord
+		if err := json.Unmarshal(e.Value, &r); err == nil {
+			highest = max(highest, r.Epoch)
+		}
+	}
+	return highest, nil
+}
+
 func (o *Owner) leaseValue(l *lease) []byte {
 	return fmt.Appendf(nil, "%s %d", o.Instance, l.epoch)
 }
