Check a start order again after a pause before its sending

A first start order was sent without a further check if it was younger than 50 ms when its age was read. A pause of the process right after that reading led to a start that the bounds for draining workers and evacuated data centres forbid: TestPauseBeforeSendingStart saw the order sent after 6 s.

The call's deadline now counts from the decision or the last check, so the client sends nothing after a pause, and the order is checked again.

--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -331,9 +331,12 @@
 	t := l.term
 	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Lease: t.owner.Times.WorkerLease, Checkpoint: a.Checkpoint}
 	unknown := false
+	// checked is when the run was last found to be one that may start.
+	checked := decided
 	for attempt := range maxStartAttempts {
 		if attempt > 0 || queued || t.owner.since(decided) > maxOrderAge {
-			if !l.mayStart(a.Run) {
+			valid := false
+			if checked, valid = l.mayStart(a.Run); !valid {
 				break
 			}
 			l.logLateStart(a.Run, attempt+1, t.owner.since(decided))
@@ -341,8 +344,14 @@
 		if l.ctx.Err() != nil {
 			return
 		}
+		// The timeout counts from the check: after a pause of the process the order is not sent without another check. A pause
+		// between the client's look at the deadline and its write to the connection is not detected.
+		ctx, cancel := context.WithDeadline(l.ctx, checked.at.Add(workerCallTimeout))
+		if t.owner.since(checked) >= workerCallTimeout {
+			cancel()
+			continue
+		}
 		l.markLeaseOrdered()
-		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
 		err := l.runs.Start(ctx, o)
 		cancel()
 		t.owner.metrics.Starts.Add(1)
@@ -376,18 +385,18 @@
 	t.post(func() { t.state.RunStartUnknown(l.id, a.Run, time.Now()) })
 }
 
-// mayStart reports whether a delayed or repeated order to start a run may still be sent. The run may have been abandoned,
+// mayStart returns the time of the check and whether a delayed or repeated order to start a run may still be sent. The run may have been abandoned,
 // its worker may be draining, or it may have ended on a worker that has restarted since and has no record of it. Such a worker
 // doesn't know the newest epoch either, so an instance sends late orders only if it is certain that it is still the owner.
-func (l *link) mayStart(r worker.Run) bool {
+func (l *link) mayStart(r worker.Run) (checked timestamp, valid bool) {
 	t := l.term
-	valid := false
 	if err := t.do(l.ctx, func() {
+		checked = t.owner.now()
 		valid = t.state.MayStart(l.id, r) && t.currentListState() != listOutdated && t.currentEvacuationState() != listOutdated && t.isStillOwner()
 	}); err != nil {
-		return false
+		return timestamp{}, false
 	}
-	return valid
+	return checked, valid
 }
 
 // logLateStart logs an order that is repeated, or that waited for other orders to its worker longer than they usually take.
