Wait for the lease of an unlisted worker after a takeover

A new owner asked only the listed workers. A job whose recorded worker had left the instance list counted as not running there and was started elsewhere at once, while it ran on under the lease of the lost owner: TestTakeoverWithUnlistedWorker saw it run on two workers at once.

The new owner now treats such a worker as unanswered, with a lease that may just have been renewed, and stops the gang there first.

--- a/internal/process/owner/recover.go
+++ b/internal/process/owner/recover.go
@@ -54,6 +54,7 @@
 	// Jobs under guarantees are restored first, since their shapes keep the instances recorded with them.
 	sort.SliceStable(records, func(i, j int) bool { return records[i].Guarantee != "" && records[j].Guarantee == "" })
 	for _, r := range records {
+		t.assumeLeases(r, nodes, reports, now)
 		t.restoreJob(r, reports, now)
 	}
 	t.state.FinishAdoption()
@@ -147,6 +148,23 @@
 	}
 }
 
+// assumeLeases treats the workers of a record that the instance list doesn't contain as unanswered, with a lease that an earlier owner
+// may just have renewed.
+func (t *term) assumeLeases(r *Record, nodes []placement.Node, reports *workerReports, now time.Time) {
+	for _, id := range r.Place {
+		if slices.ContainsFunc(nodes, func(n placement.Node) bool { return n.ID == id }) {
+			continue
+		}
+		if t.removedLeases == nil {
+			t.removedLeases = make(map[ids.InstanceID]time.Time)
+		}
+		t.removedLeases[id] = now.Add(maxLeaseTime(t.workerLease()))
+		if !slices.Contains(reports.unanswered, id) {
+			reports.unanswered = append(reports.unanswered, id)
+		}
+	}
+}
+
 // restoreJob restores one job. The workers' reports take precedence over the record, which may be older.
 func (t *term) restoreJob(r *Record, reports *workerReports, now time.Time) {
 	j := &placement.Job{Job: r.Job, ID: r.ID, Account: r.Account, Submitted: r.Submitted, Attempt: r.Attempt, Progress: r.Progress, Reason: r.Reason}
