Log queue, account and priority of refused calls

The line of a refusal named only the path, so that refusals could not be summed by account or priority without the configuration. The fields are also in the line of a job withdrawn behind an unanswered write.

--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -192,8 +192,16 @@
 }
 
 func (t *term) refuse(c Call, result Result, reason string, after time.Duration) Answer {
-	t.log.Info("call: refused", zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path), zap.String("result", string(result)), zap.String("cause", reason),
-		zap.Duration("retryAfter", after))
+	fields := []zap.Field{
+		zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path), zap.String("result", string(result)), zap.String("cause", reason),
+		zap.Duration("retryAfter", after),
+	}
+	if t.catalog != nil {
+		if q, _ := t.catalog.Resolve(c.Host, c.Path); q != nil {
+			fields = append(fields, zap.String("queue", string(q.ID)), zap.String("account", string(t.catalog.Keys[c.Key])), zap.Int("priority", q.Priority))
+		}
+	}
+	t.log.Info("call: refused", fields...)
 	t.owner.metrics.Refused.Add(1)
 	return Answer{Result: result, Reason: reason, RetryAfter: after}
 }
@@ -313,7 +321,8 @@
 			continue
 		}
 		t.state.Withdraw(id)
-		t.log.Info("call: withdrawn", zap.String("job", string(id)), zap.String("result", string(Refused)), zap.String("cause", "the store does not answer"))
+		t.log.Info("call: withdrawn", zap.String("job", string(id)), zap.String("result", string(Refused)), zap.String("cause", "the store does not answer"),
+			zap.String("queue", string(j.Queue)), zap.String("account", string(j.Account)), zap.Int("priority", j.Priority))
 		for _, w := range list {
 			w.answer <- Answer{Result: Refused, Reason: "the store does not answer", RetryAfter: notNowRetryAfter}
 		}
