Compare the expected wait of each admission with the actual one

Nothing showed whether the forecast of the admission was right. A job keeps the wait expected at its admission, and its first placement reports it. A job covered by a guarantee gets a forecast without a preemption plan.

--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -44,10 +44,12 @@
 	s.updateGuaranteed()
 	j.guaranteed = j.Priority == 0 && s.guaranteeCovers(j)
 	if j.guaranteed {
+		j.forecast = forecast{wait: s.guaranteedWait(j, now), isKnown: true}
 		return nil
 	}
-	slack := s.objective(j) - s.criticalPath(j)
-	if wait := s.expectedWait(j, now); wait > slack {
+	wait := s.expectedWait(j, now)
+	j.forecast = forecast{wait: wait, isKnown: true}
+	if slack := s.objective(j) - s.criticalPath(j); wait > slack {
 		return &Refusal{
 			Reason:     "it would wait " + wait.Round(time.Millisecond).String() + "; its limit is " + slack.Round(time.Millisecond).String(),
 			RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait-slack)),
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -77,6 +77,8 @@
 		startTag time.Duration
 		// charge is the time that the job added to its account's finish tag.
 		charge time.Duration
+		// forecast is the wait expected at the job's admission.
+		forecast forecast
 		// guaranteed is set if the account's guarantee covers the job.
 		guaranteed bool
 		// overdue is set if the job has not started and can't meet its objective any more.
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -55,10 +55,14 @@
 	s.fairQueue.advance(u.job)
 	first := !u.job.started
 	u.job.started = true
-	s.notice(Notice{
+	n := Notice{
 		Kind: "Placed", Job: u.job.ID, Priority: u.job.Priority, First: first, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: placement[0].ID, Workers: workers,
 		Cause: placedCause(u, placement), After: now.Sub(u.job.Submitted),
-	})
+	}
+	if wait, isKnown := u.job.ExpectedWait(); first && isKnown {
+		n.Queue, n.Forecast = u.job.Queue, &wait
+	}
+	s.notice(n)
 }
 
 // recordRack records the rack in which a step was first started.
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -156,6 +156,10 @@
 		Priority int
 		First    bool
 		Outcome  JobState
+		// Queue is the job's queue, and Forecast its expected wait at its admission, for the first placement of a job with a
+		// forecast.
+		Queue    ids.QueueID
+		Forecast *time.Duration
 		// After is the time since the job's submission. Lost is the work that a stop discards, in core-seconds.
 		After time.Duration
 		Lost  float64
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
 type (
@@ -36,7 +37,10 @@
 		// StartTime is the time from a job's submission to its first start, by priority, and EndTime that to its end, by
 		// priority and outcome.
 		StartTime, EndTime Latencies
-		counts             atomic.Pointer[pool.Counts]
+		// ExpectedWait and ActualWait are the times to the first start of admitted jobs, as expected at the admission and as they
+		// were, by queue and priority. ForecastError is the difference, split into jobs that started earlier and later than expected.
+		ExpectedWait, ActualWait, ForecastError Latencies
+		counts                                  atomic.Pointer[pool.Counts]
 	}
 
 	// Latency is a histogram of durations, in microseconds. The zero value is empty.
@@ -83,6 +87,9 @@
 
 // observeNotice records the time to a job's first start or to its end from a scheduling notice.
 func (m *Metrics) observeNotice(n pool.Notice) {
+	if n.Forecast != nil {
+		m.observeForecast(n.Queue, n.Priority, *n.Forecast, n.After)
+	}
 	switch {
 	case n.First:
 		m.StartTime.Observe(fmt.Sprintf("priority=%q", strconv.Itoa(n.Priority)), n.After)
@@ -91,6 +98,18 @@
 	}
 }
 
+// observeForecast compares the expected wait of an admitted job with its actual wait.
+func (m *Metrics) observeForecast(queue ids.QueueID, priority int, expected, actual time.Duration) {
+	label := fmt.Sprintf("queue=%q,priority=%q", queue, strconv.Itoa(priority))
+	m.ExpectedWait.Observe(label, expected)
+	m.ActualWait.Observe(label, actual)
+	started, difference := "Later", actual-expected
+	if difference < 0 {
+		started, difference = "Earlier", -difference
+	}
+	m.ForecastError.Observe(label+fmt.Sprintf(",started=%q", started), difference)
+}
+
 // Metrics returns the owner's metrics.
 func (o *Owner) Metrics() *Metrics { return &o.metrics }
 
