Forecast the wait of urgent jobs by racks instead of the whole queue

In a burst, urgent jobs were refused while workers were free, and wide gangs accepted that were then late: the backlog counted all queued work as if it had to pass first, weighted by the share of the whole pool. A job that fits now or by a preemption plan no longer waits for the queue. Otherwise the queued units that fit wherever it fits take the first places, rack by rack.

--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -92,16 +92,14 @@
 
 // expectedWait returns the expected queueing delay of a job's first unit: the backlog ahead of it and the wait for capacity.
 func (s *State) expectedWait(j *Job, now time.Time) time.Duration {
+	if j.Priority == 0 {
+		return s.urgentWait(j, now)
+	}
 	wait := s.backlog(j, now) + s.Lag
 	u := j.units[0]
 	if placement := s.findPlacement(u, now, 0); placement != nil {
 		return wait
 	}
-	if j.Priority == 0 {
-		if placement, _ := s.preemptionPlan(u, now); placement != nil {
-			return wait + s.expectedStopTime()
-		}
-	}
 	at, placement := s.earliestFit(u, now, 0)
 	if placement == nil {
 		return wait + s.objective(j)
