Tell refused callers to return one after the other

All callers refused in a burst were told to return after the same time, mostly a second, so that they returned together and were refused again. The state keeps the return times that it has handed out. A caller returns after those refused before it that are as urgent and whose jobs fit wherever its job fits, at the pace at which the pool serves them.

--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -52,7 +52,7 @@
 	if slack := s.objective(j) - s.criticalPath(j); wait > slack {
 		return &Refusal{
 			Reason:     "it would wait " + wait.Round(time.Millisecond).String() + "; its limit is " + slack.Round(time.Millisecond).String(),
-			RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait-slack)),
+			RetryAfter: s.retryAfter(j, wait-slack, now),
 		}
 	}
 	return nil
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -50,6 +50,8 @@
 		fitCountsVersion uint64
 		// capacityChanges counts the changes of any worker's free resources or schedulability; see rack.changedAt.
 		capacityChanges uint64
+		// retries holds the return times of refused callers.
+		retries retries
 		// reserved holds the reservations for waiting gangs.
 		reserved reservations
 		// preemptingCheckedAt is when the units in phase preempting were last checked, and preemptingChanges is the value of
