Hold accounts to their shares of urgent work while others are refused

Urgent jobs were admitted by submission time alone, so that a burst of one account took the room of the others. The state keeps the recently admitted urgent work by account, with a half-life, and stores it with the estimates. A job that needs room later is refused if its account exceeds its share and a job of an account within its share was just refused.

--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -49,7 +49,11 @@
 	}
 	wait := s.expectedWait(j, now)
 	j.forecast = forecast{wait: wait, isKnown: true}
+	if wait > s.Lag+s.expectedStopTime() && s.isHeldToShare(j, now) {
+		return &Refusal{Reason: "its account has used more than its share, and others wait", RetryAfter: s.retryAfter(j, 0, now)}
+	}
 	if slack := s.objective(j) - s.criticalPath(j); wait > slack {
+		s.recordRefusal(j, now)
 		return &Refusal{
 			Reason:     "it would wait " + wait.Round(time.Millisecond).String() + "; its limit is " + slack.Round(time.Millisecond).String(),
 			RetryAfter: s.retryAfter(j, wait-slack, now),
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -50,6 +50,8 @@
 		fitCountsVersion uint64
 		// capacityChanges counts the changes of any worker's free resources or schedulability; see rack.changedAt.
 		capacityChanges uint64
+		// usage holds the accounts' recent usage.
+		usage usage
 		// retries holds the return times of refused callers.
 		retries retries
 		// reserved holds the reservations for waiting gangs.
@@ -258,6 +260,7 @@
 // Offer adds an admitted job whose acceptance is being stored. The job doesn't start before MarkStored is called.
 func (s *State) Offer(j *Job) {
 	j.State = Accepted
+	s.addUsage(j, j.Submitted)
 	s.add(j)
 	s.markDirty(j)
 }
