--- a/internal/process/pool/burst_test.go
+++ b/internal/process/pool/burst_test.go
@@ -158,12 +158,12 @@
 
 // An urgent burst with departures: hardly any job is refused that would have been in time, and hardly any accepted job is late.
 // It guards against a forecast that counts the whole queue before each job: it refused 354 of 2,140 jobs for which there was room beyond
-// the capacity, and 114 of the 1,706 accepted ones were late.
+// the capacity, and 114 of the 1,706 accepted ones were late (three seeds).
 //
 // The 2% for refusals are met up to the pool's capacity. Beyond it, wide gangs are still refused for which a preemption frees a rack
 // later, and the bound guards what is reached.
 func TestPatternUrgentBurst(t *testing.T) {
-	const seeds = 3
+	const seeds = 6
 	for name, test := range map[string]struct{ factor, refusedInTime, late float64 }{
 		"up to the capacity": {factor: 5, refusedInTime: 0.02, late: 0.05},
 		"beyond it":          {factor: 7, refusedInTime: 0.05, late: 0.05},
--- a/internal/process/pool/usage.go
+++ b/internal/process/pool/usage.go
@@ -38,7 +38,7 @@
 	// scarceTime is how long after a refusal of an account within its share the others are held to their shares.
 	scarceTime = time.Second
 	// minContention is the usage of all accounts, as a fraction of the pool's capacity in usageHalfLife, below which shares are not
-	// exceeded. With 0.5, 97 to 100 instead of 67 to 69 of the 2,140 jobs of TestPatternUrgentBurst are refused with room.
+	// exceeded. With 0.5, 97 to 100 instead of about 70 of 2,140 jobs of TestPatternUrgentBurst are refused with room.
 	minContention = 0.7
 	// minUsage is the usage below which an account counts as inactive.
 	minUsage = 0.001
