--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -53,6 +53,10 @@
 		fitCountsVersion uint64
 		// capacityChanges counts the changes of any worker's free resources or schedulability; see rack.changedAt.
 		capacityChanges uint64
+		// usage holds the accounts' recent usage.
+		usage usage
+		// retries holds the return times of refused callers.
+		retries retries
 		// reserved holds the reservations for waiting gangs.
 		reserved reservations
 		// preemptingCheckedAt is when the units in phase preempting were last checked, and preemptingChanges is the value of
@@ -183,6 +187,10 @@
 		Priority int
 		First    bool
 		Outcome  JobState
+		// Queue is the job's queue, and Forecast its expected wait at its admission, for the first placement of a job with a
+		// forecast.
+		Queue    ids.QueueID
+		Forecast *time.Duration
 		// After is the time since the job's submission. Lost is the work that a stop discards, in core-seconds.
 		After time.Duration
 		Lost  float64
@@ -283,6 +291,7 @@
 // Offer adds an admitted job whose acceptance is being stored. The job doesn't start before MarkStored is called.
 func (s *State) Offer(j *Job) {
 	j.State = Accepted
+	s.addUsage(j, j.Submitted)
 	s.add(j)
 	s.markDirty(j)
 }
