--- /dev/null
+++ b/internal/process/poolowner/orders.go
@@ -0,0 +1,208 @@
+package poolowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/logsink"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// dispatch sends the order of one action that was decided at a time.
+func (t *term) dispatch(a pool.Action, decided timestamp) {
+	l := t.links[a.Worker]
+	if l == nil {
+		return
+	}
+	switch a.Kind {
+	case pool.StartRun:
+		l.markLeaseOrdered()
+		t.spawn("a start order", func() { l.start(a, decided) })
+	case pool.StopRun:
+		t.spawn("a stop order", func() { l.stop(a) })
+	}
+}
+
+// acquireSlot waits for a free order slot.
+func (l *link) acquireSlot() bool {
+	select {
+	case l.orderSlots <- struct{}{}:
+		if l.ctx.Err() != nil {
+			// Both were ready.
+			<-l.orderSlots
+			return false
+		}
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+// start starts a run and reports the outcome to the term.
+func (l *link) start(a pool.Action, decided timestamp) {
+	queued := len(l.orderSlots) == cap(l.orderSlots)
+	if !l.acquireSlot() {
+		return
+	}
+	defer func() { <-l.orderSlots }()
+	t := l.term
+	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Lease: t.owner.Times.WorkerLease, Checkpoint: a.Checkpoint}
+	unknown := false
+	// checked is when the run was last found to be one that may start.
+	checked := decided
+	for attempt := range maxStartAttempts {
+		if attempt > 0 || queued || t.owner.since(decided) > maxOrderAge {
+			valid := false
+			if checked, valid = l.mayStart(a.Run); !valid {
+				break
+			}
+			l.logLateStart(a.Run, attempt+1, t.owner.since(decided))
+		}
+		if l.ctx.Err() != nil {
+			return
+		}
+		// The timeout counts from the check: after a pause of the process the order is not sent without another check. A pause
+		// between the client's look at the deadline and its write to the connection is not detected.
+		ctx, cancel := context.WithDeadline(l.ctx, checked.at.Add(workerCallTimeout))
+		if t.owner.since(checked) >= workerCallTimeout {
+			cancel()
+			continue
+		}
+		l.markLeaseOrdered()
+		err := l.runs.Start(ctx, o)
+		cancel()
+		t.owner.metrics.Starts.Add(1)
+		switch {
+		case l.ctx.Err() != nil:
+			return
+		case err == nil:
+			t.post(func() { t.state.RunStarted(l.id, a.Run, time.Now()) })
+			return
+		case errors.Is(err, worker.ErrFenced):
+			t.end("worker " + string(l.id) + " follows a newer owner")
+			return
+		case errors.Is(err, worker.ErrLeaseExpired):
+			continue
+		case !unknown && isRefusal(err):
+			t.post(func() { t.state.RunRefused(l.id, a.Run, err, errors.Is(err, worker.ErrUnhealthy), time.Now()) })
+			return
+		}
+		if !unknown {
+			unknown = true
+			t.post(func() { t.state.RunStartUnanswered(l.id, a.Run) })
+		}
+		t.owner.metrics.StartsUnknown.Add(1)
+		t.log.Warn("orders: no answer to a start order", zap.String("job", string(a.Run.Job)), zap.Int("step", a.Run.Step), zap.Int("task", a.Run.Index),
+			zap.Uint64("run", uint64(a.Run.Number)), zap.String("worker", string(l.id)), zap.Error(err))
+	}
+	if !unknown {
+		t.post(func() { t.state.RunRefused(l.id, a.Run, errNotSent, false, time.Now()) })
+		return
+	}
+	t.post(func() { t.state.RunStartUnknown(l.id, a.Run, time.Now()) })
+}
+
+// mayStart returns the time of the check and whether a delayed or repeated order to start a run may still be sent. The run may have been abandoned,
+// its worker may be draining, or it may have ended on a worker that has restarted since and has no record of it. Such a worker
+// doesn't know the newest epoch either, so an instance sends late orders only if it is certain that it is still the owner.
+func (l *link) mayStart(r worker.Run) (checked timestamp, valid bool) {
+	t := l.term
+	if err := t.do(l.ctx, func() {
+		checked = t.owner.now()
+		valid = t.state.MayStart(l.id, r) && t.currentListState() != listOutdated && t.currentEvacuationState() != listOutdated && t.isStillOwner()
+	}); err != nil {
+		return timestamp{}, false
+	}
+	return checked, valid
+}
+
+// logLateStart logs an order that is repeated, or that waited for other orders to its worker longer than they usually take.
+func (l *link) logLateStart(r worker.Run, attempt int, after time.Duration) {
+	if attempt == 1 && after < lateStartDelay {
+		return
+	}
+	l.term.log.Named(logsink.Complete).Info("orders: late start", zap.String("job", string(r.Job)), zap.Int("step", r.Step), zap.Int("task", r.Index), zap.Uint64("run", uint64(r.Number)),
+		zap.String("worker", string(l.id)), zap.Int("attempt", attempt), zap.Duration("after", after), zap.Duration("listAge", l.term.listAge()))
+}
+
+// isRefusal reports whether an error of a start means that the run does not exist on the worker and that this order will
+// never start it.
+func isRefusal(err error) bool {
+	return errors.IsAny(err, worker.ErrNoCapacity, worker.ErrUnhealthy, worker.ErrIncarnationMismatch, worker.ErrInvalid, worker.ErrNotListening)
+}
+
+// stop stops a run. It repeats the order until the worker confirms it or the run can no longer exist there.
+func (l *link) stop(a pool.Action) {
+	if !l.acquireSlot() {
+		return
+	}
+	release := func() { <-l.orderSlots }
+	t := l.term
+	refused := 0
+	for l.ctx.Err() == nil {
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
+		err := l.runs.Stop(ctx, t.claim.Epoch, a.Run)
+		cancel()
+		t.owner.metrics.Stops.Add(1)
+		switch {
+		case l.ctx.Err() != nil:
+			release()
+			return
+		case err == nil || errors.Is(err, worker.ErrSuperseded):
+			release()
+			t.post(func() { t.state.StopConfirmed(l.id, a.Run, time.Now()) })
+			l.pollAfterStop(a)
+			return
+		case errors.Is(err, worker.ErrFenced):
+			release()
+			t.end("worker " + string(l.id) + " follows a newer owner")
+			return
+		case errors.Is(err, worker.ErrNotListening):
+			refused++
+		}
+		if errors.Is(err, worker.ErrIncarnationMismatch) || refused >= maxRefusedConnections {
+			release()
+			t.post(func() { t.state.MarkDead(l.id, "its process has ended", time.Now()) })
+			return
+		}
+		if !isRefusal(err) {
+			// The renewal in flight may wait 1 s longer before it detects this.
+			t.post(func() { t.state.MarkSilent(l.id, sent) })
+		}
+		if !t.hasRun(l.id, a.Run) {
+			break
+		}
+		pause.For(l.ctx, jitter(workerRetryDelay))
+	}
+	release()
+}
+
+// hasRun reports whether a run still occupies resources on a worker.
+func (t *term) hasRun(id ids.InstanceID, r worker.Run) bool {
+	found := false
+	if err := t.do(t.ctx, func() { found = t.state.HasRun(id, r) }); err != nil {
+		return false
+	}
+	return found
+}
+
+// pollAfterStop requests a report once a stopped run must have ended, unless the run's end was reported by then. The
+// worker reports no end of a run that it never started.
+func (l *link) pollAfterStop(a pool.Action) {
+	pause.For(l.ctx, l.term.owner.Pool.Stop+workerRetryDelay)
+	if l.ctx.Err() != nil || !l.term.hasRun(l.id, a.Run) {
+		return
+	}
+	sent := time.Now()
+	report, err := l.sendRenewal(worker.RenewRunsRequest{Epoch: l.term.claim.Epoch, Acknowledged: 0})
+	if err == nil {
+		l.deliverReport(report, sent)
+	}
+}
--- /dev/null
+++ b/internal/process/poolowner/recovery.go
@@ -0,0 +1,148 @@
+package poolowner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/store"
+	"github.com/jujubegrade/jujubegrade/internal/process/pause"
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// loadState reads what earlier owners stored, and retries until the term ends.
+func (t *term) loadState() bool {
+	for timeout := readTimeout; t.ctx.Err() == nil; {
+		sent := t.owner.now()
+		err := t.readStore(timeout)
+		if err == nil {
+			return true
+		}
+		if t.owner.since(sent) >= timeout && !t.isStoreUnavailable() {
+			timeout = min(2*timeout, maxReadTimeout)
+		}
+		t.log.Warn("owner: reading the stored state failed", zap.Error(err))
+		pause.For(t.ctx, jitter(storeRetryDelay))
+	}
+	return false
+}
+
+func (t *term) readStore(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
+	defer cancel()
+	sent := t.owner.now()
+	var config, workers, records []store.Entry
+	var configRev, workersRev store.Revision
+	g, ctx := errgroup.WithContext(ctx)
+	list := func(what, prefix string, entries *[]store.Entry, revision *store.Revision) {
+		g.Go(func() (err error) {
+			*entries, *revision, err = t.owner.Store.List(ctx, prefix)
+			if err == nil && *revision < t.claim.revision {
+				// A replica that lags behind this term's claim may still have workers, keys and records as they were before.
+				err = errStale
+			}
+			return errors.Wrap(err, "listing "+what)
+		})
+	}
+	var usedList, learnedList, speedsList []store.Entry
+	var ignored [4]store.Revision
+	list("the configuration", t.owner.ConfigPrefix, &config, &configRev)
+	list("the workers", t.owner.WorkerPrefix, &workers, &workersRev)
+	list("the jobs", prefixJobs, &records, &ignored[0])
+	list("the used workers", keyWorkers, &usedList, &ignored[1])
+	list("the estimates", keyEstimates, &learnedList, &ignored[2])
+	list("the workers' speeds", keySpeeds, &speedsList, &ignored[3])
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	t.owner.markContact()
+	used, learned := entryOf(usedList, keyWorkers), entryOf(learnedList, keyEstimates)
+	t.usedRevision = used.Revision
+	if used.Revision != store.Absent {
+		if err := json.Unmarshal(used.Value, &t.usedWorkers); err != nil {
+			// Any worker may run tasks of an earlier owner, so recovered jobs wait until all its leases have expired.
+			t.log.Error("owner: the list of used workers can't be decoded", zap.Error(err))
+			t.usedWorkers = []ids.InstanceID{unreadableWorker}
+		}
+	}
+	t.loadEstimates(learned)
+	t.setEvacuations(config, sent)
+	t.setConfig(config, sent)
+	t.setWorkers(workers, sent)
+	t.loadSpeeds(entryOf(speedsList, keySpeeds))
+	var jobs []*pool.Job
+	for _, e := range records {
+		j, err := pool.Decode(e.Value)
+		if err == nil && prefixJobs+string(j.ID) != e.Key {
+			err = errors.Newf("the record is of job %q", j.ID)
+		}
+		if err != nil {
+			t.log.Error("owner: a job's record can't be decoded", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		t.jobRevisions[j.ID] = e.Revision
+		jobs = append(jobs, j)
+	}
+	t.state.Recover(jobs)
+	t.log.Info("owner: records read", zap.Int("jobs", len(jobs)), zap.Int("workers", len(t.listed)), zap.Duration("took", t.owner.since(sent)))
+	t.spawn("the watch of the configuration", func() { t.watchConfig(config, configRev) })
+	t.spawn("the watch of the workers", func() { t.watchWorkers(workers, workersRev) })
+	return nil
+}
+
+// entryOf returns the entry of a key in a list; its revision is Absent if the key doesn't exist.
+func entryOf(list []store.Entry, key string) store.Entry {
+	for _, e := range list {
+		if e.Key == key {
+			return e
+		}
+	}
+	return store.Entry{}
+}
+
+// allReported reports whether every listed worker has reported its runs.
+func (t *term) allReported() bool {
+	for id := range t.listed {
+		if !t.state.HasReported(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// missingReports returns the number of listed workers that have not reported.
+func (t *term) missingReports() int {
+	missing := 0
+	for id := range t.listed {
+		if !t.state.HasReported(id) {
+			missing++
+		}
+	}
+	return missing
+}
+
+// endRecovery starts to schedule and to serve calls.
+func (t *term) endRecovery() {
+	if t.isServing() {
+		return
+	}
+	now := time.Now()
+	var missing []ids.InstanceID
+	for _, id := range t.usedWorkers {
+		if _, found := t.listed[id]; !found {
+			missing = append(missing, id)
+		}
+	}
+	// An earlier owner that lost the store may have renewed leases until its own grace period ended.
+	until := now.Add(leaseGrace + t.maxWorkerLease())
+	t.state.EndRecovery(missing, until, now)
+	t.owner.term.Store(t)
+	t.owner.recovering.Store(false)
+	c := t.state.Counts(now)
+	t.log.Info("owner: ownership taken", zap.Int("unknown", c.Unknown), zap.Int("runs", c.Runs), zap.Int("jobs", c.LiveJobs), zap.Int("missing", len(missing)))
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/process/logsink"
@@ -178,18 +176,6 @@
 	}
 }
 
-// releaseOwnership deletes the owner key if it is still this term's.
-func (t *term) releaseOwnership() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
-	defer cancel()
-	_, err := t.owner.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Key: keyOwner, Revision: t.claim.revision}}, Deletes: []string{keyOwner},
-	})
-	if err != nil {
-		t.log.Info("owner: the owner's key was not deleted; it expires with its lease", zap.Error(err))
-	}
-}
-
 // post queues an event for the term's goroutine.
 func (t *term) post(event func()) {
 	select {
@@ -218,96 +204,6 @@
 	}
 }
 
-// loadState reads what earlier owners stored, and retries until the term ends.
-func (t *term) loadState() bool {
-	for timeout := readTimeout; t.ctx.Err() == nil; {
-		sent := t.owner.now()
-		err := t.readStore(timeout)
-		if err == nil {
-			return true
-		}
-		if t.owner.since(sent) >= timeout && !t.isStoreUnavailable() {
-			timeout = min(2*timeout, maxReadTimeout)
-		}
-		t.log.Warn("owner: reading the stored state failed", zap.Error(err))
-		pause.For(t.ctx, jitter(storeRetryDelay))
-	}
-	return false
-}
-
-func (t *term) readStore(timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(t.ctx, timeout)
-	defer cancel()
-	sent := t.owner.now()
-	var config, workers, records []store.Entry
-	var configRev, workersRev store.Revision
-	g, ctx := errgroup.WithContext(ctx)
-	list := func(what, prefix string, entries *[]store.Entry, revision *store.Revision) {
-		g.Go(func() (err error) {
-			*entries, *revision, err = t.owner.Store.List(ctx, prefix)
-			if err == nil && *revision < t.claim.revision {
-				// A replica that lags behind this term's claim may still have workers, keys and records as they were before.
-				err = errStale
-			}
-			return errors.Wrap(err, "listing "+what)
-		})
-	}
-	var usedList, learnedList, speedsList []store.Entry
-	var ignored [4]store.Revision
-	list("the configuration", t.owner.ConfigPrefix, &config, &configRev)
-	list("the workers", t.owner.WorkerPrefix, &workers, &workersRev)
-	list("the jobs", prefixJobs, &records, &ignored[0])
-	list("the used workers", keyWorkers, &usedList, &ignored[1])
-	list("the estimates", keyEstimates, &learnedList, &ignored[2])
-	list("the workers' speeds", keySpeeds, &speedsList, &ignored[3])
-	if err := g.Wait(); err != nil {
-		return err
-	}
-	t.owner.markContact()
-	used, learned := entryOf(usedList, keyWorkers), entryOf(learnedList, keyEstimates)
-	t.usedRevision = used.Revision
-	if used.Revision != store.Absent {
-		if err := json.Unmarshal(used.Value, &t.usedWorkers); err != nil {
-			// Any worker may run tasks of an earlier owner, so recovered jobs wait until all its leases have expired.
-			t.log.Error("owner: the list of used workers can't be decoded", zap.Error(err))
-			t.usedWorkers = []ids.InstanceID{unreadableWorker}
-		}
-	}
-	t.loadEstimates(learned)
-	t.setEvacuations(config, sent)
-	t.setConfig(config, sent)
-	t.setWorkers(workers, sent)
-	t.loadSpeeds(entryOf(speedsList, keySpeeds))
-	var jobs []*pool.Job
-	for _, e := range records {
-		j, err := pool.Decode(e.Value)
-		if err == nil && prefixJobs+string(j.ID) != e.Key {
-			err = errors.Newf("the record is of job %q", j.ID)
-		}
-		if err != nil {
-			t.log.Error("owner: a job's record can't be decoded", zap.String("key", e.Key), zap.Error(err))
-			continue
-		}
-		t.jobRevisions[j.ID] = e.Revision
-		jobs = append(jobs, j)
-	}
-	t.state.Recover(jobs)
-	t.log.Info("owner: records read", zap.Int("jobs", len(jobs)), zap.Int("workers", len(t.listed)), zap.Duration("took", t.owner.since(sent)))
-	t.spawn("the watch of the configuration", func() { t.watchConfig(config, configRev) })
-	t.spawn("the watch of the workers", func() { t.watchWorkers(workers, workersRev) })
-	return nil
-}
-
-// entryOf returns the entry of a key in a list; its revision is Absent if the key doesn't exist.
-func entryOf(list []store.Entry, key string) store.Entry {
-	for _, e := range list {
-		if e.Key == key {
-			return e
-		}
-	}
-	return store.Entry{}
-}
-
 // run handles events and schedules until the term ends.
 func (t *term) run() {
 	began, stillMissing := time.Now(), len(t.listed)
@@ -352,51 +248,9 @@
 	}
 }
 
-// allReported reports whether every listed worker has reported its runs.
-func (t *term) allReported() bool {
-	for id := range t.listed {
-		if !t.state.HasReported(id) {
-			return false
-		}
-	}
-	return true
-}
-
-// missingReports returns the number of listed workers that have not reported.
-func (t *term) missingReports() int {
-	missing := 0
-	for id := range t.listed {
-		if !t.state.HasReported(id) {
-			missing++
-		}
-	}
-	return missing
-}
-
 // isServing reports whether recovery, in which the workers report their runs, is over.
 func (t *term) isServing() bool { return t.owner.term.Load() == t }
 
-// endRecovery starts to schedule and to serve calls.
-func (t *term) endRecovery() {
-	if t.isServing() {
-		return
-	}
-	now := time.Now()
-	var missing []ids.InstanceID
-	for _, id := range t.usedWorkers {
-		if _, found := t.listed[id]; !found {
-			missing = append(missing, id)
-		}
-	}
-	// An earlier owner that lost the store may have renewed leases until its own grace period ended.
-	until := now.Add(leaseGrace + t.maxWorkerLease())
-	t.state.EndRecovery(missing, until, now)
-	t.owner.term.Store(t)
-	t.owner.recovering.Store(false)
-	c := t.state.Counts(now)
-	t.log.Info("owner: ownership taken", zap.Int("unknown", c.Unknown), zap.Int("runs", c.Runs), zap.Int("jobs", c.LiveJobs), zap.Int("missing", len(missing)))
-}
-
 // maxWorkerLease returns how long a lease that is ordered now can last on a worker, whose clock may be slow.
 func (t *term) maxWorkerLease() time.Duration {
 	return time.Duration(float64(t.owner.Times.WorkerLease)*(1+maxClockDrift)) + clockRounding
@@ -460,56 +314,6 @@
 	}
 }
 
-// currentListState returns the state of the list of workers.
-func (t *term) currentListState() listState {
-	return t.viewState(t.listAge(), t.owner.Times.MaxListAge)
-}
-
-// viewState returns the state of a view of the store with the given age and its limit.
-func (t *term) viewState(age, limit time.Duration) listState {
-	if age <= limit {
-		return listCurrent
-	}
-	if t.isStoreUnavailable() {
-		return listUnavailable
-	}
-	return listOutdated
-}
-
-// isStoreUnavailable reports whether the store doesn't answer the renewals of the ownership lease, which are sent all the time.
-func (t *term) isStoreUnavailable() bool {
-	failed := t.renewalFailedAt.Load()
-	return failed != nil && failed.at.After(t.leaseRenewedAt.Load().at) && t.owner.since(*failed) < t.owner.Times.OutageWindow
-}
-
-// updateListState logs the changes of the state of the list of workers.
-func (t *term) updateListState(now time.Time) {
-	s := t.currentListState()
-	if s == t.listState {
-		return
-	}
-	after := now.Sub(t.listStateSince)
-	switch s {
-	case listCurrent:
-		t.log.Info("workers: the list is current again", zap.Duration("after", after))
-	case listOutdated:
-		t.owner.metrics.StartHolds.Add(1)
-		t.log.Warn("workers: the list is outdated; no runs are started", zap.Duration("listAge", t.listAge()))
-	case listUnavailable:
-		t.log.Warn("workers: the list is outdated and the store does not answer; runs are still started", zap.Duration("listAge", t.listAge()))
-	}
-	t.listState, t.listStateSince = s, now
-}
-
-// listAge returns the age of the instance list.
-func (t *term) listAge() time.Duration {
-	at := t.listConfirmedAt.Load()
-	if at == nil {
-		return t.owner.since(timestamp{})
-	}
-	return t.owner.since(*at)
-}
-
 func (t *term) logNotice(n pool.Notice) {
 	log := t.log
 	if len(n.Workers) > 0 {
@@ -522,104 +326,6 @@
 		zap.Uint64("run", uint64(n.Number)), zap.String("worker", string(n.Worker)), zap.String("cause", n.Cause), zap.Duration("after", n.After), zap.Float64("lostCoreSeconds", n.Lost))
 }
 
-// renewLease renews the ownership lease until the term ends.
-func (t *term) renewLease() {
-	const renewalsPerLease = 5
-	failures := 0
-	for t.ctx.Err() == nil {
-		pause.For(t.ctx, jitter(t.owner.Times.Lease/renewalsPerLease))
-		sent := t.owner.now()
-		ctx, cancel := context.WithTimeout(t.ctx, t.owner.Times.Lease/3)
-		err := t.owner.Store.RenewLease(ctx, t.claim.lease)
-		cancel()
-		if err != nil && t.ctx.Err() == nil {
-			if !errors.Is(err, store.ErrRateLimited) {
-				t.renewalFailedAt.Store(&sent)
-			}
-			if failures++; failures == 1 {
-				t.log.Warn("owner: renewing the lease failed", zap.Duration("leaseAge", t.owner.since(*t.leaseRenewedAt.Load())), zap.Error(err))
-			}
-		}
-		switch {
-		case err == nil:
-			if failures > 0 {
-				t.log.Info("owner: the lease is renewed again", zap.Int("failures", failures), zap.Duration("leaseAge", t.owner.since(*t.leaseRenewedAt.Load())))
-			}
-			failures = 0
-			t.leaseRenewedAt.Store(&sent)
-			t.owner.markContact()
-		case errors.Is(err, store.ErrLeaseNotFound):
-			t.end("the lease has ended")
-		case t.owner.since(*t.leaseRenewedAt.Load()) > t.owner.Times.Lease+leaseGrace:
-			t.end("the lease could not be renewed")
-		}
-	}
-}
-
-// isStillOwner reports whether it is certain that no newer owner serves yet: the ownership lease can't have expired, or
-// most of the workers being renewed confirmed this owner so recently that no newer owner can have begun to serve since,
-// even if this process was suspended. A newer owner fences the workers that it reaches before it serves.
-func (t *term) isStillOwner() bool {
-	if t.owner.since(*t.leaseRenewedAt.Load()) < t.owner.Times.Lease {
-		return true
-	}
-	renewed, confirmed := 0, 0
-	for _, l := range t.links {
-		if !l.desired.Load().renew {
-			continue
-		}
-		renewed++
-		if at := l.confirmedAt.Load(); at != nil && t.owner.since(*at) < confirmationWindow {
-			confirmed++
-		}
-	}
-	return 2*confirmed > renewed
-}
-
-// watchSuccessor ends the term once another instance has claimed the pool.
-func (t *term) watchSuccessor() {
-	after := t.claim.revision
-	health := watchHealth{log: t.log, metrics: &t.owner.metrics, prefix: keyOwner}
-	for t.ctx.Err() == nil {
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(t.ctx, ownerWatchWait+watchMargin)
-		events, at, err := t.owner.Store.Watch(ctx, keyOwner, after, ownerWatchWait)
-		cancel()
-		if t.ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, store.ErrCompacted) {
-			t.checkOwner()
-			pause.For(t.ctx, jitter(storeRetryDelay))
-			after = t.claim.revision
-			continue
-		}
-		if err != nil {
-			health.failed(err, sent, ownerWatchWait+watchMargin, after)
-			pause.For(t.ctx, jitter(storeRetryDelay))
-			continue
-		}
-		health.returned()
-		t.owner.markContact()
-		after = at
-		for _, e := range events {
-			if e.Revision != t.claim.revision {
-				t.end("the owner's key has changed")
-			}
-		}
-	}
-}
-
-// checkOwner ends the term if the owner key is no longer this term's.
-func (t *term) checkOwner() {
-	ctx, cancel := context.WithTimeout(t.ctx, storeCallTimeout)
-	defer cancel()
-	entry, err := t.owner.Store.Get(ctx, keyOwner)
-	if errors.Is(err, store.ErrNotFound) || (err == nil && entry.Revision != t.claim.revision) {
-		t.end("the owner's key has changed")
-	}
-}
-
 // usedWorkersChanged returns the workers that may run tasks, and whether the stored list differs. The next owner needs
 // the list to account for all of them.
 func (t *term) usedWorkersChanged() ([]ids.InstanceID, bool) {
