--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -52,14 +52,10 @@
 	}
 	wait := s.expectedWait(j, now)
 	j.forecast = forecast{wait: wait, isKnown: true}
-	if wait > s.Lag+s.expectedStopTime() && s.isHeldToShare(j, now) {
-		return &Refusal{Reason: "its account has used more than its share, and others wait", RetryAfter: s.retryAfter(j, 0, now)}
-	}
 	if slack := s.objective(j) - s.criticalPath(j); wait > slack {
-		s.recordRefusal(j, now)
 		return &Refusal{
 			Reason:     "it would wait " + wait.Round(time.Millisecond).String() + "; its limit is " + slack.Round(time.Millisecond).String() + s.evacuationCause(),
-			RetryAfter: s.retryAfter(j, wait-slack, now),
+			RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait-slack)),
 		}
 	}
 	return nil
@@ -99,14 +95,16 @@
 
 // expectedWait returns the expected queueing delay of a job's first unit: the backlog ahead of it and the wait for capacity.
 func (s *State) expectedWait(j *Job, now time.Time) time.Duration {
-	if j.Priority == 0 {
-		return s.urgentWait(j, now)
-	}
 	wait := s.backlog(j, now) + s.Lag
 	u := j.units[0]
 	if placement := s.findPlacement(u, now, 0); placement != nil {
 		return wait
 	}
+	if j.Priority == 0 {
+		if placement, _ := s.preemptionPlan(u, now); placement != nil {
+			return wait + s.expectedStopTime()
+		}
+	}
 	at, placement := s.earliestFit(u, now, 0)
 	if placement == nil {
 		return wait + s.objective(j)
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -53,10 +53,6 @@
 		fitCountsVersion uint64
 		// capacityChanges counts the changes of any worker's free resources or schedulability; see rack.changedAt.
 		capacityChanges uint64
-		// usage holds the accounts' recent usage.
-		usage usage
-		// retries holds the return times of refused callers.
-		retries retries
 		// reserved holds the reservations for waiting gangs.
 		reserved reservations
 		// preemptingCheckedAt is when the units in phase preempting were last checked, and preemptingChanges is the value of
@@ -291,7 +287,6 @@
 // Offer adds an admitted job whose acceptance is being stored. The job doesn't start before MarkStored is called.
 func (s *State) Offer(j *Job) {
 	j.State = Accepted
-	s.addUsage(j, j.Submitted)
 	s.add(j)
 	s.markDirty(j)
 }
--- a/internal/process/poolowner/scarcity_test.go
+++ b/internal/process/poolowner/scarcity_test.go
@@ -1,7 +1,6 @@
 package poolowner
 
 import (
-	"encoding/json"
 	"testing"
 	"time"
 
@@ -48,28 +47,3 @@
 		require.Greater(t, late.Quantile(50), 10*time.Second)
 	})
 }
-
-// The stored estimates hold the accounts' usage in a form that versions without it read and write, so that neither an upgrade nor a
-// downgrade loses the run times.
-func TestStoredEstimatesWithAndWithoutUsage(t *testing.T) {
-	all := map[ids.QueueID]pool.RunTimes{"queue": {Weight: 3, Real: 1.5}}
-	usage := pool.Usage{At: time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC), Seconds: map[ids.AccountID]float64{"account": 2.5}}
-	value, err := encodeEstimates(all, usage)
-	require.NoError(t, err)
-	decoded, decodedUsage, err := decodeEstimates(value)
-	require.NoError(t, err)
-	require.Equal(t, all, decoded)
-	require.Equal(t, usage, decodedUsage)
-
-	var earlier map[ids.QueueID]pool.RunTimes
-	require.NoError(t, json.Unmarshal(value, &earlier))
-	require.Equal(t, all["queue"], earlier["queue"])
-	require.Zero(t, earlier[usageKey].Weight)
-
-	value, err = json.Marshal(all)
-	require.NoError(t, err)
-	decoded, decodedUsage, err = decodeEstimates(value)
-	require.NoError(t, err)
-	require.Equal(t, all, decoded)
-	require.Zero(t, decodedUsage)
-}
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -28,7 +28,6 @@
 		usedRevision store.Revision
 		// estimates are the learned run times after a number of samples; nil leaves the stored ones as they are.
 		estimates         map[ids.QueueID]pool.RunTimes
-		usage             pool.Usage
 		estimatesRevision store.Revision
 		samples           int
 	}
@@ -107,7 +106,6 @@
 	}
 	if all, samples := t.state.Estimates(); samples > t.savedSamples {
 		b.estimates, b.estimatesRevision, b.samples = all, t.estimatesRevision, samples
-		b.usage = t.state.Usage(now)
 		t.estimatesSavedAt = now
 	}
 }
@@ -118,13 +116,12 @@
 	if e.Revision == store.Absent {
 		return
 	}
-	all, usage, err := decodeEstimates(e.Value)
-	if err != nil {
+	var all map[ids.QueueID]pool.RunTimes
+	if err := json.Unmarshal(e.Value, &all); err != nil {
 		t.log.Error("owner: the learned run times can't be decoded and are discarded", zap.Error(err))
 		return
 	}
 	t.state.SetEstimates(all)
-	t.state.SetUsage(usage)
 }
 
 // transaction returns the store transaction of a batch.
@@ -147,7 +144,7 @@
 		tx.Sets = append(tx.Sets, store.Set{Key: keyWorkers, Value: value})
 	}
 	if b.estimates != nil {
-		value, err := encodeEstimates(b.estimates, b.usage)
+		value, err := json.Marshal(b.estimates)
 		if err != nil {
 			t.log.Error("records: the learned run times can't be encoded", zap.Error(err))
 			return tx
