--- a/internal/process/placement/evacuation_test.go
+++ b/internal/process/placement/evacuation_test.go
@@ -52,7 +52,7 @@
 	}
 	w.decide()
 	require.Equal(t, caller.Queued, waiting.CallerState())
-	require.Equal(t, evacuatedReason, w.state.Status(waiting).Reason, "the caller is told why the job waits")
+	require.Equal(t, evacuatedReason, w.state.Status(waiting).Reason, "the status does not give the reason why the job waits")
 	require.Zero(t, w.state.FreeAccelerators(), "fit counts use the remaining capacity")
 	require.Equal(t, 1, w.state.RunsLeft())
 	for i := range 4 {
--- a/internal/process/pool/cold.go
+++ b/internal/process/pool/cold.go
@@ -63,7 +63,7 @@
 }
 
 // observeCold handles the progress of a run whose rate was measured while its worker was cold, and reports whether it was. Such a rate
-// is compared with that of warm workers to learn how slow cold ones are, but tells nothing of the worker itself.
+// is compared with that of warm workers to learn how slow cold ones are, but shows nothing about the worker itself.
 func (s *State) observeCold(r *run, now time.Time) bool {
 	n := r.node
 	if n.ColdUntil.IsZero() {
