Guard the log of the simulated workers' tasks by a lock of its own

The race detector found that TestTakeoverWithUnlistedWorker read the log, for the message of an assertion, while a worker's lease expired and wrote to it. Seen once, in a run of all tests beside load. The message can also be built under the history's own lock, so the log needs another one.

--- a/internal/process/owner/history_test.go
+++ b/internal/process/owner/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -19,7 +20,9 @@
 	states     map[worker.TaskRef][]worker.State
 	// partialSince is when each gang began to run only in part.
 	partialSince map[attemptRef]time.Time
-	log          map[ids.JobID][]string
+	// logMu guards log. It is apart from mu, since violations that are found under mu contain the log.
+	logMu sync.Mutex
+	log   map[ids.JobID][]string
 }
 
 type attemptRef struct {
@@ -37,9 +40,8 @@
 	if l.states == nil {
 		l.states = make(map[worker.TaskRef][]worker.State)
 		l.partialSince = make(map[attemptRef]time.Time)
-		l.log = make(map[ids.JobID][]string)
 	}
-	l.log[ref.Job] = append(l.log[ref.Job], fmt.Sprintf("%s attempt %d task %d %s\n", time.Now().Format("04:05.000"), ref.Attempt, ref.Index, state))
+	l.appendLog(ref, state)
 	l.states[ref] = append(l.states[ref], state)
 	job := l.simulation.jobs[ref.Job]
 	if state == worker.Running && !job.Idempotent {
@@ -48,6 +50,22 @@
 	l.checkPartial(attemptRef{ref.Job, ref.Attempt}, job.Shape.Tasks, time.Now())
 }
 
+func (l *taskHistory) appendLog(ref worker.TaskRef, state worker.State) {
+	l.logMu.Lock()
+	defer l.logMu.Unlock()
+	if l.log == nil {
+		l.log = make(map[ids.JobID][]string)
+	}
+	l.log[ref.Job] = append(l.log[ref.Job], fmt.Sprintf("%s attempt %d task %d %s\n", time.Now().Format("04:05.000"), ref.Attempt, ref.Index, state))
+}
+
+// logOf returns the lines of a job's log.
+func (l *taskHistory) logOf(id ids.JobID) []string {
+	l.logMu.Lock()
+	defer l.logMu.Unlock()
+	return slices.Clone(l.log[id])
+}
+
 // checkAtMostOnce asserts that an at-most-once job was not started before.
 func (l *taskHistory) checkAtMostOnce(ref worker.TaskRef) {
 	for other, states := range l.states {
--- a/internal/process/owner/simulation_test.go
+++ b/internal/process/owner/simulation_test.go
@@ -287,7 +287,7 @@
 	var b strings.Builder
 	if id != "" {
 		fmt.Fprintf(&b, "job %+v\n", w.jobs[id].Shape)
-		for _, line := range w.history.log[id] {
+		for _, line := range w.history.logOf(id) {
 			b.WriteString(line)
 		}
 	}
