Log each crash of a worker with the runs that were there

Nothing named the worker of a lost run, its neighbours or how long it had run, so the log could not tell a task that crashes its workers from one that happened to be there. A line for each crash, and two metrics. Decisions are unchanged.

--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -177,6 +177,8 @@
 		node      *node
 		resources ids.Resources
 		phase     runPhase
+		// orderedAt is when the start was ordered, or when the run of an earlier owner was found.
+		orderedAt time.Time
 		// reported is set once the worker has confirmed or listed the run. Until then the run may still be started.
 		reported bool
 		// pinned is set if the run is a single task without checkpoints, which a stop sets back to its start.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -41,6 +41,10 @@
 		reported bool
 		// silentSince is when the worker stopped answering; zero if it answers.
 		silentSince time.Time
+		// failingSince is when a call to the worker first failed since its last report; zero if none has.
+		failingSince time.Time
+		// processEnded is set once the worker's process is known to have ended, until it reports again.
+		processEnded bool
 		// reportedAt is when the worker last reported.
 		reportedAt time.Time
 		// leaseExpiry is when the worker's latest lease has certainly expired, allowing for the error of the worker's clock.
@@ -171,6 +175,8 @@
 		}
 		if n.Incarnation != 0 {
 			if w.Incarnation > n.Incarnation {
+				// A worker that had announced that it leaves has not crashed.
+				n.processEnded = n.processEnded || n.Draining
 				// The next report lists the runs of the new incarnation.
 				n.reported = false
 				n.speed = Speed{}
@@ -245,6 +251,7 @@
 		if n.reported {
 			s.recordDeparture(n, now)
 		}
+		s.recordCrash(n, cause, now)
 		n.reported = false
 		if n.silentSince.IsZero() {
 			s.setSilent(n, now)
@@ -281,14 +288,15 @@
 
 // MarkSilent records that a worker did not answer a call sent at the given time, unless it has reported since. The worker's runs
 // are removed only once its lease must have expired.
-func (s *State) MarkSilent(id ids.InstanceID, sent time.Time) {
+func (s *State) MarkSilent(id ids.InstanceID, sent, now time.Time) {
 	if n := s.nodes[id]; n != nil && n.silentSince.IsZero() && !n.reportedAt.After(sent) {
 		s.setSilent(n, sent)
+		n.failingSince = now
 	}
 }
 
-func (s *State) setSilent(n *node, now time.Time) {
-	n.silentSince = now
+func (s *State) setSilent(n *node, since time.Time) {
+	n.silentSince = since
 	s.suspects[n] = true
 	s.markChanged(n)
 	s.capacityChanged(n)
--- a/internal/process/pool/placement_test.go
+++ b/internal/process/pool/placement_test.go
@@ -193,8 +193,8 @@
 	s := testState(16, 8)
 	j := gangJob("a", 1, 8, 8, 10*time.Second)
 	s.accept(j, testStart)
-	s.MarkSilent("w0000", testStart)
-	s.MarkSilent("w0008", testStart)
+	s.MarkSilent("w0000", testStart, testStart)
+	s.MarkSilent("w0008", testStart, testStart)
 	actions, _ := s.Decide(testStart)
 	require.Len(t, actions, 8)
 }
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -22,16 +22,17 @@
 		s.capacityChanged(n)
 		s.invalidateRackFits()
 	}
-	n.silentSince, n.reportedAt = time.Time{}, now
 	restarted := report.Incarnation != 0 && report.Incarnation != n.Incarnation
 	if restarted {
 		if n.Incarnation != 0 {
+			s.recordCrash(n, "it reports a new incarnation", now)
 			s.notice(Notice{Kind: "WorkerRestarted", Worker: id, Cause: "it reports a new incarnation"})
 			n.speed = Speed{}
 		}
 		n.Incarnation = report.Incarnation
 		n.handledEnd, n.acknowledgedEnd, n.pendingEnds = 0, 0, nil
 	}
+	n.silentSince, n.failingSince, n.processEnded, n.reportedAt = time.Time{}, time.Time{}, false, now
 	for _, e := range report.Ended {
 		if e.Number > n.handledEnd {
 			n.handledEnd = e.Number
@@ -291,7 +292,7 @@
 	j := s.jobs[a.Job]
 	u := j.unitOf(a.Task)
 	s.lastRunSeq++
-	r := &run{seq: s.lastRunSeq, Run: a.Run, node: n, phase: runActive, reported: true, confirmedAt: now, percent: a.Percent}
+	r := &run{seq: s.lastRunSeq, Run: a.Run, node: n, phase: runActive, reported: true, orderedAt: now, confirmedAt: now, percent: a.Percent}
 	if u != nil {
 		r.resources = u.spec().Each
 	}
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -162,7 +162,7 @@
 			silent := actions[1].Worker
 			s.ExtendLease(silent, testStart.Add(6*time.Second))
 			now := testStart.Add(time.Second)
-			s.MarkSilent(silent, now)
+			s.MarkSilent(silent, now, now)
 			s.Reported(actions[0].Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: actions[0].Run, Number: 1, Reason: worker.EndGangMemberLost}}}, now, now)
 			s.Decide(now)
 			require.Len(t, s.nodes[silent].runs, c.left)
@@ -180,7 +180,7 @@
 	first := actions[0]
 	s.RunStarted(first.Worker, first.Run, testStart)
 	s.ExtendLease(first.Worker, testStart.Add(6*time.Second))
-	s.MarkSilent(first.Worker, testStart.Add(time.Second))
+	s.MarkSilent(first.Worker, testStart.Add(time.Second), testStart.Add(time.Second))
 	now := testStart.Add(7 * time.Second)
 	s.Decide(now)
 	now = now.Add(time.Second)
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -45,7 +45,7 @@
 		r := &run{
 			seq:  s.lastRunSeq,
 			Run:  worker.Run{Task: worker.Task{Job: u.job.ID, Occurrence: u.occurrence, Step: u.step, Index: u.first + i}, Number: u.number},
-			unit: u, node: n, resources: u.spec().Each,
+			unit: u, node: n, resources: u.spec().Each, orderedAt: now,
 		}
 		u.runs = append(u.runs, r)
 		s.addRun(r)
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -175,6 +175,8 @@
 		Tasks  int
 		Number ids.RunNumber
 		Worker ids.InstanceID
+		// Crashed lists the runs that were lost, for a crash.
+		Crashed []CrashedRun
 		// Workers lists the workers of all tasks, for a placement.
 		Workers []ids.InstanceID
 		Cause   string
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -306,6 +306,7 @@
 	case errors.Is(err, worker.ErrIncarnationMismatch), terminated:
 		t.post(func() { t.state.MarkDead(l.id, "its process has ended: "+err.Error(), time.Now()) })
 	default:
-		t.post(func() { t.state.MarkSilent(l.id, sent) })
+		at := time.Now()
+		t.post(func() { t.state.MarkSilent(l.id, sent, at) })
 	}
 }
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -25,6 +25,8 @@
 		Writes, WritesFailed         expvar.Int
 		Renewals, RenewalsFailed     expvar.Int
 		Starts, StartsUnknown, Stops expvar.Int
+		// WorkerCrashes counts the workers whose processes ended unannounced, and RunsCrashed the runs that were lost with them.
+		WorkerCrashes, RunsCrashed expvar.Int
 		// WatchesUnanswered counts the watches without an answer, and WatchesFailed those that failed otherwise.
 		WatchesUnanswered, WatchesFailed expvar.Int
 		WriteTime                        Latency
@@ -95,6 +97,10 @@
 	if n.Forecast != nil {
 		m.observeForecast(n.Queue, n.Priority, *n.Forecast, n.After)
 	}
+	if n.Kind == "WorkerCrashed" {
+		m.WorkerCrashes.Add(1)
+		m.RunsCrashed.Add(int64(len(n.Crashed)))
+	}
 	switch {
 	case n.First:
 		m.StartTime.Observe(fmt.Sprintf("priority=%q", strconv.Itoa(n.Priority)), n.After)
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -174,7 +174,8 @@
 		}
 		if !isRefusal(err) {
 			// The renewal in flight may wait 1 s longer before it detects this.
-			t.post(func() { t.state.MarkSilent(l.id, sent) })
+			at := time.Now()
+			t.post(func() { t.state.MarkSilent(l.id, sent, at) })
 		}
 		if !t.hasRun(l.id, a.Run) {
 			break
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -316,6 +317,10 @@
 
 func (t *term) logNotice(n pool.Notice) {
 	log := t.log
+	if n.Kind == "WorkerCrashed" {
+		// The runs on a crashed worker must be found in the log. The workers' restarts bound the number of these lines.
+		log = log.Named(logsink.Complete).With(zap.Strings("runs", describeCrashed(n.Crashed)))
+	}
 	if len(n.Workers) > 0 {
 		// Each start must be found in the log, so these lines are not sampled. The workers' capacity bounds their number.
 		age := t.listAge()
@@ -326,6 +331,15 @@
 		zap.Uint64("run", uint64(n.Number)), zap.String("worker", string(n.Worker)), zap.String("cause", n.Cause), zap.Duration("after", n.After), zap.Float64("lostCoreSeconds", n.Lost))
 }
 
+// describeCrashed returns each run as task, number and age, such as "4c1d/0/2 run 1003 after 12ms".
+func describeCrashed(runs []pool.CrashedRun) []string {
+	list := make([]string, 0, len(runs))
+	for _, r := range runs {
+		list = append(list, fmt.Sprintf("%s run %d after %v", r.Task, r.Number, r.Age.Round(time.Millisecond)))
+	}
+	return list
+}
+
 // usedWorkersChanged returns the workers that may run tasks, and whether the stored list differs. The next owner needs
 // the list to account for all of them.
 func (t *term) usedWorkersChanged() ([]ids.InstanceID, bool) {
