Give up tasks that crash worker after worker

Cause: only ends that a worker reports as failed were counted. A run that is lost with its worker only delayed its task by 0.1 to 1.6 s.

Each crash under a task is now part of the job's record, and the task is not started again before it is stored. After one crash soon after its start, or two in a row, a task is tried on workers of its own, so that a further crash shows whose fault it is and costs nobody else's work. A task is given up after three crashes in a row of which two are conclusive: alone, and with no crash elsewhere that no such task explains; at the latest after four in a row within 0.25 s of their starts, or five in all. A run that outlives its trial clears it. A new owner counts a start that may have been made and was not found. A gang's crash is counted for the member on the crashed worker, also if other members report its end first.

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -1,17 +1,94 @@
 package pool
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
-// CrashedRun is a run that was lost with its worker's process.
-type CrashedRun struct {
-	worker.Run
-	// Age is how long after the order to start the run the worker stopped answering.
-	Age time.Duration
-}
+type (
+	// Crash is the loss of a worker while it ran tasks of a unit. It is part of the job's record.
+	Crash struct {
+		Run    ids.RunNumber
+		Worker ids.InstanceID `json:",omitempty"`
+		// Tasks holds the indexes of the unit's tasks on that worker.
+		Tasks []int
+		// Age is how long after the order to start the run the worker stopped answering.
+		Age time.Duration `json:",omitempty"`
+		// Conclusive is set once it is known that nothing else explains the crash: no other unit ran there, and no other worker crashed shortly before or at
+		// the same time without a task that had just been started there.
+		Conclusive bool `json:",omitempty"`
+		// Unseen is set if the worker was not seen to end its process: it fell silent, or the owner was lost before the outcome of a start was stored.
+		// Incarnation is then that of the worker; if it answers again in the same one, it has not crashed.
+		Unseen      bool   `json:",omitempty"`
+		Incarnation uint64 `json:",omitempty"`
+
+		// at is when the worker stopped answering; zero if another owner saw it. alone is set if no other unit ran there, and judged once it is known what
+		// else crashed then.
+		at            time.Time
+		alone, judged bool
+	}
+
+	// crashRecord is what is known of the crashes under a unit.
+	crashRecord struct {
+		list []Crash
+		// survived is the number of leading crashes after which a run of the unit has outlived its trial.
+		survived int
+		// restarted is set from a crash on until the outcome of the next run is known: that run may have been started.
+		restarted bool
+		// waitsSince is since when the unit has waited for workers of its own; zero if it does not.
+		waitsSince time.Time
+	}
+
+	// poolCrash is a crash of any worker.
+	poolCrash struct {
+		at   time.Time
+		rack ids.RackID
+		// units are those that ran there, and suspects those of them that had just been started.
+		units, suspects []*unit
+	}
+
+	// lostRun is a run that may have been lost in a crash of its worker.
+	lostRun struct {
+		worker.Run
+		unit      *unit
+		orderedAt time.Time
+	}
+
+	// CrashedRun is a run that was lost with its worker's process.
+	CrashedRun struct {
+		worker.Run
+		// Age is how long after the order to start the run the worker stopped answering.
+		Age time.Duration
+	}
+)
+
+const (
+	// youngRun is the age up to which a run is suspected at the first crash: a task that crashes whatever starts it does so soon after its start. The age includes
+	// the time until the owner notices.
+	youngRun = time.Second
+	// promptCrash is the age up to which a crash hardly hits a sound run by chance, even while many workers crash.
+	promptCrash = 250 * time.Millisecond
+	// coincidence is the time between crashes of several workers that probably have one cause, such as a rack without power. It covers the time until
+	// the owner notices each of them.
+	coincidence = time.Second
+	// maxPromptCrashes is the number of prompt crashes in a row after which a unit is given up, whatever else crashed. The platform allows five starts of a
+	// task that crashes its workers; one of them may have been made by an owner that was lost before it could store the crash.
+	maxPromptCrashes = 4
+	// crashMemory is how long the crashes of all workers are remembered. It covers the few starts after which a unit is given up.
+	crashMemory = time.Minute
+	// promptConclusive is the number of conclusive crashes in a row after which a unit is given up if all were prompt, and lateConclusive otherwise.
+	promptConclusive = 2
+	lateConclusive   = 3
+	// minCrashes is the least number of crashes in a row for a unit to be given up.
+	minCrashes = 3
+	// maxCrashes is the number of crashes that were prompt, or whose age is not known, after which a unit is given up although runs of it outlived their trials.
+	maxCrashes = 5
+)
 
 // recordCrash records that a worker's process has ended, unless the worker had announced that it leaves.
 func (s *State) recordCrash(n *node, cause string, now time.Time) {
@@ -19,16 +96,277 @@
 		return
 	}
 	n.processEnded = true
-	if n.Draining || !n.reported && len(n.runs) == 0 {
+	lost := n.takeLostRuns()
+	if n.Draining || n.reportedAt.IsZero() && len(lost) == 0 {
 		return
 	}
 	at := now
 	if !n.failingSince.IsZero() {
 		at = n.failingSince
 	}
+	n.crashedAt = now
+	crash := poolCrash{at: at, rack: n.Rack, units: crashedUnits(lost)}
 	var runs []CrashedRun
-	for _, r := range n.runs {
-		runs = append(runs, CrashedRun{Run: r.Run, Age: max(0, at.Sub(r.orderedAt))})
+	for _, l := range lost {
+		age := max(0, at.Sub(l.orderedAt))
+		if l.unit != nil && age <= youngRun {
+			crash.suspects = append(crash.suspects, l.unit)
+		}
+		runs = append(runs, CrashedRun{Run: l.Run, Age: age})
 	}
 	s.notice(Notice{Kind: "WorkerCrashed", Worker: n.ID, Cause: cause, Crashed: runs})
+	s.crashes = slices.DeleteFunc(s.crashes, func(c poolCrash) bool { return at.Sub(c.at) > crashMemory })
+	s.crashes = append(s.crashes, crash)
+	for _, u := range crash.units {
+		c := Crash{at: at, alone: !slices.ContainsFunc(lost, func(l lostRun) bool { return l.unit != u })}
+		s.addCrash(u, n, lost, c, now)
+		s.undecided = append(s.undecided, u)
+		s.giveUpIfCrashing(u, now)
+	}
+}
+
+// recordUnseen records that a worker's runs are lost although it was not seen to crash.
+func (s *State) recordUnseen(n *node, now time.Time) {
+	lost := n.takeLostRuns()
+	for _, u := range crashedUnits(lost) {
+		s.addCrash(u, n, lost, Crash{Unseen: true, Incarnation: n.Incarnation}, now)
+		s.unseen[n.ID] = append(s.unseen[n.ID], u)
+		s.giveUpIfCrashing(u, now)
+	}
+}
+
+// takeLostRuns returns the worker's runs and those that were given up while it was silent.
+func (n *node) takeLostRuns() []lostRun {
+	lost := n.abandoned
+	n.abandoned = nil
+	for _, r := range n.runs {
+		lost = append(lost, lostRun{Run: r.Run, unit: r.unit, orderedAt: r.orderedAt})
+	}
+	return lost
+}
+
+// hasAbandoned reports whether a run of the unit was given up on a worker of which it is not known yet whether it has crashed.
+func (s *State) hasAbandoned(u *unit) bool {
+	for n := range s.suspects {
+		if slices.ContainsFunc(n.abandoned, func(l lostRun) bool { return l.unit == u }) {
+			return true
+		}
+	}
+	return false
+}
+
+// crashedUnits returns the units that have not ended among those of the lost runs.
+func crashedUnits(lost []lostRun) []*unit {
+	var list []*unit
+	for _, l := range lost {
+		if u := l.unit; u != nil && u.phase != done && !u.job.ended() && !slices.Contains(list, u) {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// addCrash adds the crash of a worker to a unit's record.
+func (s *State) addCrash(u *unit, n *node, lost []lostRun, c Crash, now time.Time) {
+	c.Worker = n.ID
+	var ordered time.Time
+	for _, l := range lost {
+		if l.unit == u {
+			c.Run, ordered = l.Number, laterOf(ordered, l.orderedAt)
+			c.Tasks = append(c.Tasks, l.Index)
+		}
+	}
+	if !c.Unseen {
+		c.Age = max(0, c.at.Sub(ordered))
+	}
+	u.crashes.list = append(u.crashes.list, c)
+	u.crashes.restarted, u.crashes.waitsSince = true, time.Time{}
+	s.markDirty(u.job)
+	if !c.Unseen || u.crashCount() >= wholeTrialFrom {
+		u.job.crashVersion = u.job.version
+	}
+	s.notice(Notice{
+		Kind: "TaskCrashed", Job: u.job.ID, Step: u.step, Task: c.Tasks[0], Tasks: len(c.Tasks), Number: c.Run, Worker: n.ID,
+		Cause: fmt.Sprintf("%s; %d in a row, %d in all", c.describe(), u.crashesInRow(), u.crashCount()), After: now.Sub(u.job.Submitted),
+	})
+}
+
+// runsOnly reports whether all runs on the worker are of one unit.
+func (n *node) runsOnly(u *unit) bool {
+	return !slices.ContainsFunc(n.runs, func(r *run) bool { return r.unit != u })
+}
+
+// String returns the worker, the age and how sure it is that the unit is the cause, such as "w1 after 12ms conclusive".
+func (c Crash) String() string {
+	switch {
+	case c.Unseen:
+		return string(c.Worker) + " unseen"
+	case c.Conclusive:
+		return string(c.Worker) + " after " + c.Age.Round(time.Millisecond).String() + " conclusive"
+	}
+	return string(c.Worker) + " after " + c.Age.Round(time.Millisecond).String()
+}
+
+func (c Crash) describe() string {
+	switch {
+	case c.Unseen:
+		return "the worker fell silent and its lease has expired"
+	case c.alone:
+		return "the worker crashed after " + c.Age.Round(time.Millisecond).String() + " with no other unit there"
+	}
+	return "the worker crashed after " + c.Age.Round(time.Millisecond).String() + " with other units there"
+}
+
+// crashCount returns the largest number of crashes under any one of the unit's tasks.
+func (u *unit) crashCount() int {
+	return mostOfOneTask(u.crashes.list, func(Crash) bool { return true })
+}
+
+// crashesInRow returns the largest number of crashes that were seen under any one of the unit's tasks since a run outlived its trial.
+func (u *unit) crashesInRow() int {
+	return mostOfOneTask(u.crashes.list[u.crashes.survived:], func(c Crash) bool { return !c.Unseen })
+}
+
+// crashesTooOften reports whether so many workers have crashed under the unit that it is the cause.
+func (u *unit) crashesTooOften() bool {
+	row := u.crashes.list[u.crashes.survived:]
+	prompt := mostOfOneTask(row, Crash.isPrompt)
+	conclusive := mostOfOneTask(row, func(c Crash) bool { return c.Conclusive })
+	promptAndConclusive := mostOfOneTask(row, func(c Crash) bool { return c.Conclusive && c.isPrompt() })
+	return prompt >= maxPromptCrashes ||
+		u.crashesInRow() >= minCrashes && (promptAndConclusive >= promptConclusive || conclusive >= lateConclusive) ||
+		mostOfOneTask(u.crashes.list, func(c Crash) bool { return c.Unseen || c.isPrompt() }) >= maxCrashes
+}
+
+func (c Crash) isPrompt() bool { return !c.Unseen && c.Age <= promptCrash }
+
+// mostOfOneTask returns the largest number of matching crashes under one task: a gang's members are on different workers.
+func mostOfOneTask(list []Crash, matches func(Crash) bool) int {
+	most, byTask := 0, make(map[int]int)
+	for _, c := range list {
+		if !matches(c) {
+			continue
+		}
+		for _, task := range c.Tasks {
+			byTask[task]++
+			most = max(most, byTask[task])
+		}
+	}
+	return most
+}
+
+// judgeCrashes judges the crashes whose time has come, and gives up the jobs of units that crash whatever starts them.
+func (s *State) judgeCrashes(now time.Time) {
+	s.undecided = slices.DeleteFunc(s.undecided, func(u *unit) bool {
+		if u.job.ended() || u.phase == done {
+			return true
+		}
+		for i := range u.crashes.list {
+			c := &u.crashes.list[i]
+			if c.at.IsZero() {
+				continue
+			}
+			if verdictAt := c.at.Add(coincidence); now.Before(verdictAt) {
+				s.retryBy(verdictAt)
+				return false
+			}
+			s.judge(u, c)
+		}
+		s.requestPass()
+		s.giveUpIfCrashing(u, now)
+		return true
+	})
+}
+
+// judge decides whether a crash under a unit is conclusive. It is called again after further crashes, since a run that explained a crash may have proved to be
+// sound meanwhile.
+func (s *State) judge(u *unit, c *Crash) {
+	conclusive := c.alone && !slices.ContainsFunc(s.crashes, func(other poolCrash) bool {
+		before := c.at.Sub(other.at)
+		return before <= crashRecency && before >= -coincidence && !slices.Contains(other.units, u) && !other.isExplained()
+	})
+	if conclusive != c.Conclusive {
+		c.Conclusive = conclusive
+		s.markDirty(u.job)
+	}
+	c.judged = true
+}
+
+// isExplained reports whether a unit that had just been started on the worker may have crashed it, as far as is known.
+func (c poolCrash) isExplained() bool {
+	return slices.ContainsFunc(c.suspects, func(u *unit) bool { return u.isSuspected() || u.job.State == Failed })
+}
+
+// awaitsVerdict reports whether a unit must not be started yet: its last crash is not stored, or may be the last one before it is given up.
+func (u *unit) awaitsVerdict() bool {
+	if len(u.crashes.list) == 0 {
+		return false
+	}
+	return u.job.crashVersion > u.job.storedVersion || u.crashesInRow() >= minCrashes && slices.ContainsFunc(u.crashes.list, func(c Crash) bool { return !c.at.IsZero() && !c.judged })
+}
+
+// giveUpIfCrashing fails the job of a unit under which too many workers have crashed.
+func (s *State) giveUpIfCrashing(u *unit, now time.Time) {
+	if u.job.ended() || !u.crashesTooOften() {
+		return
+	}
+	var workers []string
+	for _, c := range u.crashes.list {
+		workers = append(workers, c.String())
+	}
+	cause := fmt.Sprintf("workers crash under it: %d in a row, %d in all: %s", u.crashesInRow(), u.crashCount(), strings.Join(workers, " "))
+	s.notice(Notice{Kind: "GivenUp", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Cause: cause, After: now.Sub(u.job.Submitted)})
+	s.end(u.job, Failed, cause, now)
+}
+
+// resolveUnseen decides on the crashes that were not seen when the worker answers again: it has not crashed if it is in the same incarnation.
+func (s *State) resolveUnseen(n *node, now time.Time) {
+	for _, u := range s.unseen[n.ID] {
+		if u.job.ended() {
+			continue
+		}
+		k := &u.crashes
+		for i := range k.list {
+			if c := &k.list[i]; c.Worker == n.ID && c.Unseen && c.Incarnation != 0 && c.Incarnation != n.Incarnation {
+				c.Unseen = false
+			}
+		}
+		k.list = slices.DeleteFunc(k.list, func(c Crash) bool { return c.Worker == n.ID && c.Unseen && c.Incarnation != 0 })
+		k.survived = min(k.survived, len(k.list))
+		s.markDirty(u.job)
+		s.giveUpIfCrashing(u, now)
+	}
+	delete(s.unseen, n.ID)
+}
+
+// outcomeKnown records that the end of a unit's run was reported, so that no crash is assumed after a takeover.
+func (s *State) outcomeKnown(u *unit) {
+	if u.crashes.restarted {
+		u.crashes.restarted = false
+		s.markDirty(u.job)
+	}
+}
+
+// assumeCrashes counts a crash under each unit that an earlier owner may have started after a crash and that no worker runs. It is called once all
+// workers that may run it have reported or are lost.
+func (s *State) assumeCrashes(now time.Time) {
+	for _, j := range slices.Clone(s.live) {
+		for _, u := range j.units {
+			if !j.recovered || !u.crashes.restarted || u.phase != waiting || u.number != 0 {
+				continue
+			}
+			c := Crash{Unseen: true}
+			for i := range u.count {
+				c.Tasks = append(c.Tasks, u.first+i)
+			}
+			u.crashes.list = append(u.crashes.list, c)
+			s.markDirty(j)
+			j.crashVersion = j.version
+			s.notice(Notice{
+				Kind: "TaskCrashed", Job: j.ID, Step: u.step, Task: u.first, Tasks: u.count,
+				Cause: fmt.Sprintf("an earlier owner may have started it again, and no worker runs it; %d in all", u.crashCount()), After: now.Sub(j.Submitted),
+			})
+			s.giveUpIfCrashing(u, now)
+		}
+	}
 }
--- /dev/null
+++ b/internal/process/pool/crash_test.go
@@ -0,0 +1,143 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+const (
+	// simDeadlyTime is how long after its start a deadly task crashes its worker.
+	simDeadlyTime = 10 * time.Millisecond
+	// simCrashNoticed is the time until the owner knows that a worker's process has ended, and simDownTime that until it is back.
+	simCrashNoticed = 300 * time.Millisecond
+	simDownTime     = 3 * time.Second
+	// simStoreTime is the time that a write to the store takes.
+	simStoreTime = 10 * time.Millisecond
+)
+
+// crash ends the process of a worker, which is back some time later.
+func (s *sim) crash(id ids.InstanceID) {
+	if s.down[id] {
+		return
+	}
+	s.down[id] = true
+	gone := s.active[id]
+	delete(s.active, id)
+	s.MarkSilent(id, s.now, s.now)
+	s.breakGangs(gone)
+	s.at(simCrashNoticed, func() { s.MarkDead(id, "its process has ended", s.now) })
+	s.at(simDownTime, func() {
+		delete(s.down, id)
+		s.restarts[id]++
+		s.lastEnd[id] = 0
+		s.report(id, nil)
+	})
+}
+
+// startDeadly lets a task that was just started crash its worker. From the third time on, no other job may lose work by it.
+func (s *sim) startDeadly(a Action) {
+	if s.crashes[a.Run.Job] >= 3 {
+		s.startsAfterCrashes[a.Run.Job]++
+	}
+	s.at(simDeadlyTime, func() {
+		if _, found := s.active[a.Worker][a.Run]; !found {
+			return
+		}
+		s.crashes[a.Run.Job]++
+		for r := range s.active[a.Worker] {
+			if r.Job != a.Run.Job && s.crashes[a.Run.Job] > 2 {
+				s.lostBeside++
+			}
+		}
+		s.crash(a.Worker)
+	})
+}
+
+// storeAll lets the store answer the writes of all changed jobs.
+func (s *sim) storeAll() {
+	for _, j := range s.Dirty(1 << 20) {
+		id, version := j.ID, j.Version()
+		s.at(simStoreTime, func() { s.MarkStored(id, version) })
+	}
+	s.at(100*time.Millisecond, s.storeAll)
+}
+
+// Workers crash by themselves, alone, in racks or in turn, while some tasks crash every worker that starts them. Sound jobs must not be given up however often
+// their workers crash, and deadly ones must be, before the third start after three crashes.
+func TestPatternCrashes(t *testing.T) {
+	for name, test := range map[string]struct {
+		// every is the time between crashes, of a number of adjacent workers among the first ones.
+		every             time.Duration
+		together, crashed int
+		deadly            float64
+	}{
+		"deadly tasks alone":               {deadly: 0.1},
+		"single workers":                   {every: 700 * time.Millisecond, together: 1, crashed: 48},
+		"racks without power":              {every: 4 * time.Second, together: 8, crashed: 48},
+		"half of the pool":                 {every: 10 * time.Second, together: 24, crashed: 48},
+		"the same workers in turn":         {every: 500 * time.Millisecond, together: 1, crashed: 8},
+		"deadly tasks amid single crashes": {every: 700 * time.Millisecond, together: 1, crashed: 48, deadly: 0.1},
+		"deadly tasks amid lost racks":     {every: 4 * time.Second, together: 8, crashed: 48, deadly: 0.1},
+		"deadly tasks amid flapping":       {every: 500 * time.Millisecond, together: 1, crashed: 8, deadly: 0.1},
+		"many deadly tasks":                {deadly: 0.4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				s := newSim(48, 8, seed)
+				var jobs []*Job
+				for i := range 120 {
+					s.at(time.Duration(i)*300*time.Millisecond, func() {
+						j := gangJob(fmt.Sprintf("job%03d", i), 1+i%2, 1+s.random.IntN(4), 1<<s.random.IntN(4), 4*time.Second)
+						j.Steps[0].Gang = i%3 > 0
+						j.Stretch = 100
+						s.deadly[j.ID] = s.random.Float64() < test.deadly
+						jobs = append(jobs, j)
+						s.submitOnce(j, time.Duration(2+s.random.IntN(8))*time.Second)
+					})
+				}
+				for at := test.every; at > 0 && at < 40*time.Second; at += test.every {
+					s.at(at, func() {
+						first := s.random.IntN(test.crashed/test.together) * test.together
+						for i := range test.together {
+							s.crash(ids.InstanceID(fmt.Sprintf("w%04d", first+i)))
+						}
+					})
+				}
+				s.at(0, s.storeAll)
+				s.playFor(5 * time.Minute)
+				for _, j := range jobs {
+					if s.deadly[j.ID] {
+						require.Equal(t, Failed, j.State, "seed %d: deadly %s", seed, j.ID)
+						require.Less(t, s.startsAfterCrashes[j.ID], 3, "seed %d: starts of deadly %s after three crashes", seed, j.ID)
+					} else {
+						require.Equal(t, Completed, j.State, "seed %d: sound %s", seed, j.ID)
+					}
+				}
+				require.Zero(t, s.lostBeside, "seed %d: runs lost beside tasks known to crash workers", seed)
+			}
+		})
+	}
+}
+
+// A gang's crash is counted if another member reported first that the gang has ended: its run on the silent worker is given up at once.
+func TestCrashUnderBrokenGangIsCounted(t *testing.T) {
+	s := testState(2, 2)
+	j := gangJob("a", 1, 2, 8, time.Second)
+	s.accept(j, testStart)
+	actions := s.startAll(testStart)
+	now := testStart.Add(time.Second)
+	s.ExtendLease(actions[0].Worker, now.Add(time.Second))
+	s.MarkSilent(actions[0].Worker, now, now)
+	s.Reported(actions[1].Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: actions[1].Run, Number: 1, Reason: worker.EndGangMemberLost}}}, now, now)
+	s.Decide(now)
+	require.Empty(t, j.units[0].crashes.list, "the worker may be cut off")
+	s.MarkDead(actions[0].Worker, "its process has ended", now)
+	require.Equal(t, 1, j.units[0].crashCount())
+	require.Equal(t, []int{actions[0].Run.Index}, j.units[0].crashes.list[0].Tasks)
+}
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -24,6 +24,8 @@
 func (s *State) Decide(now time.Time) ([]Action, []Notice) {
 	s.init()
 	s.expire(now)
+	s.judgeCrashes(now)
+	s.checkTrials(now)
 	s.updateCold(now)
 	if !s.recovering {
 		s.updateGuaranteed()
@@ -82,10 +84,14 @@
 			n.reported = false
 			s.markChanged(n)
 			s.capacityChanged(n)
+			s.recordUnseen(n, now)
 			for _, r := range slices.Clone(n.runs) {
 				s.runLost(r, "the worker's lease has expired", now)
 			}
 		}
+		if len(n.abandoned) > 0 && now.After(n.leaseExpiry) {
+			s.recordUnseen(n, now)
+		}
 		if !n.listed && len(n.runs) == 0 && now.After(n.leaseExpiry) {
 			delete(s.nodes, id)
 			delete(s.suspects, n)
@@ -108,12 +114,17 @@
 			// The start order may still be carried out.
 			continue
 		}
+		if r.unit.isSuspected() || s.hasAbandoned(r.unit) {
+			// Its next start depends on whether the worker has crashed.
+			continue
+		}
 		if r.unit.possibleFailures(r.Number) >= r.unit.job.MaxAttempts {
 			// The run may have failed there, which would be the last failure that the queue allows.
 			continue
 		}
 		r.unit.maybeFailedRuns = append(r.unit.maybeFailedRuns, r.Number)
 		s.notice(Notice{Kind: "RunGone", Job: r.Job, Step: r.Step, Number: r.Number, Worker: n.ID, Cause: "its gang is broken, and the worker is silent"})
+		n.abandoned = append(n.abandoned, lostRun{Run: r.Run, unit: r.unit, orderedAt: r.orderedAt})
 		s.removeRun(r)
 		s.requeueStopped(r.unit)
 	}
@@ -310,6 +321,12 @@
 				s.retryBy(at)
 				continue
 			}
+			if u.awaitsVerdict() {
+				continue
+			}
+			if started, mayShare := s.placeTrial(u, now); started || !mayShare {
+				continue
+			}
 			if !s.placeUnit(u, now) && len(u.avoidUntil) == 0 {
 				// The step's other tasks need the same resources.
 				break
--- a/internal/process/pool/fitcount.go
+++ b/internal/process/pool/fitcount.go
@@ -123,7 +123,7 @@
 
 // tasksOn returns the number of tasks that fit on a worker now.
 func (c *fitCount) tasksOn(n *node) int {
-	if !n.schedulable() || n.Service != c.shape.service || !n.hasLabel(c.shape.label) {
+	if !n.schedulable() || n.isolatedFor != nil || n.Service != c.shape.service || !n.hasLabel(c.shape.label) {
 		return 0
 	}
 	return n.free().Copies(c.shape.each, maxTasksPerWorker)
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -71,6 +71,8 @@
 		stepRacks map[stepKey]*rack
 		// version counts the changes that have to be stored, and storedVersion is the version that is stored.
 		version, storedVersion uint64
+		// crashVersion is the version with the last crash. Units with crashes are not started before it is stored.
+		crashVersion uint64
 		// pendingEndNodes holds the workers with reported ends that can be acknowledged only once the job is stored.
 		pendingEndNodes []*node
 		// startTag orders the jobs of one priority; see fairQueue.
@@ -102,6 +104,9 @@
 		// how they ended.
 		maybeFailedRuns []ids.RunNumber
 		checkpoint      string
+		crashes         crashRecord
+		// isolated holds the workers that are kept from all other units.
+		isolated []*node
 		// number is the number of the latest run.
 		number ids.RunNumber
 		runs   []*run
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -45,6 +45,13 @@
 		failingSince time.Time
 		// processEnded is set once the worker's process is known to have ended, until it reports again.
 		processEnded bool
+		// joinedAt is when the worker first reported, crashedAt when it was last seen to crash, and isolatedFor the unit that alone may be started there;
+		// see trial.go.
+		joinedAt    time.Time
+		crashedAt   time.Time
+		isolatedFor *unit
+		// abandoned holds the runs that were given up while the worker was silent, until it is known whether it has crashed.
+		abandoned []lostRun
 		// reportedAt is when the worker last reported.
 		reportedAt time.Time
 		// leaseExpiry is when the worker's latest lease has certainly expired, allowing for the error of the worker's clock.
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -303,7 +303,8 @@
 }
 
 func (s *State) eligible(u *unit, n *node, now time.Time) bool {
-	return n.schedulable() && n.Service == u.job.Service && n.hasLabel(u.spec().Label) && !now.Before(u.avoidUntil[n.ID])
+	return n.schedulable() && n.Service == u.job.Service && n.hasLabel(u.spec().Label) && !now.Before(u.avoidUntil[n.ID]) &&
+		(n.isolatedFor == nil || n.isolatedFor == u)
 }
 
 // fill assigns a unit's tasks to candidates in order, or returns nil if there are too few.
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -30,7 +30,7 @@
 		Target      time.Duration `json:",omitempty"`
 		State       JobState
 		Finished    time.Time `json:",omitzero"`
-		// Units holds the units that are done, have failed or have a checkpoint, by index.
+		// Units holds the units that are done, have failed, have crashed workers or have a checkpoint, by index.
 		Units map[int]UnitRecord `json:",omitempty"`
 		// Writer identifies this write, so that a write whose answer was lost can be resolved.
 		Writer string
@@ -42,6 +42,11 @@
 		// Failed holds the numbers of the failed runs.
 		Failed     []ids.RunNumber `json:",omitempty"`
 		Checkpoint string          `json:",omitempty"`
+		// Crashes holds the crashes of workers under the unit, of which it survived the first ones. Restarted is set if it may have been started since the
+		// last one.
+		Crashes   []Crash `json:",omitempty"`
+		Survived  int     `json:",omitempty"`
+		Restarted bool    `json:",omitempty"`
 	}
 )
 
@@ -59,13 +64,16 @@
 		State: j.State, Finished: j.Finished, Writer: writer,
 	}
 	for i, u := range j.units {
-		if u.occurrence < r.Elapsed || (u.phase != done && len(u.failedRuns) == 0 && u.checkpoint == "") {
+		if u.occurrence < r.Elapsed || (u.phase != done && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && u.checkpoint == "") {
 			continue
 		}
 		if r.Units == nil {
 			r.Units = make(map[int]UnitRecord)
 		}
-		r.Units[i] = UnitRecord{Done: u.phase == done, Failed: u.failedRuns, Checkpoint: u.checkpoint}
+		r.Units[i] = UnitRecord{
+			Done: u.phase == done, Failed: u.failedRuns, Checkpoint: u.checkpoint,
+			Crashes: u.crashes.list, Survived: u.crashes.survived, Restarted: u.crashes.restarted,
+		}
 	}
 	return json.Marshal(r)
 }
@@ -99,6 +107,7 @@
 		}
 		if stored, found := r.Units[i]; found {
 			u.failedRuns, u.checkpoint = stored.Failed, stored.Checkpoint
+			u.crashes = crashRecord{list: stored.Crashes, survived: min(max(0, stored.Survived), len(stored.Crashes)), restarted: stored.Restarted}
 			if stored.Done {
 				u.setPhase(done)
 			}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -22,6 +22,9 @@
 		s.capacityChanged(n)
 		s.invalidateRackFits()
 	}
+	if n.joinedAt.IsZero() {
+		n.joinedAt = now
+	}
 	restarted := report.Incarnation != 0 && report.Incarnation != n.Incarnation
 	if restarted {
 		if n.Incarnation != 0 {
@@ -32,7 +35,7 @@
 		n.Incarnation = report.Incarnation
 		n.handledEnd, n.acknowledgedEnd, n.pendingEnds = 0, 0, nil
 	}
-	n.silentSince, n.failingSince, n.processEnded, n.reportedAt = time.Time{}, time.Time{}, false, now
+	n.silentSince, n.failingSince, n.processEnded, n.reportedAt, n.abandoned = time.Time{}, time.Time{}, false, now, nil
 	for _, e := range report.Ended {
 		if e.Number > n.handledEnd {
 			n.handledEnd = e.Number
@@ -71,6 +74,7 @@
 	}
 	s.markChanged(n)
 	delete(s.unknown, id)
+	s.resolveUnseen(n, now)
 }
 
 // handleEnd handles the end of a run. The worker may forget the end once its effect is stored.
@@ -119,6 +123,7 @@
 		s.markDirty(u.job)
 	}
 	u.job.started = true
+	s.outcomeKnown(u)
 	switch e.Reason {
 	case worker.EndDone:
 		s.completeUnit(u, n, now)
@@ -337,6 +342,7 @@
 		return true
 	}
 	u.setPhase(running)
+	s.resumeTrial(u)
 	s.notice(Notice{Kind: "TakenOver", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: r.node.ID, Cause: "found running on its workers"})
 	return true
 }
@@ -391,6 +397,7 @@
 			}
 		}
 	}
+	s.assumeCrashes(now)
 }
 
 // blocked reports whether a unit of a recovered job may still be running on a worker that has not reported.
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -57,6 +57,9 @@
 	require.Empty(t, n.runs, "no run of the earlier incarnation is left")
 	require.Zero(t, s.AcknowledgedEnd("w0000"))
 	actions, _ = s.Decide(now.Add(time.Second))
+	require.Empty(t, actions, "the crash is not stored yet")
+	s.MarkStored("a", j.Version())
+	actions, _ = s.Decide(now.Add(time.Second))
 	require.Len(t, actions, 1, "the job starts again")
 	require.Greater(t, actions[0].Run.Number, j.units[0].number-1)
 }
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -53,7 +53,10 @@
 		s.countRefill(r)
 		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint})
 	}
-	u.preemptionPlanned, u.idleSince = false, time.Time{}
+	u.preemptionPlanned, u.idleSince, u.crashes.waitsSince = false, time.Time{}, time.Time{}
+	if u.isSuspected() {
+		s.suspected[u] = true
+	}
 	s.fairQueue.advance(u.job)
 	first := !u.job.started
 	u.job.started = true
--- a/internal/process/pool/simulator_test.go
+++ b/internal/process/pool/simulator_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -41,6 +42,15 @@
 		refused  int
 		// poison jobs fail halfway.
 		poison map[ids.JobID]bool
+		// deadly jobs' first tasks crash each worker that starts them, and crashes and startsAfterCrashes count these crashes and the starts after
+		// three of them.
+		deadly                      map[ids.JobID]bool
+		crashes, startsAfterCrashes map[ids.JobID]int
+		// lostBeside counts the runs of other jobs that were lost in crashes by a task after its second.
+		lostBeside int
+		// down workers have crashed and not restarted yet, and restarts counts the restarts.
+		down     map[ids.InstanceID]bool
+		restarts map[ids.InstanceID]uint64
 		// failing workers fail all that they start, soon after the start.
 		failing map[ids.InstanceID]bool
 		// uneven is the approximate relative spread of the work of a job's tasks.
@@ -88,6 +98,8 @@
 const (
 	// simStopTime is how long a stopped run takes to end.
 	simStopTime = 200 * time.Millisecond
+	// simLease is how long a worker's runs go on after a start or a report.
+	simLease = 6 * time.Second
 	// simFailTime is how long a run takes to fail on a worker that fails everything.
 	simFailTime = 30 * time.Millisecond
 	// simCheckpointInterval is the work after which a task saves a checkpoint.
@@ -116,7 +128,8 @@
 		State: testState(workers, perRack), now: testStart, random: rand.New(rand.NewPCG(seed, 1)), lastEnd: make(map[ids.InstanceID]uint64),
 		runTimes: make(map[ids.JobID]time.Duration), startedAt: make(map[ids.JobID]time.Time), finishedAt: make(map[ids.JobID]time.Time),
 		startedMembers: make(map[simGang]int), endedGangs: make(map[simGang]bool), hanging: make(map[ids.InstanceID]bool),
-		poison: make(map[ids.JobID]bool),
+		poison: make(map[ids.JobID]bool), deadly: make(map[ids.JobID]bool), crashes: make(map[ids.JobID]int), startsAfterCrashes: make(map[ids.JobID]int),
+		down: make(map[ids.InstanceID]bool), restarts: make(map[ids.InstanceID]uint64),
 		active: make(map[ids.InstanceID]map[worker.Run]simRun), spent: make(map[string]time.Duration),
 	}
 	s.SetAccounts(map[ids.AccountID]Account{"account": {Guaranteed: 64}})
@@ -192,6 +205,7 @@
 		if s.active[a.Worker] == nil {
 			s.active[a.Worker] = make(map[worker.Run]simRun)
 		}
+		s.ExtendLease(a.Worker, s.now.Add(simLease))
 		u := s.jobs[a.Run.Job].unitOf(a.Run.Task)
 		s.active[a.Worker][a.Run] = simRun{
 			since: s.now, from: simProgress(a.Checkpoint), unit: u,
@@ -202,6 +216,9 @@
 			s.startedAt[a.Run.Job] = s.now
 		}
 		s.startWork(a, u)
+		if s.deadly[a.Run.Job] && a.Run.Index == 0 {
+			s.startDeadly(a)
+		}
 	}
 }
 
@@ -378,21 +395,27 @@
 		gone := s.active[id]
 		delete(s.active, id)
 		s.MarkDead(id, "its process has ended", s.now)
-		for r, run := range gone {
-			s.recordLostWork(run, run.saved(s.now))
-			u := run.unit
-			if s.endedGangs[gangOf(u)] || u.number != r.Number {
-				continue
-			}
-			s.endedGangs[gangOf(u)] = true
-			for _, other := range slices.Clone(u.runs) {
-				s.finish(other.node.ID, other.Run, worker.EndGangMemberLost)
-			}
-		}
+		s.breakGangs(gone)
 		s.SetWorkers(s.list)
 	})
 }
 
+// breakGangs ends the gangs of lost runs on the other workers.
+func (s *sim) breakGangs(gone map[worker.Run]simRun) {
+	for _, r := range slices.SortedFunc(maps.Keys(gone), func(a, b worker.Run) int { return cmp.Compare(a.String(), b.String()) }) {
+		run := gone[r]
+		s.recordLostWork(run, run.saved(s.now))
+		u := run.unit
+		if s.endedGangs[gangOf(u)] || u.number != r.Number {
+			continue
+		}
+		s.endedGangs[gangOf(u)] = true
+		for _, other := range slices.Clone(u.runs) {
+			s.finish(other.node.ID, other.Run, worker.EndGangMemberLost)
+		}
+	}
+}
+
 func (s *sim) slowdownOf(id ids.InstanceID) float64 {
 	if s.slowdown == nil {
 		return 1
@@ -405,7 +428,11 @@
 }
 
 func (s *sim) report(id ids.InstanceID, ended []worker.EndedRun) {
-	report := worker.RunReport{Incarnation: 1, Ended: ended}
+	if s.down[id] {
+		return
+	}
+	s.ExtendLease(id, s.now.Add(simLease))
+	report := worker.RunReport{Incarnation: 1 + s.restarts[id], Ended: ended}
 	for r, run := range s.active[id] {
 		a := worker.ActiveRun{Run: r}
 		if !s.hanging[id] {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -117,6 +117,13 @@
 		// leaving holds the draining workers with runs, and departureDelays maps notices to how workers stayed beyond them.
 		leaving         map[*node]bool
 		departureDelays map[time.Duration]*departureDelays
+		// crashes holds the latest crashes of workers, undecided the units with crashes that are not judged yet, and unseen the units with crashes that were
+		// not seen, by worker.
+		crashes   []poolCrash
+		undecided []*unit
+		unseen    map[ids.InstanceID][]*unit
+		// suspected holds the started units with crashes since a run outlived its trial, and isolating those with workers of their own.
+		suspected, isolating map[*unit]bool
 		// unknown maps the workers that may still run jobs of an earlier owner to the time until which that is possible.
 		unknown   map[ids.InstanceID]time.Time
 		estimates map[ids.QueueID]*RunTimes
@@ -219,6 +226,8 @@
 	s.coldNodes = make(map[*node]bool)
 	s.refills = make(map[ids.DataCentreID]*refill)
 	s.departureDelays = make(map[time.Duration]*departureDelays)
+	s.unseen = make(map[ids.InstanceID][]*unit)
+	s.suspected, s.isolating = make(map[*unit]bool), make(map[*unit]bool)
 	s.unknown = make(map[ids.InstanceID]time.Time)
 	s.estimates = make(map[ids.QueueID]*RunTimes)
 	s.fitCounts = make(map[taskShape]*fitCount)
@@ -262,6 +271,13 @@
 	if j.ended() {
 		return
 	}
+	for _, u := range j.units {
+		for _, c := range u.crashes.list {
+			if c.Unseen && c.Worker != "" {
+				s.unseen[c.Worker] = append(s.unseen[c.Worker], u)
+			}
+		}
+	}
 	s.fairQueue.enqueue(j, s.serviceTime(j))
 	at, _ := slices.BinarySearchFunc(s.live, j, compareJobs)
 	s.live = slices.Insert(s.live, at, j)
@@ -305,7 +321,7 @@
 // MarkStored records that the store holds a version of a job.
 func (s *State) MarkStored(id ids.JobID, version uint64) {
 	if j := s.jobs[id]; j != nil {
-		if !j.stored {
+		if !j.stored || j.storedVersion < j.crashVersion {
 			s.requestPass()
 		}
 		j.stored = true
@@ -406,14 +422,19 @@
 // Counts holds the pool's metrics.
 type Counts struct {
 	Workers, Open, Slower, Runs, LiveJobs, WaitingUnits, Unknown int
-	Accelerators, UsedAccelerators                               ids.Accelerators
+	// Suspected counts the started units under which workers have crashed, and Isolated the workers that are kept free of other units for them.
+	Suspected, Isolated            int
+	Accelerators, UsedAccelerators ids.Accelerators
 	// Fast, Usual and Slow count the workers of a pool of unequal ones by class, and SpeedUnknown those that are not classified yet.
 	Fast, Usual, Slow, SpeedUnknown int
 }
 
 // Counts returns the pool's metrics.
 func (s *State) Counts(now time.Time) Counts {
-	c := Counts{LiveJobs: len(s.live), Unknown: len(s.unknown)}
+	c := Counts{LiveJobs: len(s.live), Unknown: len(s.unknown), Suspected: len(s.suspected)}
+	for u := range s.isolating {
+		c.Isolated += len(u.isolated)
+	}
 	for _, n := range s.nodes {
 		if !n.listed {
 			continue
@@ -451,8 +472,8 @@
 	for _, j := range s.live {
 		fmt.Fprintf(&b, "job %s stored %t guaranteed %t recovered %t\n", j.ID, j.stored, j.guaranteed, j.recovered)
 		for _, u := range j.units {
-			fmt.Fprintf(&b, "  unit %d/%d tasks %d phase %d number %d failed %d avoids %d not before %v\n",
-				u.step, u.first, u.count, u.phase, u.number, len(u.failedRuns), len(u.avoidUntil), u.notBefore.Sub(now))
+			fmt.Fprintf(&b, "  unit %d/%d tasks %d phase %d number %d failed %d crashes %d avoids %d not before %v\n",
+				u.step, u.first, u.count, u.phase, u.number, len(u.failedRuns), len(u.crashes.list), len(u.avoidUntil), u.notBefore.Sub(now))
 		}
 	}
 	return b.String()
--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -38,6 +38,8 @@
 		// entryTime is the time that an entry of a list takes over an instance's link, and callTime the time of an instance's
 		// processor that a call to a worker takes.
 		entryTime, callTime atomic.Int64
+		// stopped is set at the end of the test, when no process is started any more.
+		stopped atomic.Bool
 
 		mu    sync.Mutex
 		specs map[ids.JobID]jobSpec
@@ -58,6 +60,8 @@
 		runTime  time.Duration
 		// poison makes the job fail on every worker.
 		poison bool
+		// crashAfter makes the job's first task crash each worker that starts it.
+		crashAfter time.Duration
 	}
 
 	// instance is one instance of the system, whose process can be killed and restarted.
@@ -175,6 +179,9 @@
 	defer w.mu.Unlock()
 	spec := w.specs[t.Job]
 	task := runservice.TaskSpec{RunTime: spec.runTime, StopTime: 100 * time.Millisecond, Fails: spec.poison}
+	if t.Step == 0 && t.Index == 0 {
+		task.CrashAfter = spec.crashAfter
+	}
 	if step := spec.steps[t.Step]; step.Gang {
 		task.Gang = step.Tasks
 		task.Checkpoints = step.Checkpoints
@@ -185,6 +192,9 @@
 // start starts the instance's process.
 func (i *instance) start() {
 	w := i.cluster
+	if w.stopped.Load() {
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i.mu.Lock()
 	i.dead, i.machineOff, i.paused, i.cancel = false, false, nil, cancel
@@ -512,6 +522,7 @@
 // stop kills all processes and fails the test if the checker found violations.
 func (w *cluster) stop() {
 	w.t.Helper()
+	w.stopped.Store(true)
 	for _, i := range w.instances {
 		i.kill(true)
 	}
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -27,6 +27,8 @@
 		Starts, StartsUnknown, Stops expvar.Int
 		// WorkerCrashes counts the workers whose processes ended unannounced, and RunsCrashed the runs that were lost with them.
 		WorkerCrashes, RunsCrashed expvar.Int
+		// GivenUp counts the jobs that were given up since workers crashed under one of their tasks.
+		GivenUp expvar.Int
 		// WatchesUnanswered counts the watches without an answer, and WatchesFailed those that failed otherwise.
 		WatchesUnanswered, WatchesFailed expvar.Int
 		WriteTime                        Latency
@@ -101,6 +103,9 @@
 		m.WorkerCrashes.Add(1)
 		m.RunsCrashed.Add(int64(len(n.Crashed)))
 	}
+	if n.Kind == "GivenUp" {
+		m.GivenUp.Add(1)
+	}
 	switch {
 	case n.First:
 		m.StartTime.Observe(fmt.Sprintf("priority=%q", strconv.Itoa(n.Priority)), n.After)
--- a/internal/standin/history/checker.go
+++ b/internal/standin/history/checker.go
@@ -56,6 +56,8 @@
 		// acknowledged.
 		failedRuns, acknowledgedFailed map[worker.Task]map[ids.RunNumber]bool
 		started                        bool
+		// crashes counts the workers that each task has crashed, and startsAfterCrashes its starts after minCrashes of them.
+		crashes, startsAfterCrashes map[worker.Task]int
 	}
 )
 
@@ -80,6 +82,14 @@
 	stabilityWindow              = 3 * time.Second
 )
 
+const (
+	// maxStartsAfterCrashes is the number of starts of a task that has crashed minCrashes workers which the platform does not allow any more, and
+	// minCrashesToFail the number of crashes from which it may be given up.
+	minCrashes            = 3
+	maxStartsAfterCrashes = 3
+	minCrashesToFail      = 2
+)
+
 // New returns a checker for workers that each have the given total resources.
 func New(total ids.Resources) *Checker {
 	return &Checker{starts: make(map[ids.JobID]int), draining: make(map[ids.InstanceID]time.Time), evacuated: make(map[ids.InstanceID]time.Time), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
@@ -93,6 +103,7 @@
 		steps: steps, schedule: schedule, maxAttempts: maxAttempts,
 		done: make(map[worker.Task]bool), acknowledgedDone: make(map[worker.Task]bool),
 		failedRuns: make(map[worker.Task]map[ids.RunNumber]bool), acknowledgedFailed: make(map[worker.Task]map[ids.RunNumber]bool),
+		crashes: make(map[worker.Task]int), startsAfterCrashes: make(map[worker.Task]int),
 	}
 }
 
@@ -192,6 +203,9 @@
 	switch e.Kind {
 	case runservice.Crashed:
 		c.active[e.Worker] = make(map[worker.Run]bool)
+		if j != nil {
+			j.crashes[e.Run.Task]++
+		}
 	case runservice.Started:
 		c.checkStart(e, j)
 		c.active[e.Worker][e.Run] = true
@@ -238,6 +252,11 @@
 	if failed >= j.maxAttempts {
 		c.addViolation("%s was started after %d runs had failed", e.Run.Task, failed)
 	}
+	if j.crashes[e.Run.Task] >= minCrashes && !e.Late {
+		if j.startsAfterCrashes[e.Run.Task]++; j.startsAfterCrashes[e.Run.Task] >= maxStartsAfterCrashes {
+			c.addViolation("%s was started %d times more after it had crashed %d workers", e.Run.Task, j.startsAfterCrashes[e.Run.Task], minCrashes)
+		}
+	}
 	if due := j.schedule.First.Add(time.Duration(e.Run.Occurrence) * j.schedule.Interval); time.Now().Before(due) {
 		c.addViolation("%s was started %v before its scheduled time", e.Run.Task, time.Until(due))
 	}
@@ -365,7 +384,12 @@
 				return
 			}
 		}
-		c.addViolation("job %s is reported as failed, but no task or gang has enough failed runs", id)
+		for _, crashes := range j.crashes {
+			if crashes >= minCrashesToFail {
+				return
+			}
+		}
+		c.addViolation("job %s is reported as failed, but no task or gang has enough failed runs or has crashed enough workers", id)
 	}
 }
 
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -20,6 +20,10 @@
 		Describe func(t worker.Task) TaskSpec
 		// Observe, if not nil, is called for each event under the fleet's lock.
 		Observe func(e Event)
+		// RefuseWhenDown makes calls to a crashed worker fail at once, as if its machine refused connections. Otherwise they get no answer.
+		RefuseWhenDown bool
+		// RestartAfter is the time after which a worker that a task has crashed restarts under its id.
+		RestartAfter time.Duration
 
 		mu      sync.Mutex
 		workers map[ids.InstanceID]*Worker
@@ -34,6 +38,8 @@
 		StopTime time.Duration
 		// Fails makes the run end as failed.
 		Fails bool
+		// CrashAfter is the time after which the run crashes its worker; zero for a run that does not.
+		CrashAfter time.Duration
 		// Checkpoints makes the run save a checkpoint when it is stopped.
 		Checkpoints bool
 	}
@@ -45,7 +51,8 @@
 	Event struct {
 		Kind   EventKind
 		Worker ids.InstanceID
-		Run    worker.Run
+		// Run is the run concerned. For a Crashed event it is the run that crashed the worker, if one did.
+		Run worker.Run
 		// Number is the sequence number of the end. It and Reason are set only for Ended and Acknowledged events.
 		Number uint64
 		Reason worker.EndReason
@@ -190,8 +197,11 @@
 
 // Crash simulates a crash of the worker: its runs are lost, and gangs with a member on it break.
 func (w *Worker) Crash() {
-	w.fleet.mu.Lock()
-	defer w.fleet.mu.Unlock()
+	w.update(func() { w.crash(worker.Run{}) })
+}
+
+// crash is Crash, caused by a run.
+func (w *Worker) crash(cause worker.Run) {
 	if w.down {
 		return
 	}
@@ -199,11 +209,30 @@
 	if w.leaseTimer != nil {
 		w.leaseTimer.Stop()
 	}
-	w.observe(Event{Kind: Crashed})
+	w.observe(Event{Kind: Crashed, Run: cause})
 	for _, r := range w.runs {
 		w.removeRun(r)
 		w.breakGang(r)
 	}
+	if w.fleet.RefuseWhenDown {
+		close(w.changed)
+	}
+}
+
+// crashAfter makes a run crash its worker, which restarts some time later.
+func (w *Worker) crashAfter(d time.Duration, r *run) {
+	w.afterFunc(d, func() {
+		if w.runs[r.Run] != r {
+			return
+		}
+		w.crash(r.Run)
+		incarnation := w.incarnation
+		w.afterFunc(w.fleet.RestartAfter, func() {
+			if w.down && w.incarnation == incarnation {
+				w.startIncarnation()
+			}
+		})
+	})
 }
 
 // Restart starts a new incarnation of a crashed worker under the same ID.
@@ -252,6 +281,10 @@
 	if w.fault != nil {
 		f = w.fault(name)
 	}
+	if w.down && w.fleet.RefuseWhenDown {
+		w.fleet.mu.Unlock()
+		return worker.ErrNotListening
+	}
 	incarnation := w.incarnation
 	unanswered := w.down || w.partitioned || f.Silent || f.ExecuteAfter > 0
 	var err error
@@ -305,6 +338,9 @@
 	r := &run{Run: o.Run, spec: w.fleet.Describe(o.Task), started: time.Now()}
 	w.runs[o.Run] = r
 	w.observe(Event{Kind: Started, Run: o.Run, Late: time.Since(arrived) > lateThreshold})
+	if r.spec.CrashAfter > 0 {
+		w.crashAfter(r.spec.CrashAfter, r)
+	}
 	w.scheduleEnd(r)
 	return nil
 }
