--- /dev/null
+++ b/internal/process/poolowner/capacity_test.go
@@ -0,0 +1,94 @@
+package poolowner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/internal/standin/runservice"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
+)
+
+// setCapacity changes a worker's capacity, which the worker writes to its entry unless the store is out.
+func (w *cluster) setCapacity(id ids.InstanceID, total ids.Resources, written bool) {
+	l := w.listed[id]
+	l.Total = total
+	w.listed[id] = l
+	w.checker.RecordCapacity(id, total)
+	if written {
+		w.listWorker(id)
+	}
+}
+
+// A start brought a worker over its capacity, which had been reduced while the worker was running: the owner decided by an old capacity, or sent an
+// order that it had decided by one. The checker fails the test.
+func TestNoStartBeyondReducedCapacity(t *testing.T) {
+	task := pool.Step{Tasks: 8, Each: ids.Resources{Accelerators: 1, Cores: 1000, Memory: 1}, Estimate: time.Second}
+	reduced := ids.Resources{Accelerators: 1, Cores: 64000, Memory: 262144}
+	for name, run := range map[string]func(t *testing.T, w *cluster){
+		"while the store is out": func(t *testing.T, w *cluster) {
+			full := task
+			full.Tasks = 6 * 8
+			w.defineJob("a", jobSpec{steps: []pool.Step{full}, runTime: 6500 * time.Millisecond})
+			_, err := w.submit(w.instances[0], 1, "a")
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			w.defineJob("b", jobSpec{steps: []pool.Step{full}, runTime: time.Second})
+			_, err = w.submit(w.instances[0], 1, "b")
+			require.NoError(t, err)
+			w.store.SetOutage(true, true)
+			time.Sleep(500 * time.Millisecond)
+			for id := range w.listed {
+				w.setCapacity(id, reduced, false)
+			}
+			time.Sleep(7 * time.Second)
+			w.store.SetOutage(false, true)
+			for id := range w.listed {
+				w.listWorker(id)
+			}
+		},
+		"late orders": func(t *testing.T, w *cluster) {
+			from := time.Now()
+			for id := range w.listed {
+				w.fleet.Worker(id).SetFault(func(call string) runservice.Fault {
+					return runservice.Fault{Silent: call == "start" && time.Since(from) < 5*time.Second}
+				})
+			}
+			many := pool.Step{Tasks: 24, Each: ids.Resources{Cores: 1000, Memory: 1}, Estimate: time.Second}
+			w.defineJob("a", jobSpec{steps: []pool.Step{many}, runTime: time.Second})
+			_, err := w.submit(w.instances[0], 1, "a")
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			for id := range w.listed {
+				w.setCapacity(id, ids.Resources{}, true)
+			}
+			time.Sleep(8 * time.Second)
+			for id := range w.listed {
+				w.setCapacity(id, reduced, true)
+			}
+		},
+		"while a new owner takes over": func(t *testing.T, w *cluster) {
+			w.defineJob("a", jobSpec{steps: []pool.Step{task}, runTime: 3 * time.Second})
+			_, err := w.submit(w.instances[0], 1, "a")
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			w.ownerInstance().kill(false)
+			for id := range w.listed {
+				w.setCapacity(id, reduced, true)
+			}
+			time.Sleep(5 * time.Second)
+			w.defineJob("b", jobSpec{steps: []pool.Step{task}, runTime: time.Second})
+			_, err = w.submit(w.awaitOwner(), 1, "b")
+			require.NoError(t, err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				run(t, w)
+				w.awaitState(1, "a", pool.Completed)
+			})
+		})
+	}
+}
--- a/internal/standin/history/checker.go
+++ b/internal/standin/history/checker.go
@@ -31,6 +31,8 @@
 		starts map[ids.JobID]int
 		// draining holds when each draining worker announced its departure.
 		draining map[ids.InstanceID]time.Time
+		// capacities holds the capacities of each worker whose capacity has changed, in order of time.
+		capacities map[ids.InstanceID][]capacityChange
 		// evacuated holds when the evacuation of each worker's data centre was requested.
 		evacuated map[ids.InstanceID]time.Time
 		// disturbances counts the faults of the store and the instances in progress, and disturbedAt is when the last one ended.
@@ -40,6 +42,11 @@
 		events       []string
 	}
 
+	capacityChange struct {
+		at    time.Time
+		total ids.Resources
+	}
+
 	job struct {
 		steps       []pool.Step
 		schedule    pool.Schedule
@@ -80,6 +87,9 @@
 	// maxStartDelayAfterEvacuation is the same limit for the evacuation of the worker's data centre.
 	maxStartDelayAfterEvacuation = 5 * time.Second
 	stabilityWindow              = 3 * time.Second
+	// heartbeatInterval is the interval at which workers write their entries. After a reduction of a worker's capacity, the earlier capacity counts for the
+	// stability window and one such interval.
+	heartbeatInterval = 1500 * time.Millisecond
 )
 
 const (
@@ -92,7 +102,7 @@
 
 // New returns a checker for workers that each have the given total resources.
 func New(total ids.Resources) *Checker {
-	return &Checker{starts: make(map[ids.JobID]int), draining: make(map[ids.InstanceID]time.Time), evacuated: make(map[ids.InstanceID]time.Time), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
+	return &Checker{starts: make(map[ids.JobID]int), draining: make(map[ids.InstanceID]time.Time), evacuated: make(map[ids.InstanceID]time.Time), capacities: make(map[ids.InstanceID][]capacityChange), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
 }
 
 // Add registers a job before its submission.
@@ -123,6 +133,32 @@
 	c.log(string(id) + " accepts runs")
 }
 
+// RecordCapacity records that a worker's capacity has changed, though not necessarily in its entry.
+func (c *Checker) RecordCapacity(id ids.InstanceID, total ids.Resources) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.capacities[id]) == 0 {
+		c.capacities[id] = []capacityChange{{total: c.total}}
+	}
+	c.capacities[id] = append(c.capacities[id], capacityChange{time.Now(), total})
+	c.log(fmt.Sprintf("%s has the capacity %v", id, total))
+}
+
+// allows reports whether a worker had room for the given resources at some moment of the time for which an earlier capacity counts.
+func (c *Checker) allows(id ids.InstanceID, used ids.Resources) bool {
+	list := c.capacities[id]
+	if len(list) == 0 {
+		return c.total.Contains(used)
+	}
+	for i, change := range list {
+		replaced := i+1 < len(list) && time.Since(list[i+1].at) > stabilityWindow+heartbeatInterval
+		if !replaced && change.total.Contains(used) {
+			return true
+		}
+	}
+	return false
+}
+
 // RecordEvacuation records that the evacuation of a worker's data centre was requested.
 func (c *Checker) RecordEvacuation(id ids.InstanceID) {
 	c.mu.Lock()
@@ -280,8 +316,8 @@
 			}
 		}
 	}
-	if !c.total.Contains(used) {
-		c.addViolation("%s was started on %s, whose runs then used %v of %v", e.Run.Task, e.Worker, used, c.total)
+	if !c.allows(e.Worker, used) {
+		c.addViolation("%s was started on %s, whose runs then used %v of %v", e.Run.Task, e.Worker, used, append([]capacityChange{{total: c.total}}, c.capacities[e.Worker]...))
 	}
 }
 
