Start nothing on a worker that is over its capacity in any resource

After a worker's accelerators had been reduced below what its runs use, a task that needs none was still started there: resources that a task does not need were ignored. TestReducedCapacity/task_without_accelerators failed before.

--- a/pkg/ids/resources.go
+++ b/pkg/ids/resources.go
@@ -27,8 +27,11 @@
 	return r.Accelerators >= o.Accelerators && r.Cores >= o.Cores && r.Memory >= o.Memory
 }
 
-// Copies returns how many times o fits into r, at most limit.
+// Copies returns how many times o fits into r, at most limit. Nothing fits if a field of r is negative, as on a worker that is over its capacity.
 func (r Resources) Copies(o Resources, limit int) int {
+	if !r.Contains(Resources{}) {
+		return 0
+	}
 	n := limit
 	if o.Accelerators > 0 {
 		n = min(n, int(r.Accelerators/o.Accelerators))
