Do not send late start orders to a worker whose capacity was reduced

An order that waited behind others, or was repeated since it got no answer, was sent although the worker's capacity had been reduced since the decision: 5 s after it in TestNoStartBeyondReducedCapacity/late_orders, which failed before, like TestReducedCapacity/start_on_its_way.

--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -398,10 +398,11 @@
 }
 
 // MayStart reports whether an order to start a run may still be sent: the run is to be started, its start is not confirmed
-// yet, and its worker still takes new runs.
+// yet, and its worker still takes new runs and has room for all that it may be running.
 func (s *State) MayStart(id ids.InstanceID, ref worker.Run) bool {
 	r := s.findRun(id, ref)
-	return r != nil && r.phase == runStarting && r.unit != nil && r.unit.phase == starting && r.node.listed && !r.node.Draining && !r.node.evacuated
+	return r != nil && r.phase == runStarting && r.unit != nil && r.unit.phase == starting && r.node.listed && !r.node.Draining && !r.node.evacuated &&
+		r.node.Total.Contains(r.node.used)
 }
 
 // HasRun reports whether a run holds resources on a worker.
