Take a run of unknown size for one that fills its worker

A run that an owner finds on a worker and whose job it does not know, such as one with an unreadable record, took no room until its stop had ended. TestReducedCapacity/run_of_unknown_size failed before.

--- a/internal/process/pool/capacity_test.go
+++ b/internal/process/pool/capacity_test.go
@@ -49,10 +49,11 @@
 			require.Empty(t, s.startAll(testStart.Add(time.Second)))
 		},
 		"run of unknown size": func(t *testing.T, s *State) {
-			now := testStart
-			s.Reported("w0000", worker.RunReport{Incarnation: 1, Active: []worker.ActiveRun{{Run: worker.Run{Task: worker.Task{Job: "unknown"}, Number: 1}}}}, now, now)
+			now, unknown := testStart, worker.Run{Task: worker.Task{Job: "unknown"}, Number: 1}
+			s.Reported("w0000", worker.RunReport{Incarnation: 1, Active: []worker.ActiveRun{{Run: unknown}}}, now, now)
 			s.accept(small("b", 1), now)
 			require.Empty(t, s.startAll(now.Add(time.Second)), "the unknown run may use the whole worker until it has ended")
+			s.StopConfirmed("w0000", unknown, now.Add(time.Second))
 			s.Reported("w0000", worker.RunReport{Incarnation: 1}, now.Add(2*time.Second), now.Add(2*time.Second))
 			require.Len(t, s.startAll(now.Add(2*time.Second)), 1)
 		},
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -300,6 +300,9 @@
 	r := &run{seq: s.lastRunSeq, Run: a.Run, node: n, phase: runActive, reported: true, orderedAt: now, confirmedAt: now, percent: a.Percent}
 	if u != nil {
 		r.resources = u.spec().Each
+	} else {
+		// Its size is not known, so nothing else may be started before it has ended.
+		r.resources = n.Total
 	}
 	s.addRun(r)
 	if u != nil && j.recovered && !j.ended() && s.adopt(u, r, now) {
