Start nothing by capacities that an outage of the store has made too old

While the store did not answer, runs were started by the last list of workers, however old. A worker whose capacity was reduced meanwhile was then brought over it: in TestNoStartBeyondReducedCapacity/while_the_store_is_out 6 s after the reduction, where the platform tolerates 4.5 s. Starts are now held once the list is older than 0.85 of the stability window (2.55 s), if the workers of any service start whatever they are ordered to.

--- a/internal/process/poolowner/capacity_test.go
+++ b/internal/process/poolowner/capacity_test.go
@@ -86,6 +86,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, func(t *testing.T, w *cluster) {
+				w.catalog.UncheckedCapacity = true
+				w.writeConfig()
+				time.Sleep(time.Second)
 				run(t, w)
 				w.awaitState(1, "a", pool.Completed)
 			})
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -115,7 +115,7 @@
 	t := l.term
 	if err := t.do(l.ctx, func() {
 		checked = t.owner.now()
-		valid = t.state.MayStart(l.id, r) && t.currentListState() != listOutdated && t.currentEvacuationState() != listOutdated && t.isStillOwner()
+		valid = t.state.MayStart(l.id, r) && !t.currentListState().holdsStarts() && !t.currentEvacuationState().holdsStarts() && t.isStillOwner()
 	}); err != nil {
 		return timestamp{}, false
 	}
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -99,6 +99,9 @@
 		// MaxListAge is the maximum age of the list of workers. Beyond it no runs are started, since workers may be draining,
 		// unless the store does not answer: then workers can't announce it either.
 		MaxListAge time.Duration
+		// MaxCapacityAge is the maximum age of the workers' capacities while the store does not answer. Beyond it no runs are started: a worker whose capacity
+		// was reduced meanwhile starts whatever it is ordered to.
+		MaxCapacityAge time.Duration
 		// MaxEvacuationAge is the maximum age of the view of the evacuations. Beyond it no runs are started, since any data centre may
 		// be evacuated, unless the store does not answer.
 		MaxEvacuationAge time.Duration
@@ -125,6 +128,9 @@
 	defaultMaxConfigAge = 3500 * time.Millisecond
 	// defaultMaxListAge is below the platform's limit of 2 s for which runs may start on a worker that is draining.
 	defaultMaxListAge = 1700 * time.Millisecond
+	// defaultMaxCapacityAge is below the platform's stability window of 3 s. An earlier capacity counts for this window and the time until the worker writes the
+	// new one.
+	defaultMaxCapacityAge = 2550 * time.Millisecond
 	// defaultMaxEvacuationAge is below the platform's default limit of 5 s for which runs may start in an evacuated data centre.
 	defaultMaxEvacuationAge = 4250 * time.Millisecond
 	// defaultOutageWindow is below the 3 s after an outage for which the platform tolerates starts by an outdated list.
@@ -159,6 +165,7 @@
 	t.WorkerLease = cmp.Or(t.WorkerLease, defaultWorkerLease)
 	t.MaxConfigAge = cmp.Or(t.MaxConfigAge, defaultMaxConfigAge)
 	t.MaxListAge = cmp.Or(t.MaxListAge, defaultMaxListAge)
+	t.MaxCapacityAge = cmp.Or(t.MaxCapacityAge, defaultMaxCapacityAge)
 	t.MaxEvacuationAge = cmp.Or(t.MaxEvacuationAge, defaultMaxEvacuationAge)
 	t.OutageWindow = cmp.Or(t.OutageWindow, defaultOutageWindow)
 	return t
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -99,6 +99,8 @@
 	listOutdated
 	// listUnavailable means that it is older and the store doesn't answer. Runs are still started.
 	listUnavailable
+	// listExpired means that it is older than MaxCapacityAge, and that some workers start whatever they are ordered to. No runs are started.
+	listExpired
 )
 
 const (
@@ -295,7 +297,7 @@
 	}
 	t.updateListState(now)
 	t.updateEvacuationState()
-	t.state.HoldStarts(t.listState == listOutdated || t.evacuationState == listOutdated)
+	t.state.HoldStarts(t.listState.holdsStarts() || t.evacuationState.holdsStarts())
 	actions, notices := t.state.Decide(now)
 	for _, n := range notices {
 		t.logNotice(n)
--- a/internal/process/poolowner/views.go
+++ b/internal/process/poolowner/views.go
@@ -8,9 +8,17 @@
 
 // currentListState returns the state of the list of workers.
 func (t *term) currentListState() listState {
-	return t.viewState(t.listAge(), t.owner.Times.MaxListAge)
+	age := t.listAge()
+	s := t.viewState(age, t.owner.Times.MaxListAge)
+	if s == listUnavailable && age > t.owner.Times.MaxCapacityAge && t.catalog != nil && t.catalog.UncheckedCapacity {
+		return listExpired
+	}
+	return s
 }
 
+// holdsStarts reports whether no runs are started by a view in the state.
+func (s listState) holdsStarts() bool { return s == listOutdated || s == listExpired }
+
 // viewState returns the state of a view of the store with the given age and its limit.
 func (t *term) viewState(age, limit time.Duration) listState {
 	if age <= limit {
@@ -43,6 +51,9 @@
 		t.log.Warn("workers: the list is outdated; no runs are started", zap.Duration("listAge", t.listAge()))
 	case listUnavailable:
 		t.log.Warn("workers: the list is outdated and the store does not answer; runs are still started", zap.Duration("listAge", t.listAge()))
+	case listExpired:
+		t.owner.metrics.StartHolds.Add(1)
+		t.log.Warn("workers: the capacities are outdated and the store does not answer; no runs are started", zap.Duration("listAge", t.listAge()))
 	}
 	t.listState, t.listStateSince = s, now
 }
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -17,6 +17,8 @@
 		// Keys maps each API key to its account.
 		Keys     map[string]ids.AccountID
 		Accounts map[ids.AccountID]pool.Account
+		// UncheckedCapacity is set if some service's workers start whatever they are ordered to, whether they have room or not.
+		UncheckedCapacity bool
 	}
 
 	// Queue accepts jobs at a host and a path prefix.
