Fail jobs that lose an instance with every start, on our own interface

Losses of an instance soon after the start are now counted in the job's record, unless other instances are lost at the same time, and the job fails after JobAttempts of them. TestJobThatTakesDownInstances/alone failed before.

--- a/internal/process/owner/record.go
+++ b/internal/process/owner/record.go
@@ -31,6 +31,8 @@
 	Number    int              `json:",omitempty"`
 	Shape     []ids.InstanceID `json:",omitempty"`
 	Progress  float64          `json:",omitempty"`
+	// Losses counts the attempts in a row that lost an instance.
+	Losses    int `json:",omitempty"`
 	Submitted time.Time
 	Started   time.Time `json:",omitzero"`
 	Finished  time.Time `json:",omitzero"`
@@ -94,7 +96,7 @@
 	r := &Record{
 		Format: RecordFormat, Job: j.Job, ID: j.ID, Account: j.Account, DataCentre: t.owner.DataCentre,
 		State: j.CallerState(), Reason: j.Reason, Attempt: j.Attempt, Each: j.Each,
-		Place: append([]ids.InstanceID(nil), j.Place...), Progress: j.Progress,
+		Place: append([]ids.InstanceID(nil), j.Place...), Progress: j.Progress, Losses: j.Losses,
 		Submitted: j.Submitted, Started: j.Started, Finished: j.Finished,
 	}
 	r.Guarantee, r.Number, r.Shape = j.Guarantee()
--- a/internal/process/owner/recover.go
+++ b/internal/process/owner/recover.go
@@ -167,7 +167,7 @@
 
 // restoreJob restores one job. The workers' reports take precedence over the record, which may be older.
 func (t *term) restoreJob(r *Record, reports *workerReports, now time.Time) {
-	j := &placement.Job{Job: r.Job, ID: r.ID, Account: r.Account, Submitted: r.Submitted, Attempt: r.Attempt, Progress: r.Progress, Reason: r.Reason}
+	j := &placement.Job{Job: r.Job, ID: r.ID, Account: r.Account, Submitted: r.Submitted, Attempt: r.Attempt, Progress: r.Progress, Losses: r.Losses, Reason: r.Reason}
 	// An idempotent job may have been started by an owner that failed before recording the start.
 	j.MaybeRan = r.Attempt > 0 || (r.Job.Idempotent && !t.owner.disabled.assumeStarted)
 	attempt, tasks := latestAttempt(reports.tasks[r.ID])
--- a/internal/process/owner/session.go
+++ b/internal/process/owner/session.go
@@ -241,7 +241,7 @@
 		t.handleTaskReport(session, task, now)
 	}
 	if r.Full {
-		t.markMissingStopped(session.id, seen, sent, now)
+		t.markMissingLost(session.id, seen, sent, now)
 	}
 }
 
@@ -289,16 +289,14 @@
 	})
 }
 
-// markMissingStopped marks tasks as stopped that ran before a full report was requested but are missing from it.
-func (t *term) markMissingStopped(id ids.InstanceID, seen map[worker.TaskRef]bool, sent, now time.Time) {
-	var lost []worker.TaskRef
+// markMissingLost marks tasks as lost that ran before a full report was requested but are missing from it.
+func (t *term) markMissingLost(id ids.InstanceID, seen map[worker.TaskRef]bool, sent, now time.Time) {
+	var lost []ids.JobID
 	t.state.VisitTasksRunningOn(id, sent, func(job ids.JobID, attempt ids.Attempt, index int) {
 		ref := worker.TaskRef{Job: job, Attempt: attempt, Index: index}
 		if !seen[ref] {
-			lost = append(lost, ref)
+			lost = append(lost, job)
 		}
 	})
-	for _, ref := range lost {
-		t.state.TaskStopped(ref.Job, ref.Attempt, now)
-	}
+	t.state.TasksLost(id, lost, now)
 }
--- a/internal/process/placement/job.go
+++ b/internal/process/placement/job.go
@@ -37,6 +37,8 @@
 		Finished time.Time
 		// Progress is the checkpointed fraction of the work, from 0 to 1.
 		Progress float64
+		// Losses counts the attempts in a row in which an instance was lost soon after the start, for no other known cause.
+		Losses int
 		// Reason explains the job's current state.
 		Reason string
 		// Place holds the node assigned to each task.
@@ -72,6 +74,10 @@
 		// consecutiveFailures counts the starts and runs that failed in a row. The job is not retried before notBefore.
 		consecutiveFailures int
 		notBefore           time.Time
+		// lostAttempt is the last attempt in which an instance was lost, lostAt is when, and countedLoss is set if Losses includes it.
+		lostAttempt ids.Attempt
+		lostAt      time.Time
+		countedLoss bool
 		// partial reports whether only part of the gang was found after a takeover. That part is being stopped.
 		partial bool
 	}
--- a/internal/process/placement/node.go
+++ b/internal/process/placement/node.go
@@ -135,6 +135,7 @@
 	}
 	n.down = true
 	s.notice(Notice{Kind: NoticeLost, Instance: id, Cause: cause})
+	s.recordLoss(n, sortedJobs(n.jobs), now)
 	for _, j := range sortedJobs(n.jobs) {
 		s.interruptGang(j, now, "instance "+string(id)+" was lost")
 	}
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -48,6 +48,8 @@
 		unplacedCount int
 		reservation   *reservation
 		waits         waitHistory
+		// losses holds the latest losses of instances.
+		losses []instanceLoss
 		// nextAvoidanceEnd is the earliest time at which a job may again use a node on which it failed.
 		nextAvoidanceEnd time.Time
 		// backingOff holds queued jobs that are not tried before their notBefore time.
