Try requests that lose their connections on two runners at most

An idempotent request that crashes each runner that runs it was tried on up to four. Two lost connections, the second of them new, now end the attempts with an unknown outcome and a retry delay; late responses are retried as before. TestRequestThatCrashesRunners/connections_are_lost failed before (4 runners).

--- a/internal/connection/runner/runner.go
+++ b/internal/connection/runner/runner.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -91,6 +92,8 @@
 	ErrNotRun = errors.New("the runner refused the request and did not run it")
 	// ErrNoResponse means that no complete response was received in time; the request may have run.
 	ErrNoResponse = errors.New("the runner sent no complete response")
+	// ErrConnectionLost means that the connection ended before a complete response: the runner may have crashed. It is also an ErrNoResponse.
+	ErrConnectionLost = errors.New("the connection to the runner ended")
 	// ErrWrongResponse means that the response was for another request; this one may have run.
 	ErrWrongResponse = errors.New("the runner responded to another request")
 	// ErrTooLarge means that the response body exceeds the size limit.
@@ -114,9 +117,9 @@
 func (r *Runner) Release() { r.InFlight.Add(-1) }
 
 // Do sends a request and reads its response before the deadline. A connection is reused only after a complete response
-// with the ID of the request.
-func (r *Runner) Do(req *fasthttp.Request, resp *fasthttp.Response, id ids.RequestID, deadline time.Time, maxBody int) error {
-	c, err := r.connect()
+// with the ID of the request. With fresh, a new connection is opened: a network device may have dropped the idle ones.
+func (r *Runner) Do(req *fasthttp.Request, resp *fasthttp.Response, id ids.RequestID, deadline time.Time, maxBody int, fresh bool) error {
+	c, err := r.connect(fresh)
 	if err != nil {
 		r.recordFailure()
 		return errors.Mark(err, ErrNotSent)
@@ -165,6 +168,9 @@
 	} else {
 		r.recordFailure()
 	}
+	if !errors.IsAny(err, os.ErrDeadlineExceeded, fasthttp.ErrTimeout) {
+		err = errors.Mark(err, ErrConnectionLost)
+	}
 	return errors.Mark(err, ErrNoResponse)
 }
 
@@ -216,8 +222,8 @@
 	return r.reportedLoad.Load()
 }
 
-func (r *Runner) connect() (*conn, error) {
-	for {
+func (r *Runner) connect(fresh bool) (*conn, error) {
+	for !fresh {
 		c := r.pop()
 		if c == nil {
 			break
--- a/internal/request/service/service.go
+++ b/internal/request/service/service.go
@@ -60,8 +60,12 @@
 	}
 )
 
-// maxAttempts bounds the upstream attempts per request.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the upstream attempts per request.
+	maxAttempts = 4
+	// maxConnectionsLost is the number of attempts with a lost connection after which a request is not tried again: it may be what crashes the runners.
+	maxConnectionsLost = 2
+)
 
 // SetRunners replaces the runners; unchanged ones keep their connections. The admission capacity becomes an equal share
 // of all slots, where instances is the number of entry instances that share the runners.
@@ -132,7 +136,7 @@
 // send tries runners until one answers. A request that may have run is retried only if it is idempotent.
 func (s *Service) send(req *Request, resp *fasthttp.Response) Result {
 	var last *runner.Runner
-	mayHaveRun := false
+	mayHaveRun, connectionsLost := false, 0
 	reason := "no runner of " + string(s.ID) + " accepts requests now"
 	for attempt := range maxAttempts {
 		if time.Now().After(req.Deadline) || (attempt > 0 && !s.budget.withdraw()) {
@@ -145,7 +149,7 @@
 		last = r
 		s.Counters.Attempts.Add(1)
 		resp.Reset()
-		err := r.Do(req.HTTP, resp, req.ID, s.attemptDeadline(req), req.Settings.MaxBody)
+		err := r.Do(req.HTTP, resp, req.ID, s.attemptDeadline(req), req.Settings.MaxBody, connectionsLost > 0)
 		r.Release()
 		if err == nil {
 			return Result{Outcome: caller.Answered, Runner: r.ID}
@@ -155,7 +159,10 @@
 			continue
 		}
 		mayHaveRun = true
-		if !req.Idempotent || errors.Is(err, runner.ErrTooLarge) {
+		if errors.Is(err, runner.ErrConnectionLost) {
+			connectionsLost++
+		}
+		if !req.Idempotent || errors.Is(err, runner.ErrTooLarge) || connectionsLost == maxConnectionsLost {
 			break
 		}
 	}
--- a/internal/request/service/service_test.go
+++ b/internal/request/service/service_test.go
@@ -162,3 +162,29 @@
 	result, _ := b.send("x", true, time.Second)
 	require.Equal(t, caller.Answered, result.Outcome, result.Reason)
 }
+
+// An idempotent request that crashes each runner that runs it was tried on up to four of them. Two must be the limit, and the caller learns that it may have run.
+func TestRequestThatCrashesRunners(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults runnerservice.Faults
+		want   int
+	}{
+		"connections are lost": {runnerservice.Faults{Drop: true}, 2},
+		"responses are late":   {runnerservice.Faults{Slow: 300 * time.Millisecond}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, 6, 8)
+			// Pays for the retries.
+			for range 20 {
+				b.send("sound", true, 3*time.Second)
+			}
+			for _, r := range b.runners {
+				r.SetFaults(test.faults)
+			}
+			result, _ := b.send("deadly", true, 3*time.Second)
+			require.Equal(t, caller.OutcomeUnknown, result.Outcome)
+			require.Positive(t, result.RetryAfter)
+			require.Equal(t, test.want, b.runCount("deadly"))
+		})
+	}
+}
--- a/internal/standin/runnerservice/runnerservice.go
+++ b/internal/standin/runnerservice/runnerservice.go
@@ -42,6 +42,8 @@
 		CrossAnswers bool
 		// Truncate closes the connection in the middle of the response.
 		Truncate bool
+		// Drop closes the connection without a response after running the request, as a runner that crashes.
+		Drop bool
 		// Leaving announces in each response that the runner is leaving.
 		Leaving bool
 		// setAt is the time at which the faults were set.
@@ -129,8 +131,12 @@
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
 	ctx.SetBodyString("answer to " + string(ctx.RequestURI()) + " " + body)
-	if f.Truncate {
+	switch {
+	case f.Truncate:
 		truncate(ctx, id)
+	case f.Drop:
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
 	}
 }
 
