Order a stop once for each time that its worker reports

Callers met an owner that ended by its memory limit: where a quarter of the workers crashed twice, its goroutines grew from 24 to 76,000 within 8 s (stacks 200 MB, heap 56 MB).

Cause: a worker that is found dead got a new stop order for each run whose start was not answered. Each such order fails at once, by a refused connection or by the answer of another worker at the address, and marks the worker as dead again, which orders all of its stops again. The stop is now due once the worker reports; until then its lease bounds it.

TestStopOrdersOfDeadWorkersDoNotMultiply: 643 orders for 18 runs before where nothing listens, and no end where another worker answers; at most 72 now.

--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -205,6 +205,8 @@
 		mayHaveCrashedAt time.Time
 		// stopOrderedAt is when the run's stop was last ordered.
 		stopOrderedAt time.Time
+		// stopDue is set if the run has to be stopped in the worker's next incarnation.
+		stopDue bool
 	}
 
 	runPhase int
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -280,15 +280,26 @@
 	}
 }
 
-// stopLateStart stops a run in its worker's next incarnation, which may still carry out the start.
+// stopLateStart stops a run that its worker's next incarnation may still start. The stop is ordered once that reports: an order to an address at which nothing, or
+// another worker, answers would only find again that the process has ended.
 func (s *State) stopLateStart(r *run, cause string, now time.Time) {
 	if u := r.unit; u != nil && u.number == r.Number && (u.phase == starting || u.phase == running) {
 		s.backOff(u, now)
 		s.stopUnit(u, cause, now)
-		return
 	}
-	r.phase = runActive
-	s.stopRun(r, now)
+	if r.phase != runGone {
+		r.phase, r.confirmedAt, r.stopDue = runStopping, time.Time{}, true
+	}
+}
+
+// orderDueStops orders the stops of a worker's runs that were due when it reported.
+func (s *State) orderDueStops(n *node, now time.Time) {
+	for _, r := range n.runs {
+		if r.stopDue {
+			r.phase = runActive
+			s.stopRun(r, now)
+		}
+	}
 }
 
 // MarkSilent records that a worker did not answer a call sent at the given time, unless it has reported since. The worker's runs
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -77,6 +77,7 @@
 			s.runLost(r, "the worker no longer lists the run", now)
 		}
 	}
+	s.orderDueStops(n, now)
 	s.markChanged(n)
 	delete(s.unknown, id)
 	s.resolveUnseen(n, now)
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -216,7 +216,7 @@
 	r.phase = runStopping
 	r.confirmedAt = time.Time{}
 	s.invalidateExpectedEnds(r.node)
-	r.stopOrderedAt = now
+	r.stopOrderedAt, r.stopDue = now, false
 	s.actions = append(s.actions, Action{Kind: StopRun, Worker: r.node.ID, Run: r.Run})
 }
 
--- a/internal/process/poolowner/faults_test.go
+++ b/internal/process/poolowner/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -198,6 +199,41 @@
 	})
 }
 
+// Guards against stop orders that multiply until the owner runs out of memory: each one that failed marked its worker as dead, and a dead worker got new stop
+// orders for all runs whose starts were not answered.
+func TestStopOrdersOfDeadWorkersDoNotMultiply(t *testing.T) {
+	const jobs = 18
+	for name, refusal := range map[string]error{"nothing listens": worker.ErrNotListening, "another worker answers": worker.ErrIncarnationMismatch} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				began := time.Now()
+				for id := range w.listed {
+					w.fleet.Worker(id).SetFault(func(call string) runservice.Fault {
+						switch after := time.Since(began); {
+						case after < 100*time.Millisecond:
+							return runservice.Fault{Silent: call == "start"}
+						case after < 3*time.Second:
+							return runservice.Fault{Refusal: refusal}
+						}
+						return runservice.Fault{}
+					})
+				}
+				for i := range jobs {
+					id := ids.JobID(fmt.Sprintf("job%02d", i))
+					w.defineJob(id, jobSpec{steps: []pool.Step{gangStep(1, 2)}, runTime: time.Second})
+					_, err := w.submit(w.instances[0], 1, id)
+					require.NoError(t, err)
+				}
+				for i := range jobs {
+					w.awaitState(1, ids.JobID(fmt.Sprintf("job%02d", i)), pool.Completed)
+				}
+				owner, _ := w.ownerInstance().current()
+				require.LessOrEqual(t, owner.Metrics().Stops.Value(), int64(jobs*2*maxRefusedConnections), "stop orders sent")
+			})
+		})
+	}
+}
+
 // A submission whose write was executed but not answered when its owner was lost is accepted once; no instance says that it was
 // refused.
 func TestLostSubmissionAnswerAtHandOver(t *testing.T) {
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -94,6 +94,8 @@
 		// Silent neither executes nor answers the call.
 		Silent    bool
 		Unhealthy bool
+		// Refusal, if set, is returned at once and the call is not executed, as if another process or none listened at the worker's address.
+		Refusal error
 	}
 
 	run struct {
@@ -290,6 +292,8 @@
 	var err error
 	switch {
 	case unanswered:
+	case f.Refusal != nil:
+		err = f.Refusal
 	case f.Unhealthy:
 		err = worker.ErrUnhealthy
 	default:
