Count a crash once, and not starts that met a worker which had crashed with others

Causes: a crash under a run whose start was not answered was recorded again when the dead worker's lease expired; and an order to a worker that had crashed just before counted as a crash 0 s after the start, most often where many workers crash at once. Crashes are now recorded once per run and worker, and an unconfirmed start counts only if no other worker crashed at the same time without a cause. After a crash at the same time as others, a task is not tried alone at once.

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -26,6 +26,10 @@
 		// Incarnation is then that of the worker; if it answers again in the same one, it has not crashed.
 		Unseen      bool   `json:",omitempty"`
 		Incarnation uint64 `json:",omitempty"`
+		// Unconfirmed is set if the worker did not confirm the start: it may have crashed before.
+		Unconfirmed bool `json:",omitempty"`
+		// Coincident is set if another worker crashed at the same time that ran no task which had just been started.
+		Coincident bool `json:",omitempty"`
 
 		// at is when the worker may have stopped answering; zero if another owner saw it. alone is set if no other unit ran there, and judged once it is known what
 		// else crashed then.
@@ -64,6 +68,7 @@
 		worker.Run
 		unit      *unit
 		orderedAt time.Time
+		confirmed bool
 	}
 
 	// CrashedRun is a run that was lost with its worker's process.
@@ -181,7 +186,7 @@
 // recordLateCrash records the crash of a worker under a run of which it was not known whether it survived.
 func (s *State) recordLateCrash(r *run, now time.Time) {
 	if u := r.unit; u != nil && u.number == r.Number && u.phase != done && !u.job.ended() {
-		s.addCrash(u, r.node, []lostRun{{Run: r.Run, unit: u, orderedAt: r.orderedAt}}, Crash{at: r.mayHaveCrashedAt}, now)
+		s.addCrash(u, r.node, []lostRun{r.lost()}, Crash{at: r.mayHaveCrashedAt}, now)
 		s.undecided = append(s.undecided, u)
 		s.giveUpIfCrashing(u, now)
 	}
@@ -195,11 +200,15 @@
 			r.mayHaveCrashedAt = n.reportedAt
 			continue
 		}
-		lost = append(lost, lostRun{Run: r.Run, unit: r.unit, orderedAt: r.orderedAt})
+		lost = append(lost, r.lost())
 	}
 	return lost
 }
 
+func (r *run) lost() lostRun {
+	return lostRun{Run: r.Run, unit: r.unit, orderedAt: r.orderedAt, confirmed: r.reported}
+}
+
 // crashedUnits returns the units that have not ended among those of the lost runs.
 func crashedUnits(lost []lostRun) []*unit {
 	var list []*unit
@@ -211,16 +220,20 @@
 	return list
 }
 
-// addCrash adds the crash of a worker to a unit's record.
+// addCrash adds the crash of a worker to a unit's record, unless it was recorded before under the same run.
 func (s *State) addCrash(u *unit, n *node, lost []lostRun, c Crash, now time.Time) {
-	c.Worker = n.ID
+	c.Worker, c.Unconfirmed = n.ID, true
 	var ordered time.Time
 	for _, l := range lost {
 		if l.unit == u {
 			c.Run, ordered = l.Number, laterOf(ordered, l.orderedAt)
 			c.Tasks = append(c.Tasks, l.Index)
+			c.Unconfirmed = c.Unconfirmed && !l.confirmed
 		}
 	}
+	if slices.ContainsFunc(u.crashes.list, func(other Crash) bool { return other.Worker == c.Worker && other.Run == c.Run }) {
+		return
+	}
 	at := c.at
 	if at.IsZero() {
 		at = n.lastAnswer(now)
@@ -251,6 +264,8 @@
 		return string(c.Worker) + " unseen"
 	case c.Conclusive:
 		return string(c.Worker) + " after " + c.Age.Round(time.Millisecond).String() + " conclusive"
+	case c.Unconfirmed:
+		return string(c.Worker) + " unconfirmed"
 	}
 	return string(c.Worker) + " after " + c.Age.Round(time.Millisecond).String()
 }
@@ -267,14 +282,19 @@
 
 // crashCount returns the largest number of crashes under any one of the unit's tasks.
 func (u *unit) crashCount() int {
-	return mostOfOneTask(u.crashes.list, func(Crash) bool { return true })
+	return mostOfOneTask(u.crashes.list, Crash.counts)
 }
 
 // crashesInRow returns the largest number of crashes that were seen under any one of the unit's tasks since a run outlived its trial.
 func (u *unit) crashesInRow() int {
-	return mostOfOneTask(u.crashes.list[u.crashes.survived:], func(c Crash) bool { return !c.Unseen })
+	return mostOfOneTask(u.crashes.list[u.crashes.survived:], func(c Crash) bool { return c.counts() && !c.Unseen })
 }
 
+// counts reports whether a crash is evidence against the unit. A worker that did not confirm the start, and crashed when others did, had probably crashed before.
+func (c Crash) counts() bool { return !c.Unconfirmed || !c.Coincident }
+
+func (c Crash) awaitsJudgement() bool { return !c.at.IsZero() && !c.judged }
+
 // crashesTooOften reports whether so many workers have crashed under the unit that it is the cause.
 func (u *unit) crashesTooOften() bool {
 	row := u.crashes.list[u.crashes.survived:]
@@ -283,15 +303,15 @@
 	promptAndConclusive := mostOfOneTask(row, func(c Crash) bool { return c.Conclusive && c.isPrompt() })
 	return prompt >= maxPromptCrashes ||
 		u.crashesInRow() >= minCrashes && (promptAndConclusive >= promptConclusive || conclusive >= lateConclusive) ||
-		mostOfOneTask(u.crashes.list, func(c Crash) bool { return c.Unseen || c.Age <= youngRun }) >= maxCrashes && u.seenCrashes() > 0
+		mostOfOneTask(u.crashes.list, func(c Crash) bool { return c.counts() && (c.Unseen || c.Age <= youngRun) }) >= maxCrashes && u.seenCrashes() > 0
 }
 
 // seenCrashes returns the largest number of crashes that were seen under any one of the unit's tasks.
 func (u *unit) seenCrashes() int {
-	return mostOfOneTask(u.crashes.list, func(c Crash) bool { return !c.Unseen })
+	return mostOfOneTask(u.crashes.list, func(c Crash) bool { return c.counts() && !c.Unseen })
 }
 
-func (c Crash) isPrompt() bool { return !c.Unseen && c.Age <= promptCrash }
+func (c Crash) isPrompt() bool { return c.counts() && !c.Unseen && c.Age <= promptCrash }
 
 // mostOfOneTask returns the largest number of matching crashes under one task: a gang's members are on different workers.
 func mostOfOneTask(list []Crash, matches func(Crash) bool) int {
@@ -308,41 +328,58 @@
 	return most
 }
 
-// judgeCrashes judges the crashes whose time has come, and gives up the jobs of units that crash whatever starts them.
+// judgeCrashes judges the latest crashes, finally once all that happened at the same time must be known, and gives up the jobs of units that crash whatever
+// starts them.
 func (s *State) judgeCrashes(now time.Time) {
+	if len(s.undecided) == 0 {
+		return
+	}
+	unexplained := slices.DeleteFunc(slices.Clone(s.crashes), poolCrash.isExplained)
 	s.undecided = slices.DeleteFunc(s.undecided, func(u *unit) bool {
 		if u.job.ended() || u.phase == done {
 			return true
 		}
+		decided := true
 		for i := range u.crashes.list {
 			c := &u.crashes.list[i]
 			if c.at.IsZero() {
 				continue
 			}
-			if verdictAt := c.at.Add(coincidence); now.Before(verdictAt) {
+			verdictAt := c.at.Add(coincidence)
+			s.judge(u, c, unexplained, !now.Before(verdictAt))
+			if now.Before(verdictAt) {
 				s.retryBy(verdictAt)
-				return false
+				decided = false
 			}
-			s.judge(u, c)
 		}
-		s.requestPass()
-		s.giveUpIfCrashing(u, now)
-		return true
+		if decided {
+			s.requestPass()
+			s.giveUpIfCrashing(u, now)
+		}
+		return decided
 	})
 }
 
-// judge decides whether a crash under a unit is conclusive. It is called again after further crashes, since a run that explained a crash may have proved to be
-// sound meanwhile.
-func (s *State) judge(u *unit, c *Crash) {
-	conclusive := c.alone && !slices.ContainsFunc(s.crashes, func(other poolCrash) bool {
+// judge decides whether a crash under a unit coincided with another one, and finally whether it is conclusive. It is called again after further crashes, since a
+// run that explained a crash may have proved to be sound meanwhile.
+func (s *State) judge(u *unit, c *Crash, unexplained []poolCrash, final bool) {
+	coincident, recent := false, false
+	for _, other := range unexplained {
 		before := c.at.Sub(other.at)
-		return before <= crashRecency && before >= -coincidence && !slices.Contains(other.units, u) && !other.isExplained()
-	})
-	if conclusive != c.Conclusive {
-		c.Conclusive = conclusive
+		if before > crashRecency || before < -coincidence || slices.Contains(other.units, u) {
+			continue
+		}
+		recent = true
+		if coincident = before <= coincidence; coincident {
+			break
+		}
+	}
+	conclusive := final && c.alone && !recent
+	if coincident != c.Coincident || conclusive != c.Conclusive {
+		c.Coincident, c.Conclusive = coincident, conclusive
 		s.markDirty(u.job)
 	}
-	c.judged = true
+	c.judged = c.judged || final
 }
 
 // isExplained reports whether a unit that had just been started on the worker may have crashed it, as far as is known.
@@ -355,7 +392,10 @@
 	if len(u.crashes.list) == 0 {
 		return false
 	}
-	return u.job.crashVersion > u.job.storedVersion || u.crashesInRow() >= minCrashes && slices.ContainsFunc(u.crashes.list, func(c Crash) bool { return !c.at.IsZero() && !c.judged })
+	if u.job.crashVersion > u.job.storedVersion {
+		return true
+	}
+	return u.crashesInRow() >= minCrashes && slices.ContainsFunc(u.crashes.list, Crash.awaitsJudgement)
 }
 
 // giveUpIfCrashing fails the job of a unit under which too many workers have crashed.
--- a/internal/process/pool/crash_test.go
+++ b/internal/process/pool/crash_test.go
@@ -141,3 +141,47 @@
 	require.Equal(t, 1, j.units[0].crashesInRow())
 	require.Equal(t, []int{actions[0].Run.Index}, j.units[0].crashes.list[0].Tasks)
 }
+
+// Guards against sound jobs that are failed for crashes that did not happen under them: a start that meets a worker which has crashed already, and a crash that is
+// counted again when the worker's lease expires.
+func TestCrashesThatDoNotCount(t *testing.T) {
+	for name, test := range map[string]struct {
+		// confirmed means that the worker confirms the start before it crashes, and others that another worker crashes at the same time.
+		confirmed, others bool
+		counted           int
+	}{
+		"start on a worker that is down, amid other crashes": {others: true},
+		"start on a worker that is down":                     {counted: 1},
+		"run lost amid other crashes":                        {confirmed: true, others: true, counted: 1},
+		"run lost":                                           {confirmed: true, counted: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(8, 8)
+			j := gangJob("a", 1, 1, 8, 4*time.Second)
+			s.accept(j, testStart)
+			now := testStart
+			s.Reported("w0007", worker.RunReport{Incarnation: 1}, now, now)
+			actions, _ := s.Decide(now)
+			a := actions[0]
+			s.ExtendLease(a.Worker, now.Add(simLease))
+			if test.confirmed {
+				s.RunStarted(a.Worker, a.Run, now)
+			}
+			// The stop and a repeated order get no answer either.
+			s.RunStartUnanswered(a.Worker, a.Run)
+			s.RunStartUnknown(a.Worker, a.Run, now)
+			now = now.Add(100 * time.Millisecond)
+			s.MarkDead(a.Worker, "its process has ended", now)
+			if test.others {
+				s.MarkSilent("w0007", now, now)
+				s.MarkDead("w0007", "its process has ended", now)
+			}
+			for range 8 {
+				now = now.Add(time.Second)
+				s.Decide(now)
+			}
+			require.Len(t, j.units[0].crashes.list, 1, "records of one crash")
+			require.Equal(t, test.counted, j.units[0].crashCount())
+		})
+	}
+}
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -121,7 +121,7 @@
 		}
 		r.unit.maybeFailedRuns = append(r.unit.maybeFailedRuns, r.Number)
 		s.notice(Notice{Kind: "RunGone", Job: r.Job, Step: r.Step, Number: r.Number, Worker: n.ID, Cause: "its gang is broken, and the worker is silent"})
-		s.recordUnseen(n, []lostRun{{Run: r.Run, unit: r.unit, orderedAt: r.orderedAt}}, now)
+		s.recordUnseen(n, []lostRun{r.lost()}, now)
 		s.removeRun(r)
 		s.requeueStopped(r.unit)
 	}
--- a/internal/process/pool/trial.go
+++ b/internal/process/pool/trial.go
@@ -41,11 +41,11 @@
 	if len(u.crashes.list) == 0 {
 		return noTrial
 	}
-	row := u.crashesInRow()
+	row, last := u.crashesInRow(), u.crashes.list[len(u.crashes.list)-1]
 	switch {
 	case row >= requiredTrialFrom, u.isTriedToItsEnd():
 		return trialRequired
-	case row > 0 && u.crashes.list[len(u.crashes.list)-1].Age <= youngRun:
+	case row > 0 && last.Age <= youngRun && !last.Coincident:
 		return trialPreferred
 	}
 	return noTrial
@@ -142,7 +142,11 @@
 // others, since what crashed them may do so again; so are those of racks whose workers crash.
 func (s *State) trialWorkers(u *unit, now time.Time) func(*node) bool {
 	steady := func(n *node) bool { return n.crashedAt.IsZero() && !s.isNew(n, now) }
-	inSteadyRack := func(n *node) bool { return steady(n) && !s.isCrashingRack(n.Rack, now) }
+	crashing := make(map[ids.RackID]bool)
+	for _, r := range s.racks {
+		crashing[r.id] = s.isCrashingRack(r.id, now)
+	}
+	inSteadyRack := func(n *node) bool { return steady(n) && !crashing[n.Rack] }
 	recovered := func(n *node) bool { return now.Sub(n.crashedAt) > crashRecency && !s.isNew(n, now) }
 	for _, usable := range []func(*node) bool{inSteadyRack, steady, recovered} {
 		if s.placeOnWhole(u, now, usable, func(candidate, candidate) int { return 0 }) != nil {
