Do not wait for the lease of a worker whose process ended with a start order

The order may be carried out late, also after a restart, but only if the connection got no answer. One that was closed or refused ends with the process.

--- a/internal/connection/httpjson/httpjson.go
+++ b/internal/connection/httpjson/httpjson.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,6 +57,8 @@
 	ErrNotSent = errors.New("the HTTP request was not sent")
 	// ErrNoResponse means that no complete response was received.
 	ErrNoResponse = errors.New("no HTTP response was received")
+	// ErrClosed means that the connection was closed or reset before a complete response.
+	ErrClosed = errors.New("the connection was closed before the HTTP response")
 )
 
 // Error returns the fault's message.
@@ -129,6 +133,9 @@
 			// All connections may have gone silent at once; the next call opens a new one.
 			c.client.CloseIdleConnections()
 		}
+		if errors.IsAny(err, fasthttp.ErrConnectionClosed, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE) {
+			err = errors.Mark(err, ErrClosed)
+		}
 		return Response{}, errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrNoResponse)
 	}
 	return Response{Status: resp.StatusCode(), Body: bytes.Clone(resp.Body())}, nil
--- a/internal/connection/worker/runs.go
+++ b/internal/connection/worker/runs.go
@@ -123,6 +123,9 @@
 	ErrInvalid = errors.New("the worker refused the request as invalid")
 	// ErrNotListening means that nothing listens at the worker's address.
 	ErrNotListening = errors.New("nothing listens at the worker's address")
+	// ErrConnectionClosed means that the connection was closed before a response: the call may have taken effect, but only in the process that had accepted the
+	// connection.
+	ErrConnectionClosed = errors.New("the worker closed the connection")
 )
 
 // String formats the task as job/step/index, or job#occurrence/step/index.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -272,7 +272,7 @@
 func (s *State) loseRuns(n *node, cause string, now time.Time) {
 	for _, r := range slices.Clone(n.runs) {
 		switch {
-		case r.reported && !r.startUnanswered:
+		case r.reported && !r.startUnanswered, r.endsWithProcess:
 			s.runLost(r, cause, now)
 		default:
 			s.stopLateStart(r, cause, now)
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -278,3 +278,46 @@
 		})
 	}
 }
+
+// Guards against gangs that wait for the lease of a worker whose process has ended, since a start order there got no answer: if the connection was closed, no later
+// process can carry it out. An order that got no answer at all may be carried out later.
+func TestUnansweredStartEndsWithProcess(t *testing.T) {
+	for name, test := range map[string]struct {
+		closed bool
+		// ends tells the state that the process has ended.
+		ends      func(s *State, now time.Time)
+		restarted bool
+	}{
+		"closed, process ended":          {closed: true, restarted: true, ends: func(s *State, now time.Time) { s.MarkDead("w0000", "its process has ended", now) }},
+		"closed, process restarted":      {closed: true, restarted: true, ends: func(s *State, now time.Time) { s.Reported("w0000", worker.RunReport{Incarnation: 2}, now, now) }},
+		"closed, process still runs":     {closed: true, ends: func(s *State, now time.Time) { s.Reported("w0000", worker.RunReport{Incarnation: 1}, now, now) }},
+		"no answer, process ended":       {ends: func(s *State, now time.Time) { s.MarkDead("w0000", "its process has ended", now) }},
+		"no answer, process restarted":   {ends: func(s *State, now time.Time) { s.Reported("w0000", worker.RunReport{Incarnation: 2}, now, now) }},
+		"closed before the end is known": {closed: true, restarted: true, ends: func(*State, time.Time) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(2, 2)
+			now := testStart
+			s.Reported("w0000", worker.RunReport{Incarnation: 1}, now, now)
+			j := gangJob("a", 1, 1, 8, 4*time.Second)
+			s.accept(j, now)
+			actions, _ := s.Decide(now)
+			require.Equal(t, ids.InstanceID("w0000"), actions[0].Worker)
+			s.ExtendLease("w0000", now.Add(simLease))
+			s.RunStartUnanswered("w0000", actions[0].Run)
+			if name == "closed before the end is known" {
+				s.MarkDead("w0000", "its process has ended", now)
+			}
+			s.RunStartUnknown("w0000", actions[0].Run, test.closed, now)
+			now = now.Add(200 * time.Millisecond)
+			test.ends(s, now)
+			s.MarkStored("a", j.Version())
+			now = now.Add(2 * time.Second)
+			s.Decide(now)
+			s.MarkStored("a", j.Version())
+			actions, _ = s.Decide(now)
+			started := slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == StartRun })
+			require.Equal(t, test.restarted, started)
+		})
+	}
+}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -169,15 +169,23 @@
 	}
 }
 
-// RunStartUnknown records that the outcome of a start is unknown: the run may exist or still start. The whole unit is stopped.
-func (s *State) RunStartUnknown(id ids.InstanceID, ref worker.Run, now time.Time) {
+// RunStartUnknown records that the outcome of a start is unknown and that no order for it is sent any more. The run may exist or still start; if the connections of
+// all orders were closed, it can't outlive the process that the worker had. The whole unit is stopped.
+func (s *State) RunStartUnknown(id ids.InstanceID, ref worker.Run, closed bool, now time.Time) {
 	r := s.findRun(id, ref)
-	if r == nil || r.phase != runStarting {
+	if r == nil {
 		return
 	}
-	if r.unit != nil {
+	if closed && r.phase != runActive {
+		r.startUnanswered, r.endsWithProcess = false, true
+	}
+	cause := "a start was not answered by " + string(id)
+	if r.phase == runStarting && r.unit != nil {
 		s.backOff(r.unit, now)
-		s.stopUnit(r.unit, "a start was not answered by "+string(id), now)
+		s.stopUnit(r.unit, cause, now)
+	}
+	if r.endsWithProcess && r.node.processEnded {
+		s.runLost(r, cause, now)
 	}
 }
 
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -53,7 +53,8 @@
 	defer func() { <-l.orderSlots }()
 	t := l.term
 	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Lease: t.owner.Times.WorkerLease, Checkpoint: a.Checkpoint}
-	unknown := false
+	// unknown means that an order may have been executed, and closed that only a process which has closed its connection since can have executed it.
+	unknown, closed := false, true
 	// checked is when the run was last found to be one that may start.
 	checked := decided
 	for attempt := range maxStartAttempts {
@@ -93,6 +94,7 @@
 			t.post(func() { t.state.RunRefused(l.id, a.Run, err, errors.Is(err, worker.ErrUnhealthy), time.Now()) })
 			return
 		}
+		closed = closed && errors.IsAny(err, worker.ErrConnectionClosed, worker.ErrNotListening)
 		if !unknown {
 			unknown = true
 			t.post(func() { t.state.RunStartUnanswered(l.id, a.Run) })
@@ -108,7 +110,7 @@
 		t.post(func() { t.state.RunRefused(l.id, a.Run, errNotSent, false, time.Now()) })
 		return
 	}
-	t.post(func() { t.state.RunStartUnknown(l.id, a.Run, time.Now()) })
+	t.post(func() { t.state.RunStartUnknown(l.id, a.Run, closed, time.Now()) })
 }
 
 // mayStart returns the time of the check and whether a delayed or repeated order to start a run may still be sent. The run may have been abandoned,
