Give up tasks of recovered jobs one crash earlier

The platform allows five starts of a task that crashes its workers. An earlier owner that was lost while the store was out may not have stored a start, and then the sixth was one too many. After a takeover four crashes suffice, of which one must have been seen.

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -88,8 +88,7 @@
 	// coincidence is the time between crashes of several workers that probably have one cause, such as a rack without power. It covers the time until
 	// the owner notices each of them.
 	coincidence = time.Second
-	// maxPromptCrashes is the number of prompt crashes in a row after which a unit is given up, whatever else crashed. The platform allows five starts of a
-	// task that crashes its workers; one of them may have been made by an owner that was lost before it could store the crash.
+	// maxPromptCrashes is the number of prompt crashes in a row after which a unit is given up, whatever else crashed.
 	maxPromptCrashes = 4
 	// crashMemory is how long the crashes of all workers are remembered. It covers the few starts after which a unit is given up.
 	crashMemory = time.Minute
@@ -99,8 +98,10 @@
 	// minCrashes is the least number of crashes in a row for a unit to be given up.
 	minCrashes = 3
 	// maxCrashes is the number of crashes under young runs or of an age that is not known, after which a unit is given up although runs of it outlived their trials.
-	// At least one of them must have been seen.
+	// At least one of them must have been seen. The platform allows five starts of a task that crashes its workers.
 	maxCrashes = 5
+	// forgottenCrashes is how many fewer suffice for a recovered job: an earlier owner may have been lost before it could store a start or a crash.
+	forgottenCrashes = 1
 )
 
 // recordCrash records that a worker's process has ended, unless the worker had announced that it leaves. survives reports whether a run may be active in
@@ -301,9 +302,13 @@
 	prompt := mostOfOneTask(row, Crash.isPrompt)
 	conclusive := mostOfOneTask(row, func(c Crash) bool { return c.Conclusive })
 	promptAndConclusive := mostOfOneTask(row, func(c Crash) bool { return c.Conclusive && c.isPrompt() })
+	forgotten := 0
+	if u.job.recovered {
+		forgotten = forgottenCrashes
+	}
 	return prompt >= maxPromptCrashes ||
 		u.crashesInRow() >= minCrashes && (promptAndConclusive >= promptConclusive || conclusive >= lateConclusive) ||
-		mostOfOneTask(u.crashes.list, func(c Crash) bool { return c.counts() && (c.Unseen || c.Age <= youngRun) }) >= maxCrashes && u.seenCrashes() > 0
+		mostOfOneTask(u.crashes.list, func(c Crash) bool { return c.counts() && (c.Unseen || c.Age <= youngRun) }) >= maxCrashes-forgotten && u.seenCrashes() > 0
 }
 
 // seenCrashes returns the largest number of crashes that were seen under any one of the unit's tasks.
