--- a/internal/process/pool/placement_test.go
+++ b/internal/process/pool/placement_test.go
@@ -129,6 +129,26 @@
 	t.Fatal("the gang was not started")
 }
 
+// Guards against jobs that wait although most of the pool is free, since workers of each rack are kept free for a task under which workers have crashed.
+func TestGangIsSpreadBesideWaitingTrials(t *testing.T) {
+	s, now := testState(16, 8), testStart
+	small := gangJob("small", 1, 16, 1, time.Minute)
+	small.Steps[0].Gang, small.Steps[0].SameRack, small.Steps[0].MaxPerWorker = false, false, 1
+	s.accept(small, now)
+	s.startAll(now)
+	suspect := gangJob("suspect", 1, 4, 8, time.Minute)
+	s.accept(suspect, now)
+	suspect.units[0].crashes.list = []Crash{{Tasks: []int{0}}, {Tasks: []int{0}}}
+	s.isolate(suspect.units[0], []*node{s.nodes["w0000"], s.nodes["w0001"], s.nodes["w0008"], s.nodes["w0009"]})
+	gang := gangJob("gang", 1, 24, 2, time.Second)
+	s.accept(gang, now)
+	for waited := time.Duration(0); !gang.started; waited += 100 * time.Millisecond {
+		require.Less(t, waited, s.Times.IdleWait)
+		s.startAll(now.Add(waited))
+	}
+	require.Len(t, suspect.units[0].isolated, 4)
+}
+
 // A gang that waits for a rack is spread only while the pool is idle, and not before the platform's limit if a rack is expected
 // soon enough to end it sooner.
 func TestGangWaitsForRack(t *testing.T) {
--- a/internal/process/pool/spread.go
+++ b/internal/process/pool/spread.go
@@ -22,7 +22,7 @@
 // unit should go on waiting. Tasks run slower there, so the unit waits if that is expected to end it sooner. After
 // Times.IdleWait it waits no longer, and takes workers that are reserved for others too.
 func (s *State) spreadIfIdle(u *unit, now time.Time) []*node {
-	if spec := u.spec(); spec.DataRack == "" && !spec.SameRack {
+	if spec := u.spec(); spec.DataRack == "" && !spec.SameRack && len(s.isolating) == 0 {
 		return nil
 	}
 	if !s.isIdleFor(u, now) {
@@ -48,19 +48,35 @@
 		}
 	}
 	u.anyRack = true
+	defer func() { u.anyRack = false }()
 	placement := s.findPlacement(u, now, conflicts)
-	u.anyRack = false
+	if placement == nil && !now.Before(limit) && s.endWaitingTrials() {
+		placement = s.findPlacement(u, now, conflicts)
+	}
 	return placement
 }
 
 // isIdleFor reports whether nothing of a unit's job runs, the unit waits for a rack, and the pool is idle: less than idleShare
 // of the service's capacity is in use, and the unit would fit idleCopies times if its tasks could run in any rack.
 func (s *State) isIdleFor(u *unit, now time.Time) bool {
-	if s.fitCountFor(u.stage).sum.all < idleCopies*u.count || s.usedShare(u.job.Service) >= idleShare || u.job.isRunning() {
+	if s.fitCountFor(u.stage).sum.all+s.isolatedFit(u) < idleCopies*u.count || s.usedShare(u.job.Service) >= idleShare || u.job.isRunning() {
 		return false
 	}
 	_, spread := s.candidateRacks(u, now)
-	return !spread
+	return !spread || len(s.isolating) > 0
+}
+
+// isolatedFit returns how many of a unit's tasks would fit on the workers that are kept free for the trials of others. The platform counts their capacity as free.
+func (s *State) isolatedFit(u *unit) int {
+	tasks := 0
+	for other := range s.isolating {
+		for _, n := range other.isolated {
+			if other != u && n.schedulable() && n.Service == u.job.Service && n.hasLabel(u.spec().Label) {
+				tasks += n.free().Copies(u.spec().Each, maxTasksPerWorker)
+			}
+		}
+	}
+	return tasks
 }
 
 // isRunning reports whether any task of the job runs.
--- a/internal/process/pool/trial.go
+++ b/internal/process/pool/trial.go
@@ -305,6 +305,18 @@
 	s.requestPass()
 }
 
+// endWaitingTrials opens the workers that are kept free for trials which have not started, and reports whether there were any.
+func (s *State) endWaitingTrials() bool {
+	ended := false
+	for u := range s.isolating {
+		if u.phase == waiting && u.trialPlacement == nil {
+			s.endIsolation(u)
+			ended = true
+		}
+	}
+	return ended
+}
+
 // checkTrials ends the trials that are over, and clears the units that have outlived them.
 func (s *State) checkTrials(now time.Time) {
 	for u := range s.isolating {
