Judge unconfirmed starts before they count as crashes

An unconfirmed start counts once judged, and only if no other worker crashed since the worker was last heard of.

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -35,6 +35,8 @@
 		// else crashed then.
 		at            time.Time
 		alone, judged bool
+		// aliveAt is when the worker last proved to be alive.
+		aliveAt time.Time
 	}
 
 	// StartedOn is a worker on which tasks of a unit were started. It is part of the job's record.
@@ -53,6 +55,8 @@
 		started []StartedOn
 		// waitsSince is since when the unit has waited for workers of its own; zero if it does not.
 		waitsSince time.Time
+		// searchAt is when workers for a trial are looked for again.
+		searchAt time.Time
 	}
 
 	// poolCrash is a crash of any worker.
@@ -223,7 +227,7 @@
 
 // addCrash adds the crash of a worker to a unit's record, unless it was recorded before under the same run.
 func (s *State) addCrash(u *unit, n *node, lost []lostRun, c Crash, now time.Time) {
-	c.Worker, c.Unconfirmed = n.ID, true
+	c.Worker, c.Unconfirmed, c.aliveAt = n.ID, true, n.reportedAt
 	var ordered time.Time
 	for _, l := range lost {
 		if l.unit == u {
@@ -291,8 +295,9 @@
 	return mostOfOneTask(u.crashes.list[u.crashes.survived:], func(c Crash) bool { return c.counts() && !c.Unseen })
 }
 
-// counts reports whether a crash is evidence against the unit. A worker that did not confirm the start, and crashed when others did, had probably crashed before.
-func (c Crash) counts() bool { return !c.Unconfirmed || !c.Coincident }
+// counts reports whether a crash is evidence against the unit. A worker that did not confirm the start had probably crashed before if others crashed since it was
+// last heard of.
+func (c Crash) counts() bool { return !c.Unconfirmed || !c.Coincident && !c.awaitsJudgement() }
 
 func (c Crash) awaitsJudgement() bool { return !c.at.IsZero() && !c.judged }
 
@@ -371,11 +376,11 @@
 	coincident, recent := false, false
 	for _, other := range unexplained {
 		before := c.at.Sub(other.at)
-		if before > crashRecency || before < -coincidence || slices.Contains(other.units, u) {
+		if before < -coincidence || slices.Contains(other.units, u) {
 			continue
 		}
-		recent = true
-		if coincident = before <= coincidence; coincident {
+		recent = recent || before <= crashRecency
+		if coincident = before <= coincidence || c.Unconfirmed && !other.at.Before(c.aliveAt.Add(-coincidence)); coincident {
 			break
 		}
 	}
@@ -400,7 +405,9 @@
 	if u.job.crashVersion > u.job.storedVersion {
 		return true
 	}
-	return u.crashesInRow() >= minCrashes && slices.ContainsFunc(u.crashes.list, Crash.awaitsJudgement)
+	row := u.crashes.list[u.crashes.survived:]
+	return slices.ContainsFunc(row, Crash.awaitsJudgement) &&
+		mostOfOneTask(row, func(c Crash) bool { return !c.Unseen && (c.counts() || c.awaitsJudgement()) }) >= minCrashes
 }
 
 // giveUpIfCrashing fails the job of a unit under which too many workers have crashed.
