Bound the search for trials by the workers it looks at

A pass now looks at 48,000 workers at most and a unit searches again after 10 us for each worker: 0.5 ms of 48, 30 ms of 3,000.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -232,7 +232,7 @@
 func (s *State) placeWaiting(now time.Time) {
 	s.reserved.refresh(now)
 	s.updateOverdue(now)
-	s.trialSearches = 0
+	s.trialVisits = 0
 	for from := 0; from < len(s.live); {
 		to := from
 		for to < len(s.live) && s.live[to].Priority == s.live[from].Priority {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -124,10 +124,10 @@
 		unseen    map[ids.InstanceID][]*unit
 		// suspected holds the started units with crashes since a run outlived its trial, and isolating those with workers of their own.
 		suspected, isolating map[*unit]bool
-		// crashingRacks caches isCrashingRack for the time crashingRacksAt, and trialSearches counts the searches for trials in the current pass.
+		// crashingRacks caches isCrashingRack for the time crashingRacksAt, and trialVisits counts the workers looked at for trials in the current pass.
 		crashingRacks   map[ids.RackID]bool
 		crashingRacksAt time.Time
-		trialSearches   int
+		trialVisits     int
 		// unknown maps the workers that may still run jobs of an earlier owner to the time until which that is possible.
 		unknown   map[ids.InstanceID]time.Time
 		estimates map[ids.QueueID]*RunTimes
--- a/internal/process/pool/trial.go
+++ b/internal/process/pool/trial.go
@@ -28,10 +28,10 @@
 	// crashRecency is how long after its crash a worker is avoided by trials, and a crash without a cause makes others inconclusive: what crashed the worker
 	// may crash it again, or others.
 	crashRecency = 10 * time.Second
-	// maxTrialSearches is the number of units per pass for whose trials workers are looked for, which bounds the pass however many units wait. A search among
-	// 3,000 workers takes 0.4 ms. trialSearchInterval is the time after which a unit without workers is tried again.
-	maxTrialSearches    = 16
-	trialSearchInterval = 50 * time.Millisecond
+	// maxTrialVisits is the number of workers that a pass looks at for trials, which bounds it however many units wait: 16 searches among 3,000 workers, of 0.4 ms each.
+	// A unit without workers looks again after trialSearchInterval for each worker.
+	maxTrialVisits      = 48000
+	trialSearchInterval = 10 * time.Microsecond
 	// maxTrialShare is the share of the workers that trials may take. One trial is always possible.
 	maxTrialShare = 0.25
 	// requiredTrialFrom is the number of crashes in a row from which a trial is required, and wholeTrialFrom the number of all crashes from which it lasts
@@ -96,11 +96,12 @@
 	if need == trialPreferred && !now.Before(u.crashes.waitsSince.Add(trialWait)) {
 		return false, true
 	}
-	if now.Before(u.nextPlanAt) || s.trialSearches >= maxTrialSearches {
-		s.retryBy(laterOf(u.nextPlanAt, now.Add(trialSearchInterval)))
+	interval := time.Duration(len(s.nodes)) * trialSearchInterval
+	if now.Before(u.crashes.searchAt) || s.trialVisits > maxTrialVisits {
+		s.retryBy(laterOf(u.crashes.searchAt, now.Add(interval)))
 		return false, false
 	}
-	s.trialSearches++
+	s.trialVisits += len(s.nodes)
 	if placement := s.findTrialPlacement(u, now); placement != nil {
 		// The next owner must know of the start, so it is stored first. Nothing else starts on the workers meanwhile.
 		s.isolate(u, placement)
@@ -113,8 +114,8 @@
 	if need == trialRequired {
 		s.keepFree(u, now)
 	}
-	u.nextPlanAt = now.Add(trialSearchInterval)
-	s.retryBy(u.nextPlanAt)
+	u.crashes.searchAt = now.Add(interval)
+	s.retryBy(u.crashes.searchAt)
 	return false, false
 }
 
