Revert "Repeat orders and renewals without an answer sooner"

It needs a limit by the owner's own load before it can land, and a test in which calls slow down with their number.

--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -33,8 +33,6 @@
 		confirmedAt atomic.Pointer[timestamp]
 		// orderSlots limits the concurrent orders, and so the connections.
 		orderSlots chan struct{}
-		// unansweredAt is when a call last got no answer in time.
-		unansweredAt atomic.Pointer[time.Time]
 		// malformed is set once a part of a report could not be read, which is logged once.
 		malformed atomic.Bool
 	}
@@ -58,12 +56,14 @@
 	// ackWindow is the time after a report in which run ends are acknowledged without checking the worker's incarnation
 	// again: less than a process takes to start.
 	ackWindow = 50 * time.Millisecond
-	// shortPollWait replaces renewPollWait while the ownership lease is not confirmed, when the workers' answers show whether there is a newer owner, and for
-	// lossWindow after a call to the worker got no answer: a lost report delays what it says by the wait and a timeout.
-	shortPollWait = 300 * time.Millisecond
-	lossWindow    = 5 * time.Second
+	// unconfirmedPollWait replaces renewPollWait while the ownership lease is not confirmed, when the workers' answers
+	// show whether there is a newer owner.
+	unconfirmedPollWait = 300 * time.Millisecond
 	// workerRetryDelay is the delay after a failed call to a worker.
 	workerRetryDelay = 150 * time.Millisecond
+	// maxStartAttempts limits the attempts to start a run whose worker doesn't answer; a gang's other members wait 3 s
+	// for it.
+	maxStartAttempts = 3
 	// sweepInterval is the time between updates of all links, which also select a worker to probe. It is a fraction of
 	// the time after which the ownership lease counts as not confirmed.
 	sweepInterval = 200 * time.Millisecond
@@ -84,10 +84,6 @@
 	maxRefusedConnections = 2
 )
 
-// orderTimeouts are the times that the attempts to start or stop a run wait for an answer, which usually takes a few milliseconds. An order may be repeated, since it
-// names the run, and a gang starts as late as its last member. The others wait 3 s for it. Stops are repeated with the last one.
-var orderTimeouts = [...]time.Duration{120 * time.Millisecond, 240 * time.Millisecond, workerCallTimeout, workerCallTimeout, workerCallTimeout}
-
 func (t *term) newLink(w ListedWorker) *link {
 	ctx, cancel := context.WithCancel(t.ctx)
 	l := &link{
@@ -192,8 +188,8 @@
 				o.Acknowledged = w.acknowledge
 			case w.acknowledge <= acknowledged && w.handled <= w.acknowledge:
 				o.Wait = renewPollWait
-				if !l.term.isLeaseConfirmed() || l.losesAnswers() {
-					o.Wait = shortPollWait
+				if !l.term.isLeaseConfirmed() {
+					o.Wait = unconfirmedPollWait
 				}
 			}
 		}
@@ -237,9 +233,7 @@
 			refused = 0
 		}
 		l.renewalFailed(err, failures, refused >= maxRefusedConnections, sent.at, failedAt(sent.at, o.Wait))
-		if failures > 1 || refused > 0 {
-			pause.For(l.ctx, jitter(workerRetryDelay))
-		}
+		pause.For(l.ctx, jitter(workerRetryDelay))
 	}
 }
 
@@ -267,20 +261,6 @@
 	return err == nil && cmp.Or(report.Incarnation, incarnation) == incarnation
 }
 
-// recordUnanswered records that a call got no answer in time.
-func (l *link) recordUnanswered(err error) {
-	if !errors.IsAny(err, worker.ErrConnectionClosed, worker.ErrNotListening) {
-		now := time.Now()
-		l.unansweredAt.Store(&now)
-	}
-}
-
-// losesAnswers reports whether a call to the worker got no answer lately.
-func (l *link) losesAnswers() bool {
-	at := l.unansweredAt.Load()
-	return at != nil && time.Since(*at) < lossWindow
-}
-
 func (l *link) markLeaseOrdered() {
 	now := time.Now()
 	l.leaseOrderedAt.Store(&now)
@@ -329,7 +309,6 @@
 		t.log.Warn("workers: no answer", zap.String("worker", string(l.id)), zap.Error(err))
 	}
 	t.owner.metrics.RenewalsFailed.Add(1)
-	l.recordUnanswered(err)
 	switch {
 	case errors.Is(err, worker.ErrFenced):
 		t.end("worker " + string(l.id) + " follows a newer owner")
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -57,7 +57,7 @@
 	unknown, closed := false, true
 	// checked is when the run was last found to be one that may start.
 	checked := decided
-	for attempt, timeout := range orderTimeouts {
+	for attempt := range maxStartAttempts {
 		if attempt > 0 || queued || t.owner.since(decided) > maxOrderAge {
 			valid := false
 			if checked, valid = l.mayStart(a.Run); !valid {
@@ -70,8 +70,8 @@
 		}
 		// The timeout counts from the check: after a pause of the process the order is not sent without another check. A pause
 		// between the client's look at the deadline and its write to the connection is not detected.
-		ctx, cancel := context.WithDeadline(l.ctx, checked.at.Add(timeout))
-		if t.owner.since(checked) >= timeout {
+		ctx, cancel := context.WithDeadline(l.ctx, checked.at.Add(workerCallTimeout))
+		if t.owner.since(checked) >= workerCallTimeout {
 			cancel()
 			continue
 		}
@@ -94,7 +94,6 @@
 			t.post(func() { t.state.RunRefused(l.id, a.Run, err, errors.Is(err, worker.ErrUnhealthy), time.Now()) })
 			return
 		}
-		l.recordUnanswered(err)
 		closed = closed && errors.IsAny(err, worker.ErrConnectionClosed, worker.ErrNotListening)
 		if !unknown {
 			unknown = true
@@ -151,9 +150,9 @@
 	release := func() { <-l.orderSlots }
 	t := l.term
 	refused := 0
-	for attempt := 0; l.ctx.Err() == nil; attempt++ {
-		sent, timeout := time.Now(), orderTimeouts[min(attempt, len(orderTimeouts)-1)]
-		ctx, cancel := context.WithTimeout(l.ctx, timeout)
+	for l.ctx.Err() == nil {
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
 		err := l.runs.Stop(ctx, t.claim.Epoch, a.Run)
 		cancel()
 		t.owner.metrics.Stops.Add(1)
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -122,7 +122,7 @@
 	// confirmationWindow is the time after the sending of a renewal for which the worker's acceptance shows that there is
 	// no newer owner. It is the longest time that a renewal takes while the ownership lease is not confirmed, and is
 	// shorter than that lease less the time between its renewals.
-	confirmationWindow = shortPollWait + workerCallTimeout
+	confirmationWindow = unconfirmedPollWait + workerCallTimeout
 	// maxClockDrift is the fraction by which a worker's clock may be slow: the 2% that the platform specifies, with a
 	// margin.
 	maxClockDrift = 0.025
