--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -284,7 +284,7 @@
 func TestUnansweredStartEndsWithProcess(t *testing.T) {
 	for name, test := range map[string]struct {
 		closed bool
-		// ends tells the state that the process has ended.
+		// ends reports to the state that the process has ended, or that it runs.
 		ends      func(s *State, now time.Time)
 		restarted bool
 	}{
