Start the tasks of a worker that has left without waiting for its lease

Cause: only a refused connection, another incarnation or the expired lease ended the runs of a worker without an answer. A machine that is switched off with its worker refuses nothing. The evidence is now judged in one place: a worker that had announced its departure, closed its connections once its time was over, and whose entry was removed sooner than that of a silent worker, has left. Ruled out: the stop order (a run that is not stopped waits too), a closed link.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -79,17 +79,8 @@
 		if !n.silentSince.IsZero() {
 			s.expireBrokenRuns(n, now)
 		}
-		if len(n.runs) > 0 && (!n.listed || !n.silentSince.IsZero()) && now.After(n.leaseExpiry) {
-			s.notice(Notice{Kind: "WorkerLapsed", Worker: id, Cause: "it does not answer and its lease has expired"})
-			n.reported = false
-			s.markChanged(n)
-			s.capacityChanged(n)
-			s.recordUnseen(n, n.lostRuns(nil), now)
-			for _, r := range slices.Clone(n.runs) {
-				s.runLost(r, "the worker's lease has expired", now)
-			}
-		}
-		if !n.listed && len(n.runs) == 0 && now.After(n.leaseExpiry) {
+		s.expireWorker(n, now)
+		if !n.listed && len(n.runs) == 0 && (n.processEnded && n.Draining || now.After(n.leaseExpiry)) {
 			delete(s.nodes, id)
 			delete(s.suspects, n)
 			s.rebuildRacks()
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -43,6 +43,9 @@
 		silentSince time.Time
 		// failingSince is the earliest time at which the worker may have stopped answering; zero if it answers.
 		failingSince time.Time
+		// failedCalls holds those since the last answer, and removedAt is when the worker's entry was removed; zero if it is listed.
+		failedCalls callFailures
+		removedAt   time.Time
 		// processEnded is set once the worker's process is known to have ended, until it reports again.
 		processEnded bool
 		// joinedAt is when the worker first reported, crashedAt when it was last seen to crash, and isolatedFor the unit that alone may be started there;
@@ -189,7 +192,7 @@
 			w.Incarnation = n.Incarnation
 		}
 		n.Worker = w
-		n.listed = true
+		n.listed, n.removedAt = true, time.Time{}
 		s.checkCold(n)
 		n.evacuated = s.evacuations.Contains(n.DataCentre)
 		s.checkLeaving(n)
@@ -256,6 +259,9 @@
 		if n.reported {
 			s.recordDeparture(n, now)
 		}
+		if !n.processEnded && len(n.runs) > 0 {
+			s.notice(Notice{Kind: "WorkerEnded", Worker: id, Tasks: len(n.runs), After: n.silentFor(now), Cause: cause})
+		}
 		s.recordCrash(n, cause, now, nil)
 		n.reported = false
 		if n.silentSince.IsZero() {
@@ -390,6 +396,12 @@
 	return n != nil && n.reported && n.silentSince.IsZero()
 }
 
+// HasEnded reports whether a worker's process is known to have ended and its next incarnation has not reported.
+func (s *State) HasEnded(id ids.InstanceID) bool {
+	n := s.nodes[id]
+	return n != nil && n.processEnded
+}
+
 // Incarnation returns the latest reported incarnation of a worker.
 func (s *State) Incarnation(id ids.InstanceID) uint64 {
 	if n := s.nodes[id]; n != nil {
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -38,6 +38,7 @@
 		n.handledEnd, n.acknowledgedEnd, n.pendingEnds = 0, 0, nil
 	}
 	n.silentSince, n.failingSince, n.processEnded, n.reportedAt = time.Time{}, time.Time{}, false, now
+	n.failedCalls = callFailures{}
 	for _, e := range report.Ended {
 		if e.Number > n.handledEnd {
 			n.handledEnd = e.Number
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -160,6 +160,8 @@
 		RemoteSlowdown float64
 		// IdleWait is the longest time for which nothing of a job may run while the pool is idle; see isIdleFor.
 		IdleWait time.Duration
+		// EntryInterval is the time between a worker's writes of its entry.
+		EntryInterval time.Duration
 		// Retention is how long ended jobs are kept.
 		Retention time.Duration
 	}
@@ -202,7 +204,7 @@
 		// forecast.
 		Queue    ids.QueueID
 		Forecast *time.Duration
-		// After is the time since the job's submission. Lost is the work that a stop discards, in core-seconds.
+		// After is the time since the job's submission, or for which a worker did not answer. Lost is the work that a stop discards, in core-seconds.
 		After time.Duration
 		Lost  float64
 	}
@@ -242,6 +244,7 @@
 	s.Times.Restore = cmp.Or(s.Times.Restore, 100*time.Millisecond)
 	s.Times.RemoteSlowdown = cmp.Or(s.Times.RemoteSlowdown, 3)
 	s.Times.IdleWait = cmp.Or(s.Times.IdleWait, 3*time.Second)
+	s.Times.EntryInterval = cmp.Or(s.Times.EntryInterval, 1500*time.Millisecond)
 	s.Times.Retention = cmp.Or(s.Times.Retention, 2*time.Minute)
 }
 
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
+	"github.com/jujubegrade/jujubegrade/internal/process/pool"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -79,9 +80,6 @@
 	// of a call: a call takes 0.12 ms of a core, and with a seventh of one 256 calls take 0.21 s. The limit keeps the wait for the
 	// processor out of the call's time.
 	maxFirstRenewals = 256
-	// maxRefusedConnections is the number of consecutive refused connections after which a worker's process counts as
-	// terminated.
-	maxRefusedConnections = 2
 )
 
 func (t *term) newLink(w ListedWorker) *link {
@@ -168,7 +166,7 @@
 func (l *link) renewLoop() {
 	// acknowledged is the last run end that was acknowledged to this incarnation of the worker.
 	acknowledged, incarnation := uint64(0), uint64(0)
-	failures, refused := 0, 0
+	failures := 0
 	var answered time.Time
 	for l.ctx.Err() == nil {
 		w := l.desired.Load()
@@ -214,7 +212,7 @@
 			if failures > 0 {
 				l.term.log.Info("workers: answering again", zap.String("worker", string(l.id)), zap.Int("failures", failures))
 			}
-			failures, refused = 0, 0
+			failures = 0
 			answered = time.Now()
 			acknowledged = max(acknowledged, o.Acknowledged)
 			if reported := cmp.Or(report.Incarnation, w.incarnation); reported != incarnation {
@@ -227,12 +225,7 @@
 			continue
 		}
 		failures++
-		if errors.Is(err, worker.ErrNotListening) {
-			refused++
-		} else {
-			refused = 0
-		}
-		l.renewalFailed(err, failures, refused >= maxRefusedConnections, sent.at, failedAt(sent.at, o.Wait))
+		l.renewalFailed(err, failures, sent.at, failedAt(sent.at, o.Wait))
 		pause.For(l.ctx, jitter(workerRetryDelay))
 	}
 }
@@ -303,18 +296,33 @@
 }
 
 // renewalFailed handles a failed renewal.
-func (l *link) renewalFailed(err error, failures int, terminated bool, sent, failed time.Time) {
+func (l *link) renewalFailed(err error, failures int, sent, failed time.Time) {
 	t := l.term
 	if failures == 1 {
 		t.log.Warn("workers: no answer", zap.String("worker", string(l.id)), zap.Error(err))
 	}
 	t.owner.metrics.RenewalsFailed.Add(1)
-	switch {
-	case errors.Is(err, worker.ErrFenced):
+	if errors.Is(err, worker.ErrFenced) {
 		t.end("worker " + string(l.id) + " follows a newer owner")
-	case errors.Is(err, worker.ErrIncarnationMismatch), terminated:
-		t.post(func() { t.state.MarkDead(l.id, "its process has ended: "+err.Error(), time.Now()) })
-	default:
-		t.post(func() { t.state.MarkSilent(l.id, sent, failed) })
+		return
+	}
+	l.callFailed(err, sent, failed)
+}
+
+// callFailed passes the failure of a call to the term.
+func (l *link) callFailed(err error, sent, failed time.Time) {
+	kind := callFailure(err)
+	l.term.post(func() { l.term.state.CallFailed(l.id, kind, sent, failed, time.Now()) })
+}
+
+func callFailure(err error) pool.CallFailure {
+	switch {
+	case errors.Is(err, worker.ErrIncarnationMismatch):
+		return pool.OtherProcess
+	case errors.Is(err, worker.ErrNotListening):
+		return pool.Refused
+	case errors.Is(err, worker.ErrConnectionClosed):
+		return pool.Closed
 	}
+	return pool.NoAnswer
 }
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,8 +49,11 @@
 		// ExpectedWait and ActualWait are the times to the first start of admitted jobs, as expected at the admission and as they
 		// were, by queue and priority. ForecastError is the difference, split into jobs that started earlier and later than expected.
 		ExpectedWait, ActualWait, ForecastError Latencies
-		counts                                  atomic.Pointer[pool.Counts]
-		runsLeft                                atomic.Pointer[map[ids.DataCentreID]int]
+		// WorkerWait is the time for which the runs of workers that did not answer were kept, by what ended it: the process was known to have ended,
+		// or the lease expired.
+		WorkerWait Latencies
+		counts     atomic.Pointer[pool.Counts]
+		runsLeft   atomic.Pointer[map[ids.DataCentreID]int]
 	}
 
 	// Latency is a histogram of durations, in microseconds. The zero value is empty.
@@ -103,6 +107,9 @@
 		m.WorkerCrashes.Add(1)
 		m.RunsCrashed.Add(int64(len(n.Crashed)))
 	}
+	if n.Kind == "WorkerEnded" || n.Kind == "WorkerLapsed" {
+		m.WorkerWait.Observe(fmt.Sprintf("end=%q", strings.TrimPrefix(n.Kind, "Worker")), n.After)
+	}
 	if n.Kind == "GivenUp" {
 		m.GivenUp.Add(1)
 	}
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -149,7 +149,6 @@
 	}
 	release := func() { <-l.orderSlots }
 	t := l.term
-	refused := 0
 	for l.ctx.Err() == nil {
 		sent := time.Now()
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
@@ -169,20 +168,11 @@
 			release()
 			t.end("worker " + string(l.id) + " follows a newer owner")
 			return
-		case errors.Is(err, worker.ErrNotListening):
-			refused++
-		}
-		if errors.Is(err, worker.ErrIncarnationMismatch) || refused >= maxRefusedConnections {
-			release()
-			t.post(func() { t.state.MarkDead(l.id, "its process has ended", time.Now()) })
-			return
-		}
-		if !isRefusal(err) {
+		case !isRefusal(err) || errors.IsAny(err, worker.ErrIncarnationMismatch, worker.ErrNotListening):
 			// The renewal in flight may wait 1 s longer before it detects this.
-			failed := failedAt(sent, 0)
-			t.post(func() { t.state.MarkSilent(l.id, sent, failed) })
+			l.callFailed(err, sent, failedAt(sent, 0))
 		}
-		if !t.hasRun(l.id, a.Run) {
+		if !t.mayStop(l.id, a.Run) {
 			break
 		}
 		pause.For(l.ctx, jitter(workerRetryDelay))
@@ -190,6 +180,15 @@
 	release()
 }
 
+// mayStop reports whether a stop order may be repeated. The next incarnation of a process that has ended gets a new order.
+func (t *term) mayStop(id ids.InstanceID, r worker.Run) bool {
+	may := false
+	if err := t.do(t.ctx, func() { may = t.state.HasRun(id, r) && !t.state.HasEnded(id) }); err != nil {
+		return false
+	}
+	return may
+}
+
 // hasRun reports whether a run still occupies resources on a worker.
 func (t *term) hasRun(id ids.InstanceID, r worker.Run) bool {
 	found := false
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -52,6 +52,8 @@
 	listTimeout = 2 * storeCallTimeout
 	// listEntryTime is the time that a worker's entry takes over a link of 10 Mbit/s.
 	listEntryTime = 500 * time.Microsecond
+	// entryLifetimes is the number of entry intervals without a write after which the store removes a worker's entry.
+	entryLifetimes = 3
 	// workersBatchDelay is the delay between watches that batches the changes of many workers.
 	workersBatchDelay = 100 * time.Millisecond
 )
@@ -248,12 +250,16 @@
 		listed[w.ID] = w
 	}
 	t.logListChanges(listed)
+	removed := t.removedEntries(entries)
 	t.listed = listed
 	workers := make([]pool.Worker, 0, len(listed))
 	for _, w := range listed {
 		workers = append(workers, w.Worker)
 	}
 	t.state.SetWorkers(workers)
+	for _, id := range removed {
+		t.state.EntryRemoved(id, now)
+	}
 	for id, w := range listed {
 		l := t.links[id]
 		if l != nil && l.address != w.Address {
@@ -267,6 +273,22 @@
 	}
 }
 
+// removedEntries returns the listed workers that have no entry any more. It returns none if the store may have been unavailable to the workers while
+// they wrote their entries.
+func (t *term) removedEntries(entries []store.Entry) []ids.InstanceID {
+	if failed := t.renewalFailedAt.Load(); failed != nil && t.owner.since(*failed) < entryLifetimes*t.state.Times.EntryInterval {
+		return nil
+	}
+	present := entriesByKey(entries)
+	var removed []ids.InstanceID
+	for id := range t.listed {
+		if _, found := present[t.owner.WorkerPrefix+string(id)]; !found {
+			removed = append(removed, id)
+		}
+	}
+	return removed
+}
+
 // coldUntil returns until when a worker is slow after its start. An entry that was read before keeps its time, since its remaining time is
 // that of its writing; a later entry may end the time early.
 func coldUntil(w, old ListedWorker, now time.Time) time.Time {
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -67,6 +67,8 @@
 
 		incarnation uint64
 		down        bool
+		// left means that the worker has closed its connections and its machine is off.
+		left bool
 		// partitioned means that the worker is unreachable; its runs continue.
 		partitioned bool
 		hangRuns    bool
@@ -202,6 +204,17 @@
 	w.update(func() { w.crash(worker.Run{}) })
 }
 
+// Leave ends the worker's process, which closes its connections, and turns its machine off.
+func (w *Worker) Leave() {
+	w.update(func() {
+		w.crash(worker.Run{})
+		w.left = true
+		if !w.fleet.RefuseWhenDown {
+			close(w.changed)
+		}
+	})
+}
+
 // crash is Crash, caused by a run.
 func (w *Worker) crash(cause worker.Run) {
 	if w.down {
@@ -283,6 +296,10 @@
 	if w.fault != nil {
 		f = w.fault(name)
 	}
+	if w.left && name == "renewed" {
+		w.fleet.mu.Unlock()
+		return worker.ErrConnectionClosed
+	}
 	if w.down && w.fleet.RefuseWhenDown {
 		w.fleet.mu.Unlock()
 		return worker.ErrNotListening
