Count a crash for all tasks of a gang that ran on the worker

Cause: the runs on a crashed worker are found lost in several reports, when starts were confirmed while its last report was under way, or one by one when the gang is broken. The crash was recorded for the first of them, and the others were dropped as repetitions, so that the count of each single task stayed behind. They are now added to the record. Ruled out: a record lost with an owner (the new owner counted the earlier crashes).

Evidence: TestCrashFoundInPartsCountsForAllTasks failed in both cases before.

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -225,7 +225,7 @@
 	return list
 }
 
-// addCrash adds the crash of a worker to a unit's record, unless it was recorded before under the same run.
+// addCrash adds the crash of a worker to a unit's record. If it was recorded before under the same run, the lost tasks are added to that record.
 func (s *State) addCrash(u *unit, n *node, lost []lostRun, c Crash, now time.Time) {
 	c.Worker, c.Unconfirmed, c.aliveAt = n.ID, true, n.reportedAt
 	var ordered time.Time
@@ -236,7 +236,12 @@
 			c.Unconfirmed = c.Unconfirmed && !l.confirmed
 		}
 	}
-	if slices.ContainsFunc(u.crashes.list, func(other Crash) bool { return other.Worker == c.Worker && other.Run == c.Run }) {
+	if i := slices.IndexFunc(u.crashes.list, func(other Crash) bool { return other.Worker == c.Worker && other.Run == c.Run }); i >= 0 {
+		if known := &u.crashes.list[i]; known.addTasks(c.Tasks) {
+			known.Unconfirmed = known.Unconfirmed && c.Unconfirmed
+			s.markDirty(u.job)
+			u.job.crashVersion = u.job.version
+		}
 		return
 	}
 	at := c.at
@@ -257,6 +262,17 @@
 	})
 }
 
+// addTasks adds those tasks that are not included yet, and reports whether there are any.
+func (c *Crash) addTasks(tasks []int) bool {
+	known := len(c.Tasks)
+	for _, task := range tasks {
+		if !slices.Contains(c.Tasks, task) {
+			c.Tasks = append(c.Tasks, task)
+		}
+	}
+	return len(c.Tasks) > known
+}
+
 // runsOnly reports whether all runs on the worker are of one unit.
 func (n *node) runsOnly(u *unit) bool {
 	return !slices.ContainsFunc(n.runs, func(r *run) bool { return r.unit != u })
--- a/internal/process/pool/crash_test.go
+++ b/internal/process/pool/crash_test.go
@@ -185,3 +185,43 @@
 		})
 	}
 }
+
+// Guards against a task that crashes its workers and is started too often since its crashes count for other tasks of its gang: the runs on a crashed worker are
+// found lost in several reports, and the crash was recorded for the first of them alone.
+func TestCrashFoundInPartsCountsForAllTasks(t *testing.T) {
+	for name, lose := range map[string]func(s *State, actions []Action, now time.Time){
+		"starts confirmed when the worker restarts": func(s *State, actions []Action, now time.Time) {
+			for _, a := range actions[1:] {
+				s.RunStarted(a.Worker, a.Run, now)
+			}
+			s.Reported("w0000", worker.RunReport{Incarnation: 2}, now, now)
+			for _, a := range actions[1:] {
+				s.StopConfirmed(a.Worker, a.Run, now)
+			}
+			later := now.Add(time.Second)
+			s.Reported("w0000", worker.RunReport{Incarnation: 2}, later, later)
+		},
+		"gang broken, worker silent": func(s *State, actions []Action, now time.Time) {
+			for _, a := range actions {
+				s.RunStarted(a.Worker, a.Run, now)
+			}
+			for _, a := range actions {
+				s.recordUnseen(s.nodes[a.Worker], []lostRun{s.findRun(a.Worker, a.Run).lost()}, now)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(1, 1)
+			j := gangJob("a", 1, 4, 2, time.Second)
+			s.accept(j, testStart)
+			s.Reported("w0000", worker.RunReport{Incarnation: 1}, testStart, testStart)
+			actions, _ := s.Decide(testStart)
+			require.Len(t, actions, 4)
+			s.RunStarted("w0000", actions[0].Run, testStart)
+			lose(s, actions, testStart.Add(time.Second))
+			crashes := j.units[0].crashes.list
+			require.Len(t, crashes, 1)
+			require.ElementsMatch(t, []int{0, 1, 2, 3}, crashes[0].Tasks)
+		})
+	}
+}
