Let speeds count in pools whose workers differ by a factor of 1.45

On the shifted deployment a third of the workers takes 1.56 times as long as another third.

From 1.4 on, a pool of 1, 1 and 1.3 was taken for unequal by the noise of few estimates, so the factor is 1.45, and a third of the workers must be known. The slowdown of a worker whose speed isn't known may be relative to fast workers alone, which the bound for faults now allows for: otherwise the pools of TestPatternThirdOfWorkersSlowForGood, now found to be unequal earlier, quarantined sound workers.

--- a/internal/process/pool/slowdown.go
+++ b/internal/process/pool/slowdown.go
@@ -118,7 +118,7 @@
 // isFaulty reports whether a worker of a pool of unequal ones is to be quarantined: at two jobs in a row it was slower than any class of
 // the pool explains. One job's progress doesn't show that, since the speeds are estimates.
 func (s *State) isFaulty(n *node, job ids.JobID) bool {
-	if n.speed.Mean+n.logSlowdown < s.speeds.slowest+logStragglerThreshold {
+	if n.speed.Mean+n.logSlowdown < s.faultBound(n) {
 		return false
 	}
 	return n.slowJob != "" && n.slowJob != job
@@ -127,7 +127,17 @@
 // isFault reports whether a slowdown is a fault rather than a speed that isn't known yet: the worker was faster before, or no
 // worker of the pool is as slow.
 func (s *State) isFault(n *node) bool {
-	return !s.speeds.unequal || n.speed.established() || n.speed.Mean+n.logSlowdown >= s.speeds.slowest+logStragglerThreshold
+	return !s.speeds.unequal || n.speed.established() || n.speed.Mean+n.logSlowdown >= s.faultBound(n)
+}
+
+// faultBound returns the logarithm of the time from which a worker is slower than any class of the pool explains. The slowdown of a worker whose speed isn't
+// known may have been measured against fast workers alone.
+func (s *State) faultBound(n *node) float64 {
+	bound := s.speeds.slowest + logStragglerThreshold
+	if !n.speed.established() {
+		bound += max(0, s.speeds.mean-s.speeds.fastest)
+	}
+	return bound
 }
 
 // referenceRate returns the median rate of the other members of a run's gang, as it would be on fast workers, or in a pool of
--- a/internal/process/pool/speed.go
+++ b/internal/process/pool/speed.go
@@ -31,8 +31,8 @@
 		// mean is the mean of all estimates. Speeds are relative to it: run times are learned from runs whose speeds are known, and speeds
 		// from run times, so that a common error of all speeds would confirm itself.
 		mean float64
-		// slowest is the logarithm of the time on the slow workers: a high quantile that a few faulty workers don't move.
-		slowest float64
+		// slowest and fastest are the logarithms of the time on the slow and the fast workers: quantiles that a few faulty workers don't move.
+		slowest, fastest float64
 		// slowClass is the class of the slow workers. Workers in a higher class are slower than is normal in the pool.
 		slowClass speedClass
 		updatedAt time.Time
@@ -63,19 +63,27 @@
 	outlierLog  = 0.6
 	maxOutliers = 3
 
-	// minEstablishedSpeeds is the number of established estimates from which the pool's speeds are compared.
+	// minEstablishedSpeeds is the number of established estimates from which the pool's speeds are compared, and establishedShare their share of the
+	// workers: the quantiles of few estimates lie far apart by chance.
 	minEstablishedSpeeds = 12
+	establishedShare     = 0.33
 	// slowQuantile and fastQuantile are the quantiles of the speeds that are compared. Faults concern fewer workers than that.
 	slowQuantile, fastQuantile = 0.8, 0.2
-	// equalSpread is the difference of their logarithms below which unequal workers count as alike again. It is lower than
-	// logStragglerThreshold, from which they count as unequal, so that noise doesn't switch between the two.
-	equalSpread = 0.3
+	// unequalRatio is the ratio of their times from which workers count as unequal: on the slow ones, the smallest usual stretch leaves an urgent gang
+	// nothing beyond its work. Below equalRatio they count as alike again. The two differ so that noise doesn't switch between them.
+	unequalRatio, equalRatio = 1.45, 1.3
 	// speedsInterval is the time between updates of the summary.
 	speedsInterval = 500 * time.Millisecond
 	// noticeableChange is the change of an estimate that is worth storing.
 	noticeableChange = 0.1
 )
 
+// The logarithms of the ratios.
+var (
+	logUnequalRatio = math.Log(unequalRatio)
+	logEqualRatio   = math.Log(equalRatio)
+)
+
 // variance returns the variance, or the prior's.
 func (v Speed) variance() float64 {
 	if v.Variance == 0 {
@@ -188,14 +196,14 @@
 		}
 	}
 	p.mean = sum / float64(max(1, count))
-	if len(p.values) < minEstablishedSpeeds {
+	if len(p.values) < max(minEstablishedSpeeds, int(establishedShare*float64(count))) {
 		return
 	}
 	slices.Sort(p.values)
 	p.slowest = quantile(p.values, slowQuantile)
-	spread := p.slowest - quantile(p.values, fastQuantile)
-	// From that threshold on, sound workers would count as stragglers of each other.
-	if was := p.unequal; was != (spread >= logStragglerThreshold || was && spread >= equalSpread) {
+	p.fastest = quantile(p.values, fastQuantile)
+	spread := p.slowest - p.fastest
+	if was := p.unequal; was != (spread >= logUnequalRatio || was && spread >= logEqualRatio) {
 		p.unequal = !was
 		s.speedsChanged(spread)
 	}
