Keep urgent gangs on workers that have proved to be sound while others fail

Causes: the success of a run that had been started before its worker began to fail cleared the worker's failures and counted as proof; first attempts took any worker; a second attempt waited 0.8 s for news of others although proven workers were free. A proof is now a run that was started after the last failure there and has succeeded or outlived 0.5 s. While tasks fail on four workers or a hundredth of the pool within 3 s, urgent gangs are first placed on proven workers, and one that has failed is started there at once.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -307,7 +307,9 @@
 				continue
 			}
 			if at := laterOf(u.notBefore, j.Schedule.due(u.occurrence)); now.Before(at) {
-				s.retryBy(at)
+				if !s.retryOnProven(u, now) {
+					s.retryBy(at)
+				}
 				continue
 			}
 			if u.awaitsVerdict() {
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -117,6 +117,8 @@
 		preemptingSince time.Time
 		startedAt       time.Time
 		notBefore       time.Time
+		// retryDelayed is set if notBefore delays a retry until it is known which workers fail.
+		retryDelayed bool
 		// adopted is set if the run was started under an earlier owner, so that its start time is unknown.
 		adopted bool
 		// broken is set if the first reported end was EndGangMemberLost: a member ended on a worker that has not reported that
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -70,11 +70,11 @@
 		pinned int
 		// failures counts consecutive failures of different jobs.
 		failures int
-		// succeededAt is when a task last succeeded.
-		succeededAt      time.Time
-		lastFailedJob    ids.JobID
-		quarantinedUntil time.Time
-		quarantineTime   time.Duration
+		// failedAt is when a task last failed, and provenAt when the latest run was started that has succeeded.
+		failedAt, provenAt time.Time
+		lastFailedJob      ids.JobID
+		quarantinedUntil   time.Time
+		quarantineTime     time.Duration
 		// measuredSlowdown is how many times as long tasks take here as on the fast workers, and logSlowdown is its
 		// logarithm; zero if unknown.
 		logSlowdown, measuredSlowdown float64
--- a/internal/process/pool/placement.go
+++ b/internal/process/pool/placement.go
@@ -41,7 +41,7 @@
 	everyWorker filterKind = iota
 	// preferredWorkers are those that are not slower and on which nothing has failed since their last success.
 	preferredWorkers
-	// provenWorkers are those of preferredWorkers with a success within provenTime.
+	// provenWorkers are those of preferredWorkers that don't fail all that they start; see isProven.
 	provenWorkers
 	// workingWorkers are those on which nothing has failed since their last success.
 	workingWorkers
@@ -53,9 +53,6 @@
 	provenOnly    = workerFilter{kind: provenWorkers}
 )
 
-// provenTime is how long a success shows that a worker does not fail all that it starts.
-const provenTime = 5 * time.Second
-
 // ofClasses returns the filter for the workers of a range of speed classes on which nothing has failed since their last success.
 func ofClasses(fastest, slowest speedClass) workerFilter {
 	return workerFilter{kind: workingWorkers, byClass: true, fastest: fastest, slowest: slowest}
@@ -68,10 +65,10 @@
 
 // passes reports whether a worker passes a filter.
 func (n *node) passes(filter workerFilter, now time.Time) bool {
-	return n.mayPass(filter) && (filter.kind != provenWorkers || now.Sub(n.succeededAt) < provenTime)
+	return n.mayPass(filter) && (filter.kind != provenWorkers || n.isProven(now))
 }
 
-// mayPass reports whether a worker passes a filter, if it had a recent success.
+// mayPass reports whether a worker passes a filter, if it is proven.
 func (n *node) mayPass(filter workerFilter) bool {
 	if filter.byClass && (n.class < filter.fastest || n.class > filter.slowest) {
 		return false
@@ -87,15 +84,14 @@
 
 // findPlacement returns the worker for each task of a unit outside the given reservations, or nil.
 func (s *State) findPlacement(u *unit, now time.Time, conflicts uint64) []*node {
-	if s.speeds.unequal {
-		return s.findBySpeed(u, now, conflicts)
-	}
-	if len(u.failedRuns) > 0 {
-		// The unit has few attempts left.
-		if placement := s.warmestPlacement(u, now, conflicts, provenOnly); placement != nil {
+	if s.prefersProven(u, now) {
+		if placement := s.findProven(u, now, conflicts); placement != nil {
 			return placement
 		}
 	}
+	if s.speeds.unequal {
+		return s.findBySpeed(u, now, conflicts)
+	}
 	if u.count > 1 {
 		// One slower worker slows the whole gang down, and one that fails breaks it.
 		if placement := s.warmestPlacement(u, now, conflicts, preferredOnly); placement != nil {
--- a/internal/process/pool/preempt.go
+++ b/internal/process/pool/preempt.go
@@ -80,13 +80,14 @@
 	if spread {
 		racks = []*rack{s.wholePool}
 	}
-	if len(u.failedRuns) > 0 {
+	proven := s.prefersProven(u, now)
+	if proven {
 		for _, r := range racks {
 			consider(r, provenOnly)
 		}
 	}
 	for _, r := range racks {
-		if best != nil && len(u.failedRuns) > 0 {
+		if best != nil && proven {
 			break
 		}
 		consider(r, anyWorker)
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -148,7 +148,7 @@
 		u.avoidNode(n.ID, now)
 		s.observeGang(u, 1)
 		if s.failureShare.value > failureShareThreshold {
-			u.notBefore = now.Add(retryDelay << min(len(u.failedRuns)-1, maxBackoffDoublings))
+			u.notBefore, u.retryDelayed = now.Add(retryDelay<<min(len(u.failedRuns)-1, maxBackoffDoublings)), true
 		}
 		s.stopRemaining(u, "a task failed on "+string(n.ID), now)
 	case worker.EndStopped, worker.EndLeaseExpired, worker.EndGangMemberLost, worker.EndGangTimeout:
@@ -206,10 +206,10 @@
 			Cause: u.doneCause(now),
 		})
 		for _, r := range u.runs {
-			s.clearFailures(r.node, now)
+			s.clearFailures(r.node, u.startedAt)
 		}
 	}
-	s.clearFailures(n, now)
+	s.clearFailures(n, u.startedAt)
 	if u.phase == preempting {
 		s.releasePlacement(u)
 	}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -33,7 +33,7 @@
 	u.number = max(u.number, ids.RunNumber(s.Epoch)*runsPerEpoch) + 1
 	u.setPhase(starting)
 	u.startedAt, u.progressedAt = now, now
-	u.percent, u.broken, u.adopted = 0, false, false
+	u.percent, u.broken, u.adopted, u.retryDelayed = 0, false, false, false
 	u.remote = s.isRemote(u, placement)
 	u.job.recordRack(u.stepKey(), placement[0].rack)
 	u.speedsObserved = false
@@ -305,6 +305,7 @@
 
 // recordFailure counts a failure of a worker and quarantines it after consecutive failures of different jobs.
 func (s *State) recordFailure(n *node, job ids.JobID, now time.Time) {
+	s.observeFailure(n, now)
 	if n.failures > 0 && n.lastFailedJob == job {
 		return
 	}
@@ -332,9 +333,12 @@
 	s.notice(Notice{Kind: "WorkerQuarantined", Worker: n.ID, Job: job, Cause: cause + "; quarantined for " + n.quarantineTime.String()})
 }
 
-// clearFailures records that a task has succeeded on a worker, and resets its failure count.
-func (s *State) clearFailures(n *node, now time.Time) {
-	n.succeededAt = now
+// clearFailures records that a task has succeeded on a worker that was started at the given time, and resets the count of failures unless the last one is newer.
+func (s *State) clearFailures(n *node, started time.Time) {
+	if !started.After(n.failedAt) {
+		return
+	}
+	n.provenAt = laterOf(n.provenAt, started)
 	if n.quarantineTime > minQuarantine {
 		s.invalidateRackFits()
 	}
--- a/internal/process/pool/speedplacement.go
+++ b/internal/process/pool/speedplacement.go
@@ -6,14 +6,6 @@
 // workers; gangs with slack get workers of one class, the slowest that meets their objective, so that sets of fast workers stay free.
 // An urgent gang that would be late on all free workers gets no placement: it may preempt others on fast ones.
 func (s *State) findBySpeed(u *unit, now time.Time, conflicts uint64) []*node {
-	if len(u.failedRuns) > 0 {
-		// The unit has few attempts left.
-		for class := range s.slowestInTime(u, now) + 1 {
-			if placement := s.warmestPlacement(u, now, conflicts, provenUpTo(class)); placement != nil {
-				return placement
-			}
-		}
-	}
 	if u.count == 1 {
 		return s.warmestPlacement(u, now, conflicts, anyWorker)
 	}
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -135,6 +135,8 @@
 		samples int
 		// stopTimes averages how long stopped runs took to end, in nanoseconds.
 		stopTimes movingAverage
+		// wave holds the workers on which tasks have failed within waveTime, or some time ago if none has since.
+		wave []workerFailure
 		// failureShare averages the share of failures among the latest ends of gangs.
 		failureShare movingAverage
 		actions      []Action
