Show what the time of jobs was spent on, from the logs of the owners

The first question about a late job is what it waited for, and the lines of its timeline answered it one job at a time. `jujubegrade jobtime` accounts for the time between admission and end by cause, over all jobs in the logs and across owners; the parts add up to the age. The line of an admitted job has its objective, so that late jobs are told from others.

--- a/cmd/jujubegrade/command.go
+++ b/cmd/jujubegrade/command.go
@@ -61,7 +61,7 @@
 		LongHelp:  "Every flag can also be set by an environment variable JUJUBEGRADE_FLAG, or in a file given with -flags, one flag per line.\n\nExample:\n  jujubegrade demo",
 		FlagSet:   c.flagSet("jujubegrade"),
 		Subcommands: []*ffcli.Command{
-			c.accountCommand(), c.capacityCommand(), c.checkCommand(), c.configCommand(), c.dataCentreCommand(), c.demoCommand(), c.instanceCommand(), c.jobCommand(),
+			c.accountCommand(), c.capacityCommand(), c.checkCommand(), c.configCommand(), c.dataCentreCommand(), c.demoCommand(), c.instanceCommand(), c.jobCommand(), c.jobTimeCommand(),
 			c.measureCommand(), c.platformCommand(),
 			c.reportCommand(), c.serveCommand(), c.timelineCommand(), c.versionCommand(),
 		},
--- a/cmd/jujubegrade/command_test.go
+++ b/cmd/jujubegrade/command_test.go
@@ -122,3 +122,26 @@
 	code, out = runCommand(t, "timeline", "-logs", filepath.Join(dir, "none.log"))
 	require.Equal(t, exitFailed, code, out)
 }
+
+// The log of a job that changes its owner is in the files of two instances.
+func TestJobTimeOfLogs(t *testing.T) {
+	write := func(name string, lines ...string) string {
+		file := filepath.Join(t.TempDir(), name)
+		require.NoError(t, os.WriteFile(file, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
+		return file
+	}
+	first := write("a.log",
+		`  1.0 a {"ts":"2026-12-04T08:00:01.000Z","msg":"call: admitted","job":"j1","priority":0,"objective":4}`,
+		`  2.0 a {"ts":"2026-12-04T08:00:02.000Z","msg":"decision: Placed","job":"j1","step":0,"task":0}`,
+		`not a line of ours`)
+	second := write("b.log",
+		`{"ts":"2026-12-04T08:00:03.000Z","msg":"decision: TakenOver","job":"j1","step":0,"task":0}`,
+		`{"ts":"2026-12-04T08:00:06.000Z","msg":"decision: Done","job":"j1","step":0,"task":0}`,
+		`{"ts":"2026-12-04T08:00:06.000Z","msg":"decision: JobEnded","job":"j1","cause":"Completed: all tasks are done"}`)
+	code, out := runCommand(t, "jobtime", "-logs", second+","+first)
+	require.Equal(t, exitOK, code, out)
+	require.Regexp(t, `0 +late +1 +all +5s +1`, out)
+	require.Regexp(t, `late +j1 +Completed +5s +Run 4s, WaitForRoom 1s`, out)
+	code, out = runCommand(t, "jobtime", "-logs", "no-such-file")
+	require.Equal(t, exitFailed, code, out)
+}
--- a/cmd/jujubegrade/timeline_logs.go
+++ b/cmd/jujubegrade/timeline_logs.go
@@ -33,6 +33,11 @@
 		Result   string           `json:"result"`
 		Owner    ids.InstanceID   `json:"owner"`
 		Centre   ids.DataCentreID `json:"dataCentre"`
+		Step     int              `json:"step"`
+		Task     int              `json:"task"`
+		Priority int              `json:"priority"`
+		// Objective is in seconds.
+		Objective float64 `json:"objective"`
 	}
 )
 
@@ -43,28 +48,38 @@
 	maxLogLineBytes = 1 << 20
 )
 
-// readLogs returns the events of log files in order of time. Text before the first brace of a line is ignored.
+// readLogs returns the events of log files in order of time.
 func readLogs(files []string, f operator.Filter) (operator.Timeline, error) {
 	var t operator.Timeline
+	err := eachLogLine(files, func(l logLine, when time.Time) {
+		if e := l.event(when); (f.Job == "" || e.Job == f.Job) && (f.Account == "" || e.Account == f.Account) && !when.Before(f.Since) {
+			t.Events = append(t.Events, e)
+		}
+	})
+	slices.SortStableFunc(t.Events, func(a, b operator.Event) int { return a.Time.Compare(b.Time) })
+	return t, err
+}
+
+// eachLogLine calls use for the lines of log files, file by file. Text before the first brace of a line is ignored.
+func eachLogLine(files []string, use func(l logLine, when time.Time)) error {
 	for _, name := range files {
-		if err := readLog(name, f, &t); err != nil {
-			return t, err
+		if err := readLog(name, use); err != nil {
+			return errors.Wrap(err, name)
 		}
 	}
-	slices.SortStableFunc(t.Events, func(a, b operator.Event) int { return a.Time.Compare(b.Time) })
-	return t, nil
+	return nil
 }
 
-func readLog(name string, f operator.Filter, t *operator.Timeline) error {
+func readLog(name string, use func(l logLine, when time.Time)) error {
 	file, err := os.Open(name)
 	if err != nil {
 		return err
 	}
 	defer file.Close()
-	return errors.Wrap(scanLog(file, f, t), name)
+	return scanLog(file, use)
 }
 
-func scanLog(r io.Reader, f operator.Filter, t *operator.Timeline) error {
+func scanLog(r io.Reader, use func(l logLine, when time.Time)) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLogLineBytes)
 	for number := 1; lines.Scan(); number++ {
@@ -80,9 +95,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "line %d", number)
 		}
-		if e := l.event(when); (f.Job == "" || e.Job == f.Job) && (f.Account == "" || e.Account == f.Account) && !when.Before(f.Since) {
-			t.Events = append(t.Events, e)
-		}
+		use(l, when)
 	}
 	return lines.Err()
 }
--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -52,7 +52,7 @@
 	}
 	wait := s.expectedWait(j, now)
 	j.forecast = forecast{wait: wait, isKnown: true}
-	if slack := s.objective(j) - s.criticalPath(j); wait > slack {
+	if slack := s.Objective(j) - s.criticalPath(j); wait > slack {
 		return &Refusal{
 			Reason:     "it would wait " + wait.Round(time.Millisecond).String() + "; its limit is " + slack.Round(time.Millisecond).String() + s.evacuationCause(),
 			RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait-slack)),
@@ -107,7 +107,7 @@
 	}
 	at, placement := s.earliestFit(u, now, 0)
 	if placement == nil {
-		return wait + s.objective(j)
+		return wait + s.Objective(j)
 	}
 	return wait + at.Sub(now)
 }
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -269,7 +269,7 @@
 	}
 	s.overdueUpdatedAt = now
 	for _, j := range s.live {
-		j.overdue = j.Priority > 0 && !j.started && now.Add(s.criticalPath(j)).After(j.units[0].releaseTime().Add(s.objective(j)))
+		j.overdue = j.Priority > 0 && !j.started && now.Add(s.criticalPath(j)).After(j.units[0].releaseTime().Add(s.Objective(j)))
 	}
 }
 
--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -151,8 +151,8 @@
 	return longest
 }
 
-// objective returns the time from submission within which a job should end.
-func (s *State) objective(j *Job) time.Duration {
+// Objective returns the time from submission within which a job should end.
+func (s *State) Objective(j *Job) time.Duration {
 	return time.Duration(j.Stretch*float64(s.criticalPath(j))) + j.Target
 }
 
--- a/internal/process/pool/preempt.go
+++ b/internal/process/pool/preempt.go
@@ -227,7 +227,7 @@
 	}
 	lost := s.lostWork(u, now)
 	seconds := (lost + restartDelay).Seconds()
-	due := u.releaseTime().Add(s.objective(u.job))
+	due := u.releaseTime().Add(s.Objective(u.job))
 	if end := now.Add(s.remaining(u, now)); !end.After(due) && end.Add(lost+restartDelay).After(due) {
 		seconds += s.runTime(u).Seconds()
 	}
--- a/internal/process/pool/speedplacement.go
+++ b/internal/process/pool/speedplacement.go
@@ -35,7 +35,7 @@
 
 // slowestInTime returns the slowest class on which a unit that starts now meets its job's objective; the slowest one if none does.
 func (s *State) slowestInTime(u *unit, now time.Time) speedClass {
-	due := u.releaseTime().Add(s.objective(u.job))
+	due := u.releaseTime().Add(s.Objective(u.job))
 	for class := speedClass(speedClasses - 1); class >= 0; class-- {
 		if end := now.Add(time.Duration(float64(s.runTime(u)) * class.factor())); !end.After(due) {
 			return class
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -242,7 +242,7 @@
 	}
 	expectedWait, _ := j.ExpectedWait()
 	t.log.Info("call: admitted", zap.String("job", string(id)), zap.String("queue", string(q.ID)), zap.String("account", string(account)),
-		zap.Int("priority", q.Priority), zap.Duration("expectedWait", expectedWait), zap.Int("steps", len(c.Steps)), zap.Uint64("version", uint64(t.catalog.Version)))
+		zap.Int("priority", q.Priority), zap.Duration("expectedWait", expectedWait), zap.Duration("objective", t.state.Objective(j)), zap.Int("steps", len(c.Steps)), zap.Uint64("version", uint64(t.catalog.Version)))
 	t.state.Offer(j)
 	return Answer{}, t.addWaiter(id, c.Key, false)
 }
