Keep accelerators free for the urgent jobs that arrive during a stop

On the shifted deployment a stop takes up to 0.9 s, and an urgent job may take 1.5 s beyond its work.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -335,7 +335,7 @@
 
 // placeUnit starts a unit or preempts others for it. It returns false if the unit has to wait for free resources.
 func (s *State) placeUnit(u *unit, now time.Time) bool {
-	if s.mayFit(u) {
+	if s.mayFit(u) && s.leavesHeadroom(u, now) {
 		if placement := s.findPlacement(u, now, s.conflicts(u, now)); placement != nil {
 			s.startUnit(u, placement, now)
 			return true
--- a/internal/process/pool/simulator_test.go
+++ b/internal/process/pool/simulator_test.go
@@ -53,6 +53,8 @@
 		restarts map[ids.InstanceID]uint64
 		// failing workers fail all that they start, soon after the start.
 		failing map[ids.InstanceID]bool
+		// stopTime replaces simStopTime if it is set.
+		stopTime time.Duration
 		// uneven is the approximate relative spread of the work of a job's tasks.
 		uneven float64
 		// list is the instance list; nil means that it doesn't change.
@@ -199,7 +201,7 @@
 	}
 	for _, a := range actions {
 		if a.Kind == StopRun {
-			s.at(simStopTime, func() { s.finish(a.Worker, a.Run, worker.EndStopped) })
+			s.at(cmp.Or(s.stopTime, simStopTime), func() { s.finish(a.Worker, a.Run, worker.EndStopped) })
 			continue
 		}
 		if s.active[a.Worker] == nil {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -106,6 +106,11 @@
 		// usedShares caches usedShare by service; it is valid while capacityChanges equals usedSharesAt.
 		usedShares   map[ids.ServiceID]float64
 		usedSharesAt uint64
+		// urgentDemands holds the demand of urgent jobs by service.
+		urgentDemands map[ids.ServiceID]*urgentDemand
+		// openSums caches openCapacity by service; it is valid while capacityChanges equals openSumsAt.
+		openSums   map[ids.ServiceID]openAccelerators
+		openSumsAt uint64
 		// rackFits caches, by shape, whether a gang fits into one rack.
 		rackFits map[gangShape]bool
 		// rackFitsVersion is incremented whenever rackFits is invalidated.
@@ -234,6 +239,7 @@
 	s.suspects = make(map[*node]bool)
 	s.leaving = make(map[*node]bool)
 	s.coldNodes = make(map[*node]bool)
+	s.urgentDemands = make(map[ids.ServiceID]*urgentDemand)
 	s.refills = make(map[ids.DataCentreID]*refill)
 	s.departureDelays = make(map[time.Duration]*departureDelays)
 	s.unseen = make(map[ids.InstanceID][]*unit)
@@ -317,6 +323,7 @@
 func (s *State) Offer(j *Job) {
 	j.State = Accepted
 	s.add(j)
+	s.observeUrgent(j)
 	s.markDirty(j)
 }
 
