Compare the speeds of a large pool once 32 of its workers are known

Cause: since the speeds were compared only once a third of the workers was known. The noise of quantiles depends on the number of estimates, not on its share; 32 are enough. The jobs that showed a worker to be slow before the pool was known to be unequal count no longer, as their slowdowns don't.

TestPatternThirdOfWorkersSlowForGood/few_are_known_of_a_large_pool failed before.

--- a/internal/process/pool/speed.go
+++ b/internal/process/pool/speed.go
@@ -63,10 +63,9 @@
 	outlierLog  = 0.6
 	maxOutliers = 3
 
-	// minEstablishedSpeeds is the number of established estimates from which the pool's speeds are compared, and establishedShare their share of the
-	// workers: the quantiles of few estimates lie far apart by chance.
-	minEstablishedSpeeds = 12
-	establishedShare     = 0.33
+	// minEstablishedSpeeds is the number of established estimates from which the speeds of a small pool are compared; in a larger one it takes a third of the
+	// workers, but no more than enoughEstablishedSpeeds. The quantiles of few estimates lie far apart by chance.
+	minEstablishedSpeeds, enoughEstablishedSpeeds = 12, 32
 	// slowQuantile and fastQuantile are the quantiles of the speeds that are compared. Faults concern fewer workers than that.
 	slowQuantile, fastQuantile = 0.8, 0.2
 	// unequalRatio is the ratio of their times from which workers count as unequal: on the slow ones, the smallest usual stretch leaves an urgent gang
@@ -196,7 +195,7 @@
 		}
 	}
 	p.mean = sum / float64(max(1, count))
-	if len(p.values) < max(minEstablishedSpeeds, int(establishedShare*float64(count))) {
+	if len(p.values) < min(max(minEstablishedSpeeds, count/3), enoughEstablishedSpeeds) {
 		return
 	}
 	slices.Sort(p.values)
@@ -235,7 +234,7 @@
 	s.notice(Notice{Kind: kind, Cause: "established speeds " + formatFactor(math.Exp(spread)) + " times apart"})
 	for _, n := range s.nodes {
 		n.setLogSlowdown(0)
-		n.class = 0
+		n.class, n.slowJob = 0, ""
 		s.capacityChanged(n)
 	}
 	s.requestPass()
--- a/internal/process/pool/speed_test.go
+++ b/internal/process/pool/speed_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -64,9 +65,11 @@
 	for name, test := range map[string]struct {
 		long    float64
 		restart time.Duration
-		// factor replaces unequalFactor if it is set.
-		factor func(worker int) float64
+		// factor replaces unequalFactor if it is set, and workers the size of the pool.
+		factor  func(worker int) float64
+		workers int
 	}{
+		"few are known of a large pool":            {workers: 960},
 		"1.6 times instead of 2.7":                 {factor: func(worker int) float64 { return []float64{0.8, 1, 1.25}[worker%3] }},
 		"equal lengths":                            {},
 		"one job in thirty is seven times as long": {long: 1.0 / 30},
@@ -74,7 +77,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
-				s := newSim(96, 8, seed)
+				s := newSim(cmp.Or(test.workers, 96), 8, seed)
 				s.slowdown = unequalFactor
 				if test.factor != nil {
 					s.slowdown = test.factor
