Sum the accelerators that are open to urgent jobs by rack

Cause, as far as shown: the headroom summed all workers after each change of one. The sums are now kept by rack.

--- a/internal/process/pool/fleet_test.go
+++ b/internal/process/pool/fleet_test.go
@@ -192,6 +192,16 @@
 		fresh.count(s.State)
 		require.Equal(t, fresh, cached, "%v after %v", shape, s.now.Sub(testStart))
 	}
+	open := make(map[ids.ServiceID]openAccelerators)
+	for _, n := range s.nodes {
+		if n.schedulable() {
+			sum := open[n.Service]
+			open[n.Service] = openAccelerators{sum.free + n.free().Accelerators, sum.total + n.Total.Accelerators}
+		}
+	}
+	for service, sum := range open {
+		require.Equal(t, sum, s.openCapacity(service), "after %v", s.now.Sub(testStart))
+	}
 	for _, n := range s.nodes {
 		used, pinned := ids.Resources{}, 0
 		for _, r := range n.runs {
--- a/internal/process/pool/headroom.go
+++ b/internal/process/pool/headroom.go
@@ -63,21 +63,38 @@
 // openAccelerators are the accelerators of a service's schedulable workers.
 type openAccelerators struct{ free, total ids.Accelerators }
 
-// openCapacity returns the accelerators of a service's schedulable workers. The sums are kept until the free resources of a worker change.
+// openCapacity returns the accelerators of a service's schedulable workers. Only the racks that have changed are summed again.
 func (s *State) openCapacity(service ids.ServiceID) openAccelerators {
-	if s.openSumsAt != s.capacityChanges || s.openSums == nil {
-		s.openSums, s.openSumsAt = make(map[ids.ServiceID]openAccelerators), s.capacityChanges
+	if s.openSumsAt != s.capacityChanges {
+		s.openSumsAt = s.capacityChanges
+		for _, r := range s.racks {
+			if r.openSumsAt != r.changedAt {
+				s.sumOpen(r)
+			}
+		}
 	}
-	if sum, known := s.openSums[service]; known {
-		return sum
+	return s.openSums[service]
+}
+
+// sumOpen replaces a rack's part of the sums.
+func (s *State) sumOpen(r *rack) {
+	for service, old := range r.openSums {
+		sum := s.openSums[service]
+		s.openSums[service] = openAccelerators{sum.free - old.free, sum.total - old.total}
 	}
-	var sum openAccelerators
-	for _, n := range s.wholePool.nodes {
-		if n.schedulable() && n.Service == service {
-			sum.free += n.free().Accelerators
-			sum.total += n.Total.Accelerators
+	clear(r.openSums)
+	if r.openSums == nil {
+		r.openSums = make(map[ids.ServiceID]openAccelerators)
+	}
+	for _, n := range r.nodes {
+		if n.schedulable() {
+			sum := r.openSums[n.Service]
+			r.openSums[n.Service] = openAccelerators{sum.free + n.free().Accelerators, sum.total + n.Total.Accelerators}
 		}
 	}
-	s.openSums[service] = sum
-	return sum
+	for service, part := range r.openSums {
+		sum := s.openSums[service]
+		s.openSums[service] = openAccelerators{sum.free + part.free, sum.total + part.total}
+	}
+	r.openSumsAt = r.changedAt
 }
--- a/internal/process/pool/headroom_test.go
+++ b/internal/process/pool/headroom_test.go
@@ -66,7 +66,9 @@
 		t.Run(name, func(t *testing.T) {
 			s := testState(8, 8)
 			for i := range test.used / 8 {
-				s.nodes[s.wholePool.nodes[i].ID].used = s.wholePool.nodes[i].Total
+				n := s.wholePool.nodes[i]
+				n.used = n.Total
+				s.capacityChanged(n)
 			}
 			if test.urgent > 0 {
 				j := gangJob("urgent", 0, test.urgent/8, 8, time.Second)
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -109,6 +109,9 @@
 		nodes []*node
 		// changedAt is the value of State.capacityChanges at the last such change of one of its workers.
 		changedAt uint64
+		// openSums is the rack's part of State.openSums when capacityChanges was openSumsAt.
+		openSums   map[ids.ServiceID]openAccelerators
+		openSumsAt uint64
 		// freeAccelerators is the sum of the workers' free accelerators when capacityChanges was summedAt.
 		freeAccelerators ids.Accelerators
 		summedAt         uint64
@@ -216,6 +219,7 @@
 	s.requestPass()
 	s.racksByID = make(map[ids.RackID]*rack)
 	s.racks = nil
+	s.openSums, s.openSumsAt = make(map[ids.ServiceID]openAccelerators), 0
 	for _, n := range s.sortedNodes() {
 		r := s.racksByID[n.Rack]
 		if r == nil {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -108,7 +108,7 @@
 		usedSharesAt uint64
 		// urgentDemands holds the demand of urgent jobs by service.
 		urgentDemands map[ids.ServiceID]*urgentDemand
-		// openSums caches openCapacity by service; it is valid while capacityChanges equals openSumsAt.
+		// openSums holds openCapacity by service as of openSumsAt, in terms of capacityChanges.
 		openSums   map[ids.ServiceID]openAccelerators
 		openSumsAt uint64
 		// rackFits caches, by shape, whether a gang fits into one rack.
