--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -423,24 +423,6 @@
 	return u.job.recovered && len(s.unknown) > 0
 }
 
-// LimitUnknown records that a worker may have runs of an earlier owner until the given time at most.
-func (s *State) LimitUnknown(id ids.InstanceID, until time.Time) {
-	if at, found := s.unknown[id]; found && until.Before(at) {
-		s.unknown[id] = until
-	}
-}
-
-// UnknownRemaining returns how much longer the workers that are not known to this owner's list may have runs of an earlier owner.
-func (s *State) UnknownRemaining(now time.Time) map[ids.InstanceID]time.Duration {
-	remaining := make(map[ids.InstanceID]time.Duration)
-	for id, until := range s.unknown {
-		if s.nodes[id] == nil {
-			remaining[id] = max(0, until.Sub(now))
-		}
-	}
-	return remaining
-}
-
 // UnknownWorkers returns the workers that may still have runs of an earlier owner.
 func (s *State) UnknownWorkers() []ids.InstanceID {
 	list := make([]ids.InstanceID, 0, len(s.unknown))
--- a/internal/process/poolowner/recovery.go
+++ b/internal/process/poolowner/recovery.go
@@ -49,15 +49,14 @@
 			return errors.Wrap(err, "listing "+what)
 		})
 	}
-	var usedList, learnedList, speedsList, unknownList []store.Entry
-	var ignored [5]store.Revision
+	var usedList, learnedList, speedsList []store.Entry
+	var ignored [4]store.Revision
 	list("the configuration", t.owner.ConfigPrefix, &config, &configRev)
 	list("the workers", t.owner.WorkerPrefix, &workers, &workersRev)
 	list("the jobs", prefixJobs, &records, &ignored[0])
 	list("the used workers", keyWorkers, &usedList, &ignored[1])
 	list("the estimates", keyEstimates, &learnedList, &ignored[2])
 	list("the workers' speeds", keySpeeds, &speedsList, &ignored[3])
-	list("the unknown workers", keyUnknown, &unknownList, &ignored[4])
 	if err := g.Wait(); err != nil {
 		return err
 	}
@@ -71,7 +70,6 @@
 			t.usedWorkers = []ids.InstanceID{unreadableWorker}
 		}
 	}
-	t.loadUnknown(entryOf(unknownList, keyUnknown))
 	t.loadEstimates(learned)
 	t.setEvacuations(config, sent)
 	t.setConfig(config, sent)
@@ -143,7 +141,6 @@
 	// An earlier owner that lost the store may have renewed leases until its own grace period ended.
 	until := now.Add(leaseGrace + t.maxWorkerLease())
 	t.state.EndRecovery(missing, until, now)
-	t.limitUnknown(missing, now)
 	t.owner.term.Store(t)
 	t.owner.recovering.Store(false)
 	c := t.state.Counts(now)
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -76,8 +76,6 @@
 		estimatesRevision store.Revision
 		estimatesSavedAt  time.Time
 		savedSamples      int
-		// unknown is the record of the unlisted workers that may have runs of an earlier owner.
-		unknown unknownWorkers
 		// savingSpeeds is set while the workers' speeds are being written, saveSpeedsAt is when they may be written next, and
 		// savedSpeedChanges counts the changes that the stored ones include.
 		savingSpeeds      bool
@@ -272,7 +270,6 @@
 	t.observeEvacuations(now)
 	t.refuseWaiting(now)
 	t.saveSpeeds(now)
-	t.saveUnknown(now)
 	if now.Sub(t.lastPurge) > purgeInterval {
 		t.lastPurge = now
 		if retired := t.state.RemoveRetired(now); len(retired) > 0 {
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -266,7 +266,7 @@
 			t.removeLink(l)
 			l = nil
 		}
-		if l == nil && t.mayLink(w.Worker) {
+		if l == nil {
 			t.links[id] = t.newLink(w)
 			t.usedUpToDate = false
 		}
