--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// ackTimeout is the time after which an acknowledgement is missing: ackTimeoutMs of the sheet.
+const ackTimeout = 4 * time.Second
+
+// playEnds lets more tasks end on a worker than it lists at a time, while the store is down.
+func playEnds(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error) {
+	const job = "00000000000000e1"
+	c, err := newCluster(log, program, 3, func(task string) (time.Duration, bool) {
+		index, _ := strconv.Atoi(task[strings.LastIndexByte(task, '.')+1:])
+		// The ends are spread over 4 s.
+		return 4500*time.Millisecond + time.Duration(index%1000)*4*time.Millisecond, false
+	}, nil)
+	if c != nil {
+		keep(c)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !c.submit(job, step{"count": 3000, "cpu": 125, "memMb": 128, "estimateMs": 7000}) {
+		return nil, fmt.Errorf("the job was not accepted")
+	}
+	if !waitFor(20*time.Second, func() bool { begun, _, _ := log.count(job); return begun >= 3000 }) {
+		return nil, fmt.Errorf("the tasks did not start")
+	}
+	log.add("all tasks have started")
+	time.Sleep(3500 * time.Millisecond)
+	if trouble {
+		log.add("the store is down")
+		c.store.setDown(true)
+		time.Sleep(4500 * time.Millisecond)
+		c.store.setDown(false)
+		log.add("the store answers again")
+	}
+	if !waitFor(40*time.Second, func() bool { return c.state(job) == "completed" }) {
+		log.add("the job is not shown as completed")
+	}
+	return log.twice(), nil
+}
+
+// playCrashes crashes the worker of one job three times.
+func playCrashes(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error) {
+	const job = "00000000000000c1"
+	c, err := newCluster(log, program, 6, func(string) (time.Duration, bool) { return 8 * time.Second, false }, nil)
+	if c != nil {
+		keep(c)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !c.submit(job, step{"count": 1, "cpu": 52000, "memMb": 4096, "gpu": 8, "estimateMs": 8000}) {
+		return nil, fmt.Errorf("the job was not accepted")
+	}
+	for range 3 {
+		var w *simWorker
+		if !waitFor(20*time.Second, func() bool {
+			for _, candidate := range c.workers {
+				if candidate.hasRun(job) {
+					w = candidate
+				}
+			}
+			return w != nil
+		}) {
+			break
+		}
+		time.Sleep(2 * time.Second)
+		if trouble {
+			w.crash()
+			time.AfterFunc(4500*time.Millisecond, w.start)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	state := ""
+	waitFor(50*time.Second, func() bool {
+		state = c.state(job)
+		return state == "completed" || state == "failed"
+	})
+	begun, done, failed := log.count(job)
+	log.add("job %s is shown as %s; %d runs, %d done, %d failed; its queue allows 3 failures", job, state, begun, done, failed)
+	if state == "failed" && failed < 3 {
+		return []string{fmt.Sprintf("the job is shown as failed after %d runs that ended failed", failed)}, nil
+	}
+	if state != "completed" {
+		return []string{"the job is shown as " + state}, nil
+	}
+	return nil, nil
+}
+
+// playForeign kills the owner while the list of workers has an entry of another writer.
+func playForeign(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error) {
+	const first, second = "00000000000000f1", "00000000000000f2"
+	c, err := newCluster(log, program, 3, func(string) (time.Duration, bool) { return 4 * time.Second, false }, func(c *cluster) {
+		if !trouble {
+			return
+		}
+		log.add("another writer adds an entry of a service that no configuration names")
+		c.store.put("servers/x1", map[string]any{
+			"service": "unknown", "address": freeAddress(), "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+			"capacity": map[string]int64{"cpu": 1000, "memMb": 1000, "gpu": 0}, "labels": []string{"a", "r1-1"}, "clockMs": 1, "seq": 1, "born": 1764892800000,
+		})
+	})
+	if c != nil {
+		keep(c)
+	}
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	// The second step waits for the first.
+	for _, id := range []string{first, second} {
+		if !c.submit(id, step{"count": 1, "cpu": 4000, "memMb": 1000, "gpu": 1, "estimateMs": 4000}, step{"count": 1, "cpu": 4000, "memMb": 1000, "gpu": 1, "estimateMs": 4000, "after": []int{0}}) {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
+	}
+	time.Sleep(time.Second)
+	owner := c.owner()
+	if owner == nil {
+		return nil, fmt.Errorf("there is no owner")
+	}
+	log.add("the machine of the owner %s goes dark; the clients' traffic has ended", owner.name)
+	if err := owner.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return nil, err
+	}
+	end := time.Now()
+	time.Sleep(3500 * time.Millisecond)
+	owner.kill()
+	if err := owner.start(); err != nil {
+		return nil, err
+	}
+	log.add("instance %s starts again, process %d", owner.name, owner.cmd.Process.Pid)
+	var violations []string
+	idle := make(map[string]time.Time)
+	waitFor(30*time.Second, func() bool {
+		open := 0
+		for _, id := range []string{first, second} {
+			if _, done, _ := log.count(id); done == 2 {
+				continue
+			}
+			open++
+			running := false
+			for _, w := range c.workers {
+				running = running || w.hasRun(id)
+			}
+			if running || time.Since(end) < 14*time.Second {
+				idle[id] = time.Now()
+				continue
+			}
+			if since := time.Since(idle[id]); since > 3*time.Second {
+				violations = append(violations, fmt.Sprintf("%.1f s after the end of the traffic, job %s has had nothing running for 3 s, its second task's turn has come, and all workers are idle", time.Since(end).Seconds(), id))
+				return true
+			}
+		}
+		return open == 0
+	})
+	return violations, nil
+}
+
+// playLarge hands in a job whose record outgrows a value of the store, and cancels other jobs.
+func playLarge(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error) {
+	const large = "00000000000000a0"
+	c, err := newCluster(log, program, 12, func(task string) (time.Duration, bool) {
+		if jobOf(task) == large {
+			return 20 * time.Second, false
+		}
+		return 40 * time.Second, false
+	}, nil)
+	if c != nil {
+		keep(c)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var small []string
+	for i := range 5 {
+		id := fmt.Sprintf("00000000000000a%d", i+1)
+		small = append(small, id)
+		if !c.submit(id, step{"count": 1, "cpu": 4000, "memMb": 1000, "gpu": 1, "estimateMs": 40000}) {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
+	}
+	tasks := 1000
+	if trouble {
+		tasks = 7000
+	}
+	s := step{"count": tasks, "cpu": 80, "memMb": 100, "estimateMs": 20000}
+	if !c.submit(large, s, s) {
+		return nil, fmt.Errorf("the large job was not accepted")
+	}
+	waitFor(30*time.Second, func() bool { begun, _, _ := log.count(large); return begun >= 2*tasks })
+	time.Sleep(2 * time.Second)
+	// No disruption from here on.
+	unanswered := 0
+	for i, id := range small {
+		acknowledged := false
+		for end := time.Now().Add(ackTimeout); time.Now().Before(end) && !acknowledged; time.Sleep(100 * time.Millisecond) {
+			status, _ := c.call(c.instances[i%len(c.instances)], http.MethodDelete, id, nil)
+			acknowledged = status/100 == 2 || status == http.StatusGone
+		}
+		if !acknowledged {
+			unanswered++
+		}
+	}
+	log.add("%d of %d cancels were not acknowledged", unanswered, len(small))
+	listed, noted := log.notedEnds(ackTimeout)
+	log.add("%d of %d ends that were listed for %v were taken note of", noted, listed, ackTimeout)
+	var violations []string
+	if unanswered >= 3 && 10*unanswered > len(small) {
+		violations = append(violations, fmt.Sprintf("%d of %d cancels of accepted jobs have no answer after ackTimeoutMs", unanswered, len(small)))
+	}
+	if 5*(listed-noted) > listed {
+		violations = append(violations, fmt.Sprintf("%d of %d ends that runners list are not taken note of", listed-noted, listed))
+	}
+	return violations, nil
+}
+
+// playReset cuts off a worker, whose connections are reset and whose runs go on.
+func playReset(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error) {
+	const job = "00000000000000b1"
+	c, err := newCluster(log, program, 6, func(string) (time.Duration, bool) { return 8 * time.Second, false }, nil)
+	if c != nil {
+		keep(c)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !c.submit(job, step{"count": 4, "cpu": 52000, "memMb": 4096, "gpu": 2, "estimateMs": 8000}) {
+		return nil, fmt.Errorf("the job was not accepted")
+	}
+	if !waitFor(20*time.Second, func() bool { begun, _, _ := log.count(job); return begun == 4 }) {
+		return nil, fmt.Errorf("the tasks did not start")
+	}
+	time.Sleep(time.Second)
+	for _, w := range c.workers {
+		if trouble && w.hasRun(job) {
+			w.setCut(true)
+			time.Sleep(5500 * time.Millisecond)
+			w.setCut(false)
+			break
+		}
+	}
+	waitFor(40*time.Second, func() bool { return c.state(job) == "completed" })
+	return log.twice(), nil
+}
