--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -12,13 +13,17 @@
 // ackTimeout is the time after which an acknowledgement is missing: ackTimeoutMs of the sheet.
 const ackTimeout = 4 * time.Second
 
+// visible is the time after which a job's state is visible everywhere: visible_ms of the sheet.
+const visible = 3 * time.Second
+
 // playEnds lets more tasks end on a worker than it lists at a time, while the store is down.
 func playEnds(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error) {
-	const job = "00000000000000e1"
+	const jobs, tasks = 42, 72
+	began := time.Now()
 	c, err := newCluster(log, program, 3, func(task string) (time.Duration, bool) {
 		index, _ := strconv.Atoi(task[strings.LastIndexByte(task, '.')+1:])
-		// The ends are spread over 4 s.
-		return 4500*time.Millisecond + time.Duration(index%1000)*4*time.Millisecond, false
+		// The first runs end within 1.5 s, from 8 s after the start of the case.
+		return max(500*time.Millisecond, time.Until(began.Add(8*time.Second+time.Duration(index)*20*time.Millisecond))), false
 	}, nil)
 	if c != nil {
 		keep(c)
@@ -26,14 +31,26 @@
 	if err != nil {
 		return nil, err
 	}
-	if !c.submit(job, step{"count": 3000, "cpu": 125, "memMb": 128, "estimateMs": 7000}) {
-		return nil, fmt.Errorf("the job was not accepted")
+	id := func(i int) string { return fmt.Sprintf("00000000000e%04x", i) }
+	for i := range jobs {
+		if !c.submit(id(i), step{"count": tasks, "cpu": 125, "memMb": 128, "estimateMs": 6000}) {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
 	}
-	if !waitFor(20*time.Second, func() bool { begun, _, _ := log.count(job); return begun >= 3000 }) {
-		return nil, fmt.Errorf("the tasks did not start")
+	sum := func() (begun, done int) {
+		for i := range jobs {
+			b, d, _ := log.count(id(i))
+			begun, done = begun+b, done+d
+		}
+		return begun, done
+	}
+	if !waitFor(6*time.Second, func() bool { begun, _ := sum(); return begun >= jobs*tasks }) {
+		return nil, fmt.Errorf("the tasks did not start in time")
+	}
+	log.add("all %d tasks have started", jobs*tasks)
+	if !waitFor(20*time.Second, func() bool { _, done := sum(); return done >= 100 }) {
+		return nil, fmt.Errorf("no task has ended")
 	}
-	log.add("all tasks have started")
-	time.Sleep(3500 * time.Millisecond)
 	if trouble {
 		log.add("the store is down")
 		c.store.setDown(true)
@@ -41,9 +58,15 @@
 		c.store.setDown(false)
 		log.add("the store answers again")
 	}
-	if !waitFor(40*time.Second, func() bool { return c.state(job) == "completed" }) {
-		log.add("the job is not shown as completed")
-	}
+	waitFor(30*time.Second, func() bool {
+		for i := range jobs {
+			if _, done, _ := log.count(id(i)); done < tasks {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(3 * time.Second)
 	return log.twice(), nil
 }
 
@@ -250,3 +273,133 @@
 	waitFor(40*time.Second, func() bool { return c.state(job) == "completed" })
 	return log.twice(), nil
 }
+
+// playPending asks for the number of jobs that have not begun, while the only free worker refuses to start tasks.
+func playPending(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error) {
+	c, err := newCluster(log, program, 7, func(string) (time.Duration, bool) { return 25 * time.Second, false }, nil)
+	if c != nil {
+		keep(c)
+	}
+	if err != nil {
+		return nil, err
+	}
+	whole := step{"count": 1, "cpu": 52000, "memMb": 110000, "gpu": 8, "estimateMs": 25000}
+	for i := range len(c.workers) - 1 {
+		if !c.submit(fmt.Sprintf("00000000000000d%d", i), whole) {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
+	}
+	if !waitFor(10*time.Second, func() bool {
+		busy := 0
+		for _, w := range c.workers {
+			busy += min(1, w.runCount())
+		}
+		return busy == len(c.workers)-1
+	}) {
+		return nil, fmt.Errorf("the jobs did not start")
+	}
+	if trouble {
+		for _, w := range c.workers {
+			if w.runCount() == 0 {
+				w.setUnhealthy(true)
+				time.AfterFunc(6500*time.Millisecond, func() { w.setUnhealthy(false) })
+			}
+		}
+	}
+	waiting := []string{"00000000000000e1", "00000000000000e2"}
+	for _, id := range waiting {
+		if !c.submit(id, whole) {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
+	}
+	accepted := time.Now()
+	var violations []string
+	for time.Since(accepted) < 6*time.Second {
+		time.Sleep(200 * time.Millisecond)
+		if time.Since(accepted) < visible+2*time.Second {
+			continue
+		}
+		for _, p := range c.instances {
+			notBegun := 0
+			status, body := c.call(p, http.MethodGet, "", nil)
+			for _, id := range waiting {
+				if begun, _, _ := log.count(id); begun == 0 {
+					notBegun++
+				}
+			}
+			var in struct {
+				Pending int `json:"pending"`
+			}
+			if err := json.Unmarshal([]byte(body), &in); status == http.StatusOK && err == nil && 2*in.Pending < notBegun {
+				violations = append(violations, fmt.Sprintf("%s gives %d as pending, but %d jobs that were accepted over 5 s ago have not begun", p.name, in.Pending, notBegun))
+			}
+		}
+	}
+	for _, id := range waiting {
+		log.add("job %s is shown as %s", id, c.state(id))
+	}
+	return violations, nil
+}
+
+// playMoved starts a worker that has lost power again under its id at another address, while an order to its old address waits for an answer.
+func playMoved(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error) {
+	const probe, job = "00000000000000a1", "00000000000000a2"
+	c, err := newCluster(log, program, 6, func(task string) (time.Duration, bool) {
+		if jobOf(task) == probe {
+			return time.Second, false
+		}
+		return 4 * time.Second, false
+	}, nil)
+	if c != nil {
+		keep(c)
+	}
+	if err != nil {
+		return nil, err
+	}
+	whole := step{"count": 1, "cpu": 52000, "memMb": 110000, "gpu": 8, "estimateMs": 4000}
+	if !c.submit(probe, whole) {
+		return nil, fmt.Errorf("a job was not accepted")
+	}
+	var chosen *simWorker
+	if !waitFor(5*time.Second, func() bool {
+		for _, w := range c.workers {
+			if w.hasRun(probe) {
+				chosen = w
+			}
+		}
+		return chosen != nil
+	}) {
+		return nil, fmt.Errorf("the first job did not start")
+	}
+	waitFor(5*time.Second, func() bool { return c.state(probe) == "completed" })
+	time.Sleep(time.Second)
+	if trouble {
+		chosen.crashDark()
+		time.AfterFunc(3*time.Second, chosen.startElsewhere)
+	}
+	time.Sleep(500 * time.Millisecond)
+	const tasks = 8
+	if !c.submit(job, step{"count": tasks, "cpu": 11000, "memMb": 23000, "gpu": 1, "estimateMs": 4000}) {
+		return nil, fmt.Errorf("a job was not accepted")
+	}
+	end := time.Now()
+	var violations []string
+	idle := end
+	waitFor(40*time.Second, func() bool {
+		if _, done, _ := log.count(job); done == tasks {
+			return true
+		}
+		for _, w := range c.workers {
+			if w.hasRun(job) || time.Since(end) < 14*time.Second {
+				idle = time.Now()
+			}
+		}
+		if time.Since(idle) > 3*time.Second {
+			violations = append(violations, fmt.Sprintf("%.1f s after the end of the traffic, job %s has had nothing running for 3 s, tasks of it have never been started, and all workers are idle", time.Since(end).Seconds(), job))
+			return true
+		}
+		return false
+	})
+	log.add("job %s is shown as %s", job, c.state(job))
+	return violations, nil
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,7 +19,7 @@
 // play is a case. It returns the violations of its rule, or an error if it could not be run.
 type play func(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error)
 
-var plays = map[string]play{"ends": playEnds, "crashes": playCrashes, "foreign": playForeign, "large": playLarge, "reset": playReset}
+var plays = map[string]play{"ends": playEnds, "crashes": playCrashes, "foreign": playForeign, "large": playLarge, "reset": playReset, "pending": playPending, "moved": playMoved}
 
 func main() {
 	name := flag.String("case", "", "name of the case")
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"os"
-	"strings"
 	"sync"
 	"time"
 )
@@ -35,7 +34,6 @@
 		file  *os.File
 		runs  map[runKey]*observedRun
 		order []runKey
-		specs map[string]string
 	}
 )
 
@@ -44,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{began: time.Now(), out: bufio.NewWriter(f), file: f, runs: make(map[runKey]*observedRun), specs: make(map[string]string)}, nil
+	return &record{began: time.Now(), out: bufio.NewWriter(f), file: f, runs: make(map[runKey]*observedRun)}, nil
 }
 
 func (l *record) line(format string, values ...any) {
@@ -58,10 +56,10 @@
 	l.line(format, values...)
 }
 
-func (l *record) started(worker, task string, number uint64, spec string, token uint64) {
+func (l *record) started(worker, task string, number, token uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.line("worker %s starts %s run %d token %d spec %q", worker, task, number, token, shorten(spec))
+	l.line("worker %s starts %s run %d token %d", worker, task, number, token)
 	k := runKey{task, number}
 	l.runs[k] = &observedRun{worker: worker, began: time.Now()}
 	l.order = append(l.order, k)
@@ -162,11 +160,3 @@
 	_ = l.out.Flush()
 	_ = l.file.Close()
 }
-
-func shorten(s string) string {
-	const limit = 24
-	if len(s) <= limit {
-		return s
-	}
-	return s[:limit] + strings.Repeat(".", 3)
-}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -64,7 +64,11 @@
 		// cut makes the worker unreachable: connections are reset, and its runs go on.
 		cut   bool
 		alive bool
-		conns map[net.Conn]bool
+		// dark makes the worker answer nothing, as a machine without power.
+		dark bool
+		// unhealthy makes the worker refuse to start tasks, while all else works.
+		unhealthy bool
+		conns     map[net.Conn]bool
 	}
 )
 
@@ -103,7 +107,19 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.listener, w.conns = l, make(map[net.Conn]bool)
-	w.server = &http.Server{Handler: w, ConnState: func(c net.Conn, state http.ConnState) {
+	w.dark = false
+	address := w.address
+	handler := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		gone := w.dark || w.address != address
+		w.mu.Unlock()
+		if gone {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		w.ServeHTTP(rw, r)
+	})
+	w.server = &http.Server{Handler: handler, ConnState: func(c net.Conn, state http.ConnState) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if state == http.StateNew {
@@ -153,6 +169,27 @@
 	w.resetConnections()
 }
 
+// crashDark ends the worker's runs and lets it answer nothing more.
+func (w *simWorker) crashDark() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.alive, w.dark = false, true
+	for _, r := range w.runs {
+		r.timer.Stop()
+		w.log.ended(w.id, r.task, r.number, "lost")
+	}
+	w.runs = make(map[string]*taskRun)
+	w.log.add("worker %s loses power", w.id)
+}
+
+// startElsewhere starts the worker again under its id at another address. Its old address still answers nothing.
+func (w *simWorker) startElsewhere() {
+	w.mu.Lock()
+	w.address = freeAddress()
+	w.mu.Unlock()
+	w.start()
+}
+
 // setCut cuts the worker off from the instances, whose connections are reset, or heals the cut. Its runs go on.
 func (w *simWorker) setCut(cut bool) {
 	w.mu.Lock()
@@ -167,6 +204,14 @@
 	w.log.add("worker %s is reachable again", w.id)
 }
 
+// setUnhealthy makes the worker refuse to start tasks, or start them again.
+func (w *simWorker) setUnhealthy(unhealthy bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unhealthy = unhealthy
+	w.log.add("worker %s unhealthy: %t", w.id, unhealthy)
+}
+
 // beat writes the worker's entry periodically. It expires after three intervals without a write.
 func (w *simWorker) beat() {
 	var last time.Time
@@ -211,6 +256,7 @@
 	return false
 }
 
+// runCount returns the number of runs on the worker.
 func (w *simWorker) runCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -295,6 +341,11 @@
 }
 
 func (w *simWorker) serveStart(rw http.ResponseWriter, in workerCall) {
+	if w.unhealthy {
+		w.log.add("worker %s refuses to start %s run %d: 503", w.id, in.Task, in.Run)
+		reply(rw, http.StatusServiceUnavailable, struct{}{})
+		return
+	}
 	if in.UntilMS <= w.clock() {
 		w.refuse(rw, "late")
 		return
@@ -320,7 +371,7 @@
 		defer w.mu.Unlock()
 		w.end(r, how)
 	})
-	w.log.started(w.id, in.Task, in.Run, in.Spec, in.FencingToken)
+	w.log.started(w.id, in.Task, in.Run, in.FencingToken)
 	w.accept(rw)
 }
 
