--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -293,51 +293,34 @@
 	return violations, nil
 }
 
-// playMoved starts a worker that has lost power again under its id at another address, while an order to its old address waits for an answer.
+// playMoved lets a worker lose power under a running gang, and start again under its id at another address.
 func playMoved(log *record, program string, trouble bool, keep func(c *cluster)) ([]string, error) {
-	const probe, job = "00000000000000a1", "00000000000000a2"
-	c, err := newCluster(log, program, 6, func(task string) (time.Duration, bool) {
-		if jobOf(task) == probe {
-			return time.Second, false
-		}
-		return 4 * time.Second, false
-	}, nil)
+	const job, tasks = "00000000000000a2", 5
+	c, err := newCluster(log, program, 6, func(string) (time.Duration, bool) { return 6 * time.Second, false }, nil)
 	if c != nil {
 		keep(c)
 	}
 	if err != nil {
 		return nil, err
 	}
-	whole := step{"count": 1, "cpu": 52000, "memMb": 110000, "gpu": 8, "estimateMs": 4000}
-	if !c.submit(probe, whole) {
-		return nil, fmt.Errorf("a job was not accepted")
+	if !c.submit(job, step{"count": tasks, "gang": true, "cpu": 26000, "memMb": 50000, "gpu": 2, "estimateMs": 6000}) {
+		return nil, fmt.Errorf("the job was not accepted")
 	}
-	var chosen *simWorker
-	if !waitFor(5*time.Second, func() bool {
-		for _, w := range c.workers {
-			if w.hasRun(probe) {
-				chosen = w
-			}
-		}
-		return chosen != nil
-	}) {
-		return nil, fmt.Errorf("the first job did not start")
+	end := time.Now()
+	if !waitFor(5*time.Second, func() bool { begun, _, _ := log.count(job); return begun == tasks }) {
+		return nil, fmt.Errorf("the gang did not start")
 	}
-	waitFor(5*time.Second, func() bool { return c.state(probe) == "completed" })
 	time.Sleep(time.Second)
-	if trouble {
-		chosen.crashDark()
-		time.AfterFunc(3*time.Second, chosen.startElsewhere)
-	}
-	time.Sleep(500 * time.Millisecond)
-	const tasks = 8
-	if !c.submit(job, step{"count": tasks, "cpu": 11000, "memMb": 23000, "gpu": 1, "estimateMs": 4000}) {
-		return nil, fmt.Errorf("a job was not accepted")
+	for _, w := range c.workers {
+		if trouble && w.runCount() > 1 {
+			w.crashDark()
+			time.AfterFunc(4*time.Second, w.startElsewhere)
+			break
+		}
 	}
-	end := time.Now()
 	var violations []string
 	idle := end
-	waitFor(40*time.Second, func() bool {
+	waitFor(60*time.Second, func() bool {
 		if _, done, _ := log.count(job); done == tasks {
 			return true
 		}
@@ -347,11 +330,16 @@
 			}
 		}
 		if time.Since(idle) > 3*time.Second {
-			violations = append(violations, fmt.Sprintf("%.1f s after the end of the traffic, job %s has had nothing running for 3 s, tasks of it have never been started, and all workers are idle", time.Since(end).Seconds(), job))
+			violations = append(violations, fmt.Sprintf("%.1f s after the end of the traffic, job %s has had nothing running for 3 s, and all workers are idle", time.Since(end).Seconds(), job))
 			return true
 		}
 		return false
 	})
+	if len(violations) > 0 {
+		time.Sleep(30 * time.Second)
+		begun, done, _ := log.count(job)
+		log.add("30 s later, %d runs of the job have begun and %d are done", begun, done)
+	}
 	log.add("job %s is shown as %s", job, c.state(job))
 	return violations, nil
 }
--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -39,6 +39,7 @@
 	cluster struct {
 		log       *record
 		store     *kvStore
+		gangs     *gangTable
 		workers   []*simWorker
 		instances []*instance
 		dir       string
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{log: log, store: newStore(), dir: dir, client: &http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true}}}
+	c := &cluster{log: log, store: newStore(), gangs: newGangTable(), dir: dir, client: &http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true}}}
 	address := freeAddress()
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -71,7 +72,7 @@
 		"tenants":  []any{map[string]any{"name": "t-1", "apiKeys": []string{clientKey}, "guaranteed": map[string]int{"gpu": 8}}},
 	})
 	for i := range workers {
-		c.workers = append(c.workers, newWorker(fmt.Sprintf("i-7f3a91%02x", i+1), fmt.Sprintf("r1-%d", i/8+1), c.store, log, length))
+		c.workers = append(c.workers, newWorker(fmt.Sprintf("i-7f3a91%02x", i+1), fmt.Sprintf("r1-%d", i/8+1), c, length))
 	}
 	if prepare != nil {
 		prepare(c)
@@ -195,6 +196,11 @@
 
 // submit hands a job in, and again as long as that is allowed.
 func (c *cluster) submit(id string, steps ...step) bool {
+	for i, s := range steps {
+		if s["gang"] == true {
+			c.gangs.setSize(fmt.Sprintf("%s.0.%d", id, i), s["count"].(int))
+		}
+	}
 	for i := range 5 {
 		status, _ := c.call(c.instances[i%len(c.instances)], http.MethodPost, id, map[string]any{"spec": "work of " + id, "steps": steps})
 		if status == http.StatusOK {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -40,11 +40,12 @@
 		how  string
 	}
 
-	// simWorker is a stand-in for a worker that starts whatever it is ordered to start. Its tasks are single ones without checkpoints.
+	// simWorker is a stand-in for a worker that starts whatever it is ordered to start. Its tasks save no checkpoints.
 	simWorker struct {
 		id, address, rack string
 		store             *kvStore
 		log               *record
+		gangs             *gangTable
 		// length returns how long a task runs, and whether it then fails.
 		length func(task string) (time.Duration, bool)
 
@@ -72,8 +73,8 @@
 	}
 )
 
-func newWorker(id, rack string, store *kvStore, log *record, length func(task string) (time.Duration, bool)) *simWorker {
-	w := &simWorker{id: id, rack: rack, store: store, log: log, length: length, address: freeAddress()}
+func newWorker(id, rack string, c *cluster, length func(task string) (time.Duration, bool)) *simWorker {
+	w := &simWorker{id: id, rack: rack, store: c.store, log: c.log, gangs: c.gangs, length: length, address: freeAddress()}
 	w.start()
 	go w.beat()
 	return w
@@ -158,6 +159,7 @@
 	for _, r := range w.runs {
 		r.timer.Stop()
 		w.log.ended(w.id, r.task, r.number, "lost")
+		go w.gangs.ended(r)
 	}
 	w.runs = make(map[string]*taskRun)
 	w.log.add("worker %s loses power", w.id)
@@ -347,6 +349,10 @@
 	}
 	r := &taskRun{task: in.Task, number: in.Run, began: time.Now(), length: length}
 	w.runs[in.Task] = r
+	if w.gangs.size(in.Task) > 0 {
+		length, how = gangTimeout, "alone"
+		go w.gangs.join(gangMember{w, r})
+	}
 	r.timer = time.AfterFunc(length, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -378,6 +384,9 @@
 	r.timer.Stop()
 	delete(w.runs, r.task)
 	w.highest[r.task] = max(w.highest[r.task], r.number)
+	if how != "done" {
+		go w.gangs.ended(r)
+	}
 	w.endCount++
 	w.ends = append(w.ends, taskEnd{w.endCount, r.task, r.number, how})
 	w.log.ended(w.id, r.task, r.number, how)
