Don't take refused or closed connections for the end of a worker

Cause: evidence.fate took two refused connections in a row for proof that the process has ended. The departure of a draining worker was guessed in the same way, from closed connections and an entry that was gone soon after its last answer; so was the end of a process from another one's answer at an address where the worker had never answered.

Only what the platform's protocol proves counts now: another process where the worker has answered, a newer incarnation in its entry, an entry that is removed sooner after a write than silence would remove it, or its lease. Stop orders that can't be delivered wait for the worker's next report instead of being repeated to a closed port.

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -108,15 +108,15 @@
 	forgottenCrashes = 1
 )
 
-// recordCrash records that a worker's process has ended, unless the worker had announced that it leaves. survives reports whether a run may be active in
+// recordCrash records that a worker's process has ended, unless the worker has left or had announced that it leaves. survives reports whether a run may be active in
 // the worker's new incarnation; nil means that none can be.
 func (s *State) recordCrash(n *node, cause string, now time.Time, survives func(r *run) bool) {
 	if n.processEnded {
 		return
 	}
-	n.processEnded = true
+	n.processEnded, n.endedAt = true, now
 	lost := n.lostRuns(survives)
-	if n.Draining || n.reportedAt.IsZero() && len(lost) == 0 && len(s.unseen[n.ID]) == 0 {
+	if n.Draining || n.left || n.reportedAt.IsZero() && len(lost) == 0 && len(s.unseen[n.ID]) == 0 {
 		return
 	}
 	at := n.lastAnswer(now)
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -80,7 +80,7 @@
 			s.expireBrokenRuns(n, now)
 		}
 		s.expireWorker(n, now)
-		if !n.listed && len(n.runs) == 0 && (n.processEnded && n.Draining || now.After(n.leaseExpiry)) {
+		if !n.listed && len(n.runs) == 0 && (n.left || n.processEnded && n.Draining || now.After(n.leaseExpiry)) {
 			delete(s.nodes, id)
 			delete(s.suspects, n)
 			s.rebuildRacks()
--- a/internal/process/pool/departure.go
+++ b/internal/process/pool/departure.go
@@ -11,29 +11,14 @@
 	// CallFailure is the way in which a call to a worker failed.
 	CallFailure int
 
-	// callFailures holds the failures of the calls to a worker since its last answer.
-	callFailures struct {
-		otherProcess bool
-		// refusals counts the refused connections in a row. Calls that were under way at the same time count once.
-		refusals  int
-		refusedAt time.Time
-		// closedAt is when the connection of a call was first closed, and failedAgain is set if a call failed that was sent later.
-		closedAt    time.Time
-		failedAgain bool
-	}
-
 	// evidence is what is known of a worker that does not answer.
 	evidence struct {
-		// otherProcess is set if another worker, or another incarnation of this one, has answered at its address.
+		// otherProcess is set if another worker, or another incarnation of this one, answers where it has answered before.
 		otherProcess bool
-		// refusals is the number of refused connections in a row.
-		refusals int
-		// closed is set if the connection of a call was closed or reset, and a later call failed too.
-		closed bool
-		// leaves is set once the time has passed for which the worker had announced to stay.
-		leaves bool
-		// removed is set if its entry was removed sooner after its last answer than the entry of a silent worker is.
-		removed bool
+		// replaced is set if its entry names a newer incarnation.
+		replaced bool
+		// left is set if its entry was removed sooner after its last write than the entry of a silent worker is.
+		left bool
 		// leaseExpired is set once each lease of the worker must have expired.
 		leaseExpired bool
 	}
@@ -43,12 +28,9 @@
 )
 
 const (
-	// NoAnswer means that the call got no answer in time. The worker may be cut off and run on.
+	// NoAnswer means that the call got no answer. The worker may be cut off and run on, also if its connections are closed, reset or refused: what cuts
+	// it off may answer in its place.
 	NoAnswer CallFailure = iota
-	// Closed means that the connection was closed or reset before an answer.
-	Closed
-	// Refused means that nothing listens at the worker's address.
-	Refused
 	// OtherProcess means that another worker or another incarnation answered.
 	OtherProcess
 )
@@ -64,83 +46,70 @@
 )
 
 const (
-	// MaxRefusals is the number of refused connections in a row after which a worker's process counts as ended.
-	MaxRefusals = 2
-	// minSilentIntervals is the least number of entry intervals between the last answer of a worker that is cut off and the removal of its entry: an
-	// entry is removed after three intervals without a write, and the last write may be one interval older than the last answer.
-	minSilentIntervals = 2
+	// EntryLifetimes is the number of intervals without a write after which the entry of a silent worker is removed.
+	EntryLifetimes = 3
+	// maxListLag is how late the instance list may be, in the same intervals.
+	maxListLag = 1
 )
 
-// fate judges the evidence and returns the cause. Runs that may go on must not be started elsewhere: being cut off looks like having left, except that a
-// worker does not refuse or close connections while it is cut off, and that its entry outlasts its last answer.
+// fate judges the evidence and returns the cause. Runs that may go on must not be started elsewhere, so only proof counts. All else, however likely, waits
+// for the lease.
 func (e evidence) fate() (fate, string) {
 	switch {
 	case e.otherProcess:
 		return processEnded, "another process answers at its address"
-	case e.refusals >= MaxRefusals:
-		return processEnded, "nothing listens at its address"
-	case e.leaves && e.closed && e.removed:
-		return processEnded, "it announced that it leaves, closed its connections and removed its entry"
+	case e.replaced:
+		return processEnded, "its entry names a new incarnation"
+	case e.left:
+		return processEnded, "it has left and removed its entry"
 	case e.leaseExpired:
 		return lapsed, "it does not answer and its lease has expired"
 	}
 	return mayRun, ""
 }
 
-// record adds the failure of a call.
-func (f *callFailures) record(kind CallFailure, sent, now time.Time) {
-	f.failedAgain = f.failedAgain || !f.closedAt.IsZero() && !sent.Before(f.closedAt)
-	switch kind {
-	case OtherProcess:
-		f.otherProcess = true
-	case Refused:
-		if f.refusals == 0 || !sent.Before(f.refusedAt) {
-			f.refusals++
-			f.refusedAt = now
-		}
-		return
-	case Closed:
-		if f.closedAt.IsZero() {
-			f.closedAt = now
-		}
-	}
-	f.refusals = 0
-}
-
 // evidence returns what is known of a worker that does not answer.
-func (s *State) evidence(n *node, now time.Time) evidence {
-	silence := n.removedAt.Sub(n.reportedAt)
-	return evidence{
-		otherProcess: n.failedCalls.otherProcess,
-		refusals:     n.failedCalls.refusals,
-		closed:       !n.failedCalls.closedAt.IsZero() && n.failedCalls.failedAgain,
-		leaves:       n.Draining && !n.LeavesAt.IsZero() && !now.Before(n.LeavesAt),
-		removed:      !n.removedAt.IsZero() && !n.reportedAt.IsZero() && silence >= 0 && silence < minSilentIntervals*s.Times.EntryInterval,
-		leaseExpired: now.After(n.leaseExpiry),
-	}
+func (n *node) evidence(now time.Time) evidence {
+	return evidence{otherProcess: n.otherProcess, replaced: n.replaced, left: n.left, leaseExpired: now.After(n.leaseExpiry)}
 }
 
 // CallFailed records that a call to a worker failed, which was sent at the given time. failed is the earliest time at which the worker may have stopped
 // answering.
 func (s *State) CallFailed(id ids.InstanceID, kind CallFailure, sent, failed, now time.Time) {
 	n := s.nodes[id]
-	if n == nil {
+	if n == nil || n.reportedAt.After(sent) {
 		return
 	}
-	if n.reportedAt.After(sent) && (kind == NoAnswer || kind == Closed) {
+	n.otherProcess = n.otherProcess || kind == OtherProcess
+	s.MarkSilent(id, sent, failed)
+	s.markIfEnded(n, now)
+}
+
+// EntryReplaced records that a worker's entry names an incarnation. If it is newer than the one known, the process that the worker had has ended.
+func (s *State) EntryReplaced(id ids.InstanceID, incarnation uint64, now time.Time) {
+	n := s.nodes[id]
+	if n == nil || n.Incarnation == 0 || incarnation <= n.Incarnation {
 		return
 	}
-	n.failedCalls.record(kind, sent, now)
-	s.MarkSilent(id, sent, failed)
-	if f, cause := s.evidence(n, now).fate(); f == processEnded {
-		s.MarkDead(id, cause, now)
+	n.replaced = true
+	s.markIfEnded(n, now)
+}
+
+// EntryRemoved records that a worker's entry was removed while the store answered. unwritten is the longest time for which it may not have been written
+// until then. An entry that can't be read was not removed.
+func (s *State) EntryRemoved(id ids.InstanceID, unwritten time.Duration, now time.Time) {
+	n := s.nodes[id]
+	if n == nil || n.listed || unwritten >= (EntryLifetimes-maxListLag)*s.Times.EntryInterval {
+		return
 	}
+	n.left = true
+	s.markIfEnded(n, now)
 }
 
-// EntryRemoved records that a worker's entry was removed while the store answered. An entry that can't be read was not removed.
-func (s *State) EntryRemoved(id ids.InstanceID, now time.Time) {
-	if n := s.nodes[id]; n != nil && !n.listed {
-		n.removedAt = now
+// markIfEnded records that a worker's process has ended if that is proved.
+func (s *State) markIfEnded(n *node, now time.Time) {
+	if f, cause := n.evidence(now).fate(); f == processEnded && !n.processEnded {
+		s.MarkDead(n.ID, cause, now)
 	}
 }
 
@@ -149,10 +118,7 @@
 	if n.listed && n.silentSince.IsZero() || len(n.runs) == 0 {
 		return
 	}
-	switch f, cause := s.evidence(n, now).fate(); {
-	case f == processEnded && !n.processEnded:
-		s.MarkDead(n.ID, cause, now)
-	case now.After(n.leaseExpiry):
+	if now.After(n.leaseExpiry) {
 		s.notice(Notice{Kind: "WorkerLapsed", Worker: n.ID, Tasks: len(n.runs), After: n.silentFor(now), Cause: "it does not answer and its lease has expired"})
 		n.reported = false
 		s.markChanged(n)
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -43,11 +43,11 @@
 		silentSince time.Time
 		// failingSince is the earliest time at which the worker may have stopped answering; zero if it answers.
 		failingSince time.Time
-		// failedCalls holds those since the last answer, and removedAt is when the worker's entry was removed; zero if it is listed.
-		failedCalls callFailures
-		removedAt   time.Time
-		// processEnded is set once the worker's process is known to have ended, until it reports again.
+		// otherProcess, replaced and left are evidence that the worker's process has ended; see departure.go.
+		otherProcess, replaced, left bool
+		// processEnded is set once the worker's process is known to have ended, until it reports again; endedAt is when that became known.
 		processEnded bool
+		endedAt      time.Time
 		// joinedAt is when the worker first reported, crashedAt when it was last seen to crash, and isolatedFor the unit that alone may be started there;
 		// see trial.go.
 		joinedAt    time.Time
@@ -195,7 +195,7 @@
 			w.Incarnation = n.Incarnation
 		}
 		n.Worker = w
-		n.listed, n.removedAt = true, time.Time{}
+		n.listed, n.left = true, false
 		s.checkCold(n)
 		n.evacuated = s.evacuations.Contains(n.DataCentre)
 		s.checkLeaving(n)
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -13,7 +13,8 @@
 // the report has ended.
 func (s *State) Reported(id ids.InstanceID, report worker.RunReport, sent, now time.Time) {
 	n := s.nodes[id]
-	if n == nil {
+	if n == nil || n.processEnded && !sent.After(n.endedAt) && report.Incarnation == n.Incarnation {
+		// The process that answered has ended since.
 		return
 	}
 	if !n.reported || !n.silentSince.IsZero() {
@@ -38,7 +39,7 @@
 		n.handledEnd, n.acknowledgedEnd, n.pendingEnds = 0, 0, nil
 	}
 	n.silentSince, n.failingSince, n.processEnded, n.reportedAt = time.Time{}, time.Time{}, false, now
-	n.failedCalls = callFailures{}
+	n.otherProcess, n.replaced = false, false
 	for _, e := range report.Ended {
 		if e.Number > n.handledEnd {
 			n.handledEnd = e.Number
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -197,6 +197,13 @@
 	}
 }
 
+// StopUndelivered records that a stop order could not be delivered. It is ordered again with the worker's next report.
+func (s *State) StopUndelivered(id ids.InstanceID, ref worker.Run) {
+	if r := s.findRun(id, ref); r != nil && r.phase == runStopping && r.confirmedAt.IsZero() {
+		r.stopDue = true
+	}
+}
+
 // stopUnit stops a unit. The unit waits again once all its runs have ended, unless its job has ended.
 func (s *State) stopUnit(u *unit, cause string, now time.Time) {
 	switch u.phase {
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -32,6 +32,8 @@
 		// confirmedAt is when the last confirmed renewal was sent: the worker accepted it in the same incarnation as the
 		// renewal before it.
 		confirmedAt atomic.Pointer[timestamp]
+		// answered is set once the worker has answered a renewal at its address.
+		answered atomic.Bool
 		// orderSlots limits the concurrent orders, and so the connections.
 		orderSlots chan struct{}
 		// malformed is set once a part of a report could not be read, which is logged once.
@@ -214,6 +216,7 @@
 			}
 			failures = 0
 			answered = time.Now()
+			l.answered.Store(true)
 			acknowledged = max(acknowledged, o.Acknowledged)
 			if reported := cmp.Or(report.Incarnation, w.incarnation); reported != incarnation {
 				// A restarted worker has seen no epoch and accepts any owner, so its answer confirms nothing.
@@ -311,18 +314,13 @@
 
 // callFailed passes the failure of a call to the term.
 func (l *link) callFailed(err error, sent, failed time.Time) {
-	kind := callFailure(err)
-	l.term.post(func() { l.term.state.CallFailed(l.id, kind, sent, failed, time.Now()) })
-}
-
-func callFailure(err error) pool.CallFailure {
-	switch {
-	case errors.Is(err, worker.ErrIncarnationMismatch):
-		return pool.OtherProcess
-	case errors.Is(err, worker.ErrNotListening):
-		return pool.Refused
-	case errors.Is(err, worker.ErrConnectionClosed):
-		return pool.Closed
+	kind := pool.NoAnswer
+	if l.answered.Load() && errors.Is(err, worker.ErrIncarnationMismatch) {
+		kind = pool.OtherProcess
 	}
-	return pool.NoAnswer
+	l.term.post(func() {
+		if l.term.links[l.id] == l {
+			l.term.state.CallFailed(l.id, kind, sent, failed, time.Now())
+		}
+	})
 }
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -168,7 +168,13 @@
 			release()
 			t.end("worker " + string(l.id) + " follows a newer owner")
 			return
-		case !isRefusal(err) || errors.IsAny(err, worker.ErrIncarnationMismatch, worker.ErrNotListening):
+		case errors.IsAny(err, worker.ErrIncarnationMismatch, worker.ErrNotListening):
+			// Renewals find out when the worker can be reached again.
+			release()
+			l.callFailed(err, sent, failedAt(sent, 0))
+			t.post(func() { t.state.StopUndelivered(l.id, a.Run) })
+			return
+		case !isRefusal(err):
 			// The renewal in flight may wait 1 s longer before it detects this.
 			l.callFailed(err, sent, failedAt(sent, 0))
 		}
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -52,8 +52,6 @@
 	listTimeout = 2 * storeCallTimeout
 	// listEntryTime is the time that a worker's entry takes over a link of 10 Mbit/s.
 	listEntryTime = 500 * time.Microsecond
-	// entryLifetimes is the number of entry intervals without a write after which the store removes a worker's entry.
-	entryLifetimes = 3
 	// workersBatchDelay is the delay between watches that batches the changes of many workers.
 	workersBatchDelay = 100 * time.Millisecond
 )
@@ -228,7 +226,10 @@
 // setWorkers applies the instance list as it was when a call was sent, or newer. Unreadable entries are skipped.
 func (t *term) setWorkers(entries []store.Entry, sent timestamp) {
 	now := time.Now()
-	t.listConfirmedAt.Store(&sent)
+	var previous timestamp
+	if at := t.listConfirmedAt.Swap(&sent); at != nil {
+		previous = *at
+	}
 	listed := make(map[ids.InstanceID]ListedWorker, len(entries))
 	for _, e := range entries {
 		w, err := t.owner.Worker(e.Key, e.Value)
@@ -245,21 +246,25 @@
 		} else if w.Draining && w.Notice > 0 {
 			w.LeavesAt = now.Add(w.Notice)
 		}
-		w.revision = e.Revision
+		w.revision, w.writtenAfter = e.Revision, previous
+		if old := t.listed[w.ID]; old.revision == e.Revision {
+			w.writtenAfter = old.writtenAfter
+		}
 		w.ColdUntil = coldUntil(w, t.listed[w.ID], now)
 		listed[w.ID] = w
 	}
 	t.logListChanges(listed)
 	removed := t.removedEntries(entries)
-	t.listed = listed
 	workers := make([]pool.Worker, 0, len(listed))
-	for _, w := range listed {
+	for id, w := range listed {
 		workers = append(workers, w.Worker)
+		t.state.EntryReplaced(id, w.Incarnation, now)
 	}
 	t.state.SetWorkers(workers)
 	for _, id := range removed {
-		t.state.EntryRemoved(id, now)
+		t.state.EntryRemoved(id, t.owner.since(t.listed[id].writtenAfter), now)
 	}
+	t.listed = listed
 	for id, w := range listed {
 		l := t.links[id]
 		if l != nil && l.address != w.Address {
@@ -276,7 +281,7 @@
 // removedEntries returns the listed workers that have no entry any more. It returns none if the store may have been unavailable to the workers while
 // they wrote their entries.
 func (t *term) removedEntries(entries []store.Entry) []ids.InstanceID {
-	if failed := t.renewalFailedAt.Load(); failed != nil && t.owner.since(*failed) < entryLifetimes*t.state.Times.EntryInterval {
+	if failed := t.renewalFailedAt.Load(); failed != nil && t.owner.since(*failed) < pool.EntryLifetimes*t.state.Times.EntryInterval {
 		return nil
 	}
 	present := entriesByKey(entries)
