Count a broken gang's run on a silent worker as ended only if no other member ended otherwise

A gang could run twice: once a member had reported that the gang was broken, the members on a silent worker counted as ended, also if it was a third one whose end had broken the gang.

'broken (another member ended)' proves that a member on the silent worker has ended only if all others report the same. The case 'a third member failed' of TestBrokenGangOnSilentWorker failed before (the run on the silent worker was gone).

--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -121,7 +121,7 @@
 		retryDelayed bool
 		// adopted is set if the run was started under an earlier owner, so that its start time is unknown.
 		adopted bool
-		// broken is set if the first reported end was EndGangMemberLost: a member ended on a worker that has not reported that
+		// broken is set if all reported ends were EndGangMemberLost and no other run was lost: a member ended on a worker that has not reported that
 		// end.
 		broken bool
 		// remote is set if the placement makes the tasks slower.
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -136,6 +136,7 @@
 		s.markDirty(u.job)
 	}
 	u.job.started = true
+	u.broken = u.broken && e.Reason == worker.EndGangMemberLost
 	if e.Reason == worker.EndDone || e.Reason == worker.EndFailed || u.count == 1 {
 		// The other ends of a gang's members may follow the crash of one of them.
 		u.crashes.started = nil
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -140,27 +140,46 @@
 	require.Zero(t, s.nodes[actions[0].Worker].failures)
 }
 
-// A broken gang's member on a silent worker counts as ended unless its start was never confirmed: it may still start.
+// A broken gang's member on a silent worker counts as ended unless its start was never confirmed: it may still start. Guards against gangs that run twice, since the
+// member that had ended was not on the silent worker.
 func TestBrokenGangOnSilentWorker(t *testing.T) {
 	cases := map[string]struct {
 		confirmed           bool
 		failed, maybeFailed []ids.RunNumber
-		left                int
+		// third is what the worker of a third member reports, after another has reported that the gang is broken; nil if there is none.
+		third func(r worker.Run) worker.RunReport
+		left  int
 	}{
 		"its start was confirmed":                   {confirmed: true, left: 0},
 		"its start is not known":                    {confirmed: false, left: 1},
 		"it may be the last failure":                {confirmed: true, failed: []ids.RunNumber{1, 2}, left: 1},
 		"an unreported failure may be the last one": {confirmed: true, failed: []ids.RunNumber{1}, maybeFailed: []ids.RunNumber{2}, left: 1},
 		"an unreported failure is reported later":   {confirmed: true, failed: []ids.RunNumber{1}, maybeFailed: []ids.RunNumber{1}, left: 0},
+		"a third member is broken too": {confirmed: true, left: 0, third: func(r worker.Run) worker.RunReport {
+			return worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: r, Number: 1, Reason: worker.EndGangMemberLost}}}
+		}},
+		"a third member failed": {confirmed: true, left: 1, third: func(r worker.Run) worker.RunReport {
+			return worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: r, Number: 1, Reason: worker.EndFailed}}}
+		}},
+		"a third member was lost with its process": {confirmed: true, left: 1, third: func(worker.Run) worker.RunReport {
+			return worker.RunReport{Incarnation: 2}
+		}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := testState(2, 2)
-			j := gangJob("a", 1, 2, 8, 4*time.Second)
+			tasks := 2
+			if c.third != nil {
+				tasks = 3
+			}
+			s := testState(tasks, tasks)
+			j := gangJob("a", 1, tasks, 8, 4*time.Second)
 			s.accept(j, testStart)
 			j.units[0].failedRuns, j.units[0].maybeFailedRuns = c.failed, c.maybeFailed
 			actions, _ := s.Decide(testStart)
-			require.Len(t, actions, 2)
+			require.Len(t, actions, tasks)
+			for _, a := range actions[2:] {
+				s.RunStarted(a.Worker, a.Run, testStart)
+			}
 			s.RunStarted(actions[0].Worker, actions[0].Run, testStart)
 			if c.confirmed {
 				s.RunStarted(actions[1].Worker, actions[1].Run, testStart)
@@ -170,6 +189,9 @@
 			now := testStart.Add(time.Second)
 			s.MarkSilent(silent, now, now)
 			s.Reported(actions[0].Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: actions[0].Run, Number: 1, Reason: worker.EndGangMemberLost}}}, now, now)
+			if c.third != nil {
+				s.Reported(actions[2].Worker, c.third(actions[2].Run), now, now)
+			}
 			s.Decide(now)
 			require.Len(t, s.nodes[silent].runs, c.left)
 		})
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -279,6 +279,7 @@
 	if u == nil || u.number != r.Number {
 		return
 	}
+	u.broken = false
 	if u.phase == starting || u.phase == running {
 		s.backOff(u, now)
 		s.stopUnit(u, cause, now)
