End worker leases by a time that a successor can count on

Leases now end leaseGrace and a worker's lease after the last renewal of the ownership at the latest, which is what a successor waits for, counted from a later moment. Taking over early stays: it is a guess, but the epoch fences the workers that the successor reaches, and it waits for the others.

Cost: none while the store answers within 9 s.

--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -79,7 +79,11 @@
 		delayClaims bool
 		// dead means that the process has terminated, and machineOff that its machine is off too.
 		dead, machineOff bool
-		paused           chan struct{}
+		// cutOff means that the instance reaches neither the store nor other instances, which find its port closed.
+		cutOff bool
+		// unreachable holds the workers that the instance can't reach.
+		unreachable map[ids.InstanceID]bool
+		paused      chan struct{}
 
 		link, processor serial
 	}
@@ -226,7 +230,7 @@
 		Worker: func(_ string, value []byte) (l ListedWorker, err error) {
 			return l, json.Unmarshal(value, &l)
 		},
-		Dial:        func(l ListedWorker) worker.RunClient { return process.runs(w.fleet.Worker(l.ID)) },
+		Dial:        func(l ListedWorker) worker.RunClient { return process.runs(l.ID, w.fleet.Worker(l.ID)) },
 		Log:         w.checker.Logger(i.name),
 		Suspended:   func() time.Duration { return 0 },
 		DelayClaims: i.delayClaims,
@@ -259,13 +263,13 @@
 			continue
 		}
 		i.mu.Lock()
-		dead, off, paused, forwarder := i.dead, i.machineOff, i.paused, i.forwarder
+		dead, off, cutOff, paused, forwarder := i.dead, i.machineOff, i.cutOff, i.paused, i.forwarder
 		i.mu.Unlock()
 		switch {
 		case off || paused != nil:
 			<-ctx.Done()
 			return Answer{}, peer.ErrUnknown
-		case dead:
+		case dead || cutOff:
 			return Answer{}, errors.Mark(syscall.ECONNREFUSED, peer.ErrUnreachable)
 		}
 		answer, err := forwarder.servePeer(ctx, c)
@@ -384,7 +388,14 @@
 	}
 }
 
-func (l process) runs(w *runservice.Worker) worker.RunClient {
+// isCutFrom reports whether the instance can't reach a worker.
+func (i *instance) isCutFrom(id ids.InstanceID) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.unreachable[id]
+}
+
+func (l process) runs(id ids.InstanceID, w *runservice.Worker) worker.RunClient {
 	r := w.Client()
 	// checkConnection waits until the process is not paused. A connection to a worker whose process has terminated
 	// meanwhile is broken.
@@ -393,6 +404,9 @@
 		if err := l.waitRunning(); err != nil {
 			return err
 		}
+		if l.instance.isCutFrom(id) {
+			return errors.New("the worker can't be reached")
+		}
 		if w.Incarnation() != incarnation {
 			return errors.New("the connection was reset")
 		}
@@ -466,6 +480,20 @@
 	return nil
 }
 
+// awaitSuccessor waits until an instance other than an earlier owner owns the pool.
+func (w *cluster) awaitSuccessor(earlier *instance) {
+	w.t.Helper()
+	for range 1000 {
+		for _, i := range w.instances {
+			if i != earlier && i.owns() {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.t.Fatal("no other instance owns the pool")
+}
+
 // defineJob registers a job with the workers and the checker.
 func (w *cluster) defineJob(id ids.JobID, spec jobSpec) {
 	w.mu.Lock()
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -198,8 +198,8 @@
 			return
 		}
 		// The lease of a worker that doesn't answer is not extended, so that its runs end by a known time.
-		if failures == 0 {
-			o.Lease = l.term.owner.Times.WorkerLease
+		if lease := l.term.workerLease(); failures == 0 && lease > 0 {
+			o.Lease = lease
 			l.markLeaseOrdered()
 		}
 		sent := l.term.owner.now()
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -52,7 +52,7 @@
 	}
 	defer func() { <-l.orderSlots }()
 	t := l.term
-	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Lease: t.owner.Times.WorkerLease, Checkpoint: a.Checkpoint}
+	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Checkpoint: a.Checkpoint}
 	// unknown means that an order may have been executed, and closed that only a process which has closed its connection since can have executed it.
 	unknown, closed := false, true
 	// checked is when the run was last found to be one that may start.
@@ -75,6 +75,10 @@
 			cancel()
 			continue
 		}
+		if o.Lease = t.workerLease(); o.Lease <= 0 {
+			cancel()
+			break
+		}
 		l.markLeaseOrdered()
 		err := l.runs.Start(ctx, o)
 		cancel()
