Count a job as begun once a worker has begun a task of it

Cause: startUnit set the flag when a start was ordered, and nothing reset it when the order was refused or lost. A record that only lists an order set it again after a takeover.

A worker's confirmation, report of the run or report of its end sets the flag now. That an order was given is a flag of its own, which order classes, refunds and the check of the forecast go by as before, so no decision changes.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -261,7 +261,7 @@
 	}
 }
 
-// updateOverdue determines periodically which jobs can't meet their objectives any more. Those that have started keep their
+// updateOverdue determines periodically which jobs can't meet their objectives any more. Those with started tasks keep their
 // order, since they may need only a few more workers.
 func (s *State) updateOverdue(now time.Time) {
 	if now.Sub(s.overdueUpdatedAt) < overdueInterval {
@@ -269,7 +269,7 @@
 	}
 	s.overdueUpdatedAt = now
 	for _, j := range s.live {
-		j.overdue = j.Priority > 0 && !j.started && now.Add(s.criticalPath(j)).After(j.units[0].releaseTime().Add(s.Objective(j)))
+		j.overdue = j.Priority > 0 && !j.ordered && now.Add(s.criticalPath(j)).After(j.units[0].releaseTime().Add(s.Objective(j)))
 	}
 }
 
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -55,8 +55,8 @@
 
 		// stored is set once the job's acceptance is stored; the job isn't started before.
 		stored bool
-		// started is set once any task of the job has been started.
-		started bool
+		// ordered is set once the start of any task of the job has been ordered, and begun once a worker has begun one.
+		ordered, begun bool
 		// recovered is set if the job was accepted under an earlier owner.
 		recovered bool
 		units     []*unit
@@ -246,8 +246,8 @@
 // ended reports whether the job has ended.
 func (j *Job) ended() bool { return j.State != Accepted }
 
-// Begun reports whether any task of the job has been started.
-func (j *Job) Begun() bool { return j.started }
+// Begun reports whether a worker is known to have begun any task of the job. An order alone may be refused or lost.
+func (j *Job) Begun() bool { return j.begun }
 
 // makeUnits splits the steps of each occurrence into units.
 func (j *Job) makeUnits() {
--- a/internal/process/pool/placement_test.go
+++ b/internal/process/pool/placement_test.go
@@ -144,7 +144,7 @@
 	suspect := gangJob("suspect", 1, 1, 4, time.Minute)
 	s.accept(suspect, now)
 	suspect.units[0].crashes.list = []Crash{{Tasks: []int{0}}, {Tasks: []int{0}}}
-	for waited := time.Duration(0); !suspect.started; waited += 100 * time.Millisecond {
+	for waited := time.Duration(0); !suspect.ordered; waited += 100 * time.Millisecond {
 		require.Less(t, waited, s.Times.IdleWait)
 		s.startAll(now.Add(waited))
 		s.MarkStored("suspect", suspect.Version())
@@ -164,11 +164,11 @@
 	s.isolate(suspect.units[0], []*node{s.nodes["w0000"], s.nodes["w0001"], s.nodes["w0008"], s.nodes["w0009"]})
 	gang := gangJob("gang", 1, 24, 2, time.Second)
 	s.accept(gang, now)
-	for waited := time.Duration(0); !gang.started; waited += 100 * time.Millisecond {
+	for waited := time.Duration(0); !gang.ordered; waited += 100 * time.Millisecond {
 		require.Less(t, waited, s.Times.IdleWait)
 		s.startAll(now.Add(waited))
 	}
-	require.False(t, suspect.started, "its trial waits for workers without runs")
+	require.False(t, suspect.ordered, "its trial waits for workers without runs")
 }
 
 // A gang that waits for a rack is spread only while the pool is idle, and not before the platform's limit if a rack is expected
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -29,7 +29,9 @@
 		Stretch     float64       `json:",omitempty"`
 		Target      time.Duration `json:",omitempty"`
 		State       JobState
-		Finished    time.Time `json:",omitzero"`
+		// Begun is set once a worker has begun a task of the job. Records without it are of jobs that have not, or of earlier versions.
+		Begun    bool      `json:",omitempty"`
+		Finished time.Time `json:",omitzero"`
 		// Units holds the units that are done, have been started, have failed, have crashed workers or have a checkpoint, by index.
 		Units map[int]UnitRecord `json:",omitempty"`
 		// Writer identifies this write, so that a write whose answer was lost can be resolved.
@@ -61,7 +63,7 @@
 	r := Record{
 		Format: recordFormat, ID: j.ID, Queue: j.Queue, Service: j.Service, Account: j.Account, Priority: j.Priority,
 		Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule, Elapsed: j.elapsed(), Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target,
-		State: j.State, Finished: j.Finished, Writer: writer,
+		State: j.State, Begun: j.begun, Finished: j.Finished, Writer: writer,
 	}
 	for i, u := range j.units {
 		if u.occurrence < r.Elapsed || (u.phase != done && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && len(u.crashes.started) == 0 && u.checkpoint == "") {
@@ -98,12 +100,13 @@
 	j := &Job{
 		ID: r.ID, Queue: r.Queue, Service: r.Service, Account: r.Account, Priority: r.Priority, Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule,
 		Submitted: r.Submitted, MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target, State: r.State, Finished: r.Finished,
+		begun: r.Begun,
 	}
 	j.makeUnits()
 	for i, u := range j.units {
 		if u.occurrence < r.Elapsed {
 			u.setPhase(done)
-			j.started = true
+			j.ordered, j.begun = true, true
 		}
 		if stored, found := r.Units[i]; found {
 			u.failedRuns, u.checkpoint = stored.Failed, stored.Checkpoint
@@ -111,7 +114,9 @@
 			if stored.Done {
 				u.setPhase(done)
 			}
-			j.started = true
+			j.ordered = true
+			// A start that was only ordered may have been refused; the workers' reports show whether it was not.
+			j.begun = j.begun || stored.Done || len(stored.Failed) > 0 || stored.Checkpoint != ""
 		}
 	}
 	return j, nil
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -101,6 +101,9 @@
 		r.endReported = true
 		s.removeRun(r)
 	}
+	if u != nil {
+		j.ordered, j.begun = true, true
+	}
 	switch {
 	case u == nil || j.ended():
 	case u.number == e.Run.Number || (u.number == 0 && j.recovered):
@@ -135,7 +138,6 @@
 		u.checkpoint = e.Checkpoint
 		s.markDirty(u.job)
 	}
-	u.job.started = true
 	u.broken = u.broken && e.Reason == worker.EndGangMemberLost
 	if e.Reason == worker.EndDone || e.Reason == worker.EndFailed || u.count == 1 {
 		// The other ends of a gang's members may follow the crash of one of them.
@@ -259,6 +261,9 @@
 	}
 	r.reported, r.mayHaveCrashedAt = true, time.Time{}
 	r.percent = a.Percent
+	if r.unit != nil {
+		r.unit.job.begun = true
+	}
 	if u := r.unit; u != nil && u.number == r.Number {
 		if a.Checkpoint != "" {
 			u.checkpoint = a.Checkpoint
@@ -317,6 +322,7 @@
 	r := &run{seq: s.lastRunSeq, Run: a.Run, node: n, phase: runActive, reported: true, orderedAt: now, confirmedAt: now, percent: a.Percent}
 	if u != nil {
 		r.resources = u.spec().Each
+		j.ordered, j.begun = true, true
 	} else {
 		// Its size is not known, so nothing else may be started before it has ended.
 		r.resources = n.Total
@@ -353,7 +359,6 @@
 			return false
 		}
 	}
-	u.job.started = true
 	u.runs = append(u.runs, r)
 	r.unit = u
 	r.pin()
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -95,6 +95,58 @@
 	require.Equal(t, ids.JobID("b"), actions[0].Run.Job)
 }
 
+// Guards against jobs that are shown as active, and missing among the pending ones, although no worker has begun any task of them: a start that is only ordered may be
+// refused or lost.
+func TestPendingUntilBegun(t *testing.T) {
+	unhealthy := worker.ErrUnhealthy
+	for name, test := range map[string]struct {
+		// answer is the outcome of the order.
+		answer func(s *State, a Action, now time.Time)
+		begun  bool
+	}{
+		"ordered":       {answer: func(*State, Action, time.Time) {}},
+		"refused":       {answer: func(s *State, a Action, now time.Time) { s.RunRefused(a.Worker, a.Run, unhealthy, true, now) }},
+		"no answer":     {answer: func(s *State, a Action, now time.Time) { s.RunStartUnknown(a.Worker, a.Run, false, now) }},
+		"process ended": {answer: func(s *State, a Action, now time.Time) { s.MarkDead(a.Worker, "its process has ended", now) }},
+		"confirmed":     {answer: func(s *State, a Action, now time.Time) { s.RunStarted(a.Worker, a.Run, now) }, begun: true},
+		"no answer, listed": {begun: true, answer: func(s *State, a Action, now time.Time) {
+			s.RunStartUnknown(a.Worker, a.Run, false, now)
+			s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Active: []worker.ActiveRun{{Run: a.Run}}}, now, now)
+		}},
+		"no answer, stopped": {begun: true, answer: func(s *State, a Action, now time.Time) {
+			s.RunStartUnknown(a.Worker, a.Run, false, now)
+			s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: a.Run, Number: 1, Reason: worker.EndStopped}}}, now, now)
+		}},
+		"confirmed, lost": {begun: true, answer: func(s *State, a Action, now time.Time) {
+			s.RunStarted(a.Worker, a.Run, now)
+			s.MarkDead(a.Worker, "its process has ended", now)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(1, 1)
+			j := gangJob("a", 1, 1, 8, 4*time.Second)
+			s.accept(j, testStart)
+			actions, _ := s.Decide(testStart)
+			require.Len(t, actions, 1)
+			s.ExtendLease(actions[0].Worker, testStart.Add(simLease))
+			test.answer(s, actions[0], testStart.Add(100*time.Millisecond))
+			check := func(s *State, j *Job) {
+				require.Equal(t, test.begun, j.Begun())
+				require.Equal(t, !test.begun, s.Pending(j.Queue) == 1)
+			}
+			check(s, j)
+			record, err := j.Encode("1")
+			require.NoError(t, err)
+			stored, err := Decode(record)
+			require.NoError(t, err)
+			next := testState(1, 1)
+			next.Epoch = 2
+			next.Recover([]*Job{stored})
+			check(next, stored)
+		})
+	}
+}
+
 // A job whose last attempt has failed ends at once, even while another member of the gang is being stopped, and a later owner
 // that recovers its record does not start it.
 func TestLastFailureEndsTheJob(t *testing.T) {
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -60,8 +60,8 @@
 	u.recordStart(placement)
 	s.markDirty(u.job)
 	s.fairQueue.advance(u.job)
-	first := !u.job.started
-	u.job.started = true
+	first := !u.job.ordered
+	u.job.ordered = true
 	n := Notice{
 		Kind: "Placed", Job: u.job.ID, Priority: u.job.Priority, First: first, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: placement[0].ID, Workers: workers,
 		Cause: placedCause(u, placement), After: now.Sub(u.job.Submitted),
@@ -134,7 +134,11 @@
 	r.reported = true
 	r.confirmedAt = now
 	u := r.unit
-	if u == nil || u.phase != starting {
+	if u == nil {
+		return
+	}
+	u.job.begun = true
+	if u.phase != starting {
 		return
 	}
 	for _, other := range u.runs {
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -267,11 +267,11 @@
 // Job returns the job with the given id, or nil.
 func (s *State) Job(id ids.JobID) *Job { return s.jobs[id] }
 
-// Pending returns the number of a queue's stored jobs that have not started.
+// Pending returns the number of a queue's stored jobs of which no task has begun.
 func (s *State) Pending(queue ids.QueueID) int {
 	count := 0
 	for _, j := range s.live {
-		if j.Queue == queue && j.stored && !j.started {
+		if j.Queue == queue && j.stored && !j.begun {
 			count++
 		}
 	}
@@ -312,7 +312,7 @@
 	if at, found := slices.BinarySearchFunc(s.live, j, compareJobs); found {
 		s.live = slices.Delete(s.live, at, at+1)
 	}
-	if !j.started {
+	if !j.ordered {
 		s.fairQueue.refund(j)
 	}
 	s.guaranteedChanged = s.guaranteedChanged || j.Priority == 0
