Don't take runs for lost while a worker has more ends to list

Cause: a worker lists 500 of its ends at a time. While the store is down they can't be acknowledged, so the others are not listed, and Reported took each run that is neither active nor among the 500 for lost ('the worker no longer lists the run' in the log). A new owner took such a worker for known and started the recovered tasks again.

A report now says whether more ends may follow. Until a complete one, missing runs keep their place, and the worker does not count as known to a new owner, however long it takes while it answers.

No cost unless 500 ends wait.

--- a/internal/connection/worker/runs.go
+++ b/internal/connection/worker/runs.go
@@ -75,6 +75,8 @@
 		Incarnation uint64
 		Active      []ActiveRun
 		Ended       []EndedRun
+		// MoreEnds is set if further runs may have ended that are listed once these ends are acknowledged.
+		MoreEnds bool
 		// Malformed describes the parts of the report that could not be read and were dropped.
 		Malformed []string
 	}
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -58,6 +58,10 @@
 // expire handles everything whose time limit has passed.
 func (s *State) expire(now time.Time) {
 	for id, until := range s.unknown {
+		if n := s.nodes[id]; n != nil && !n.reportedAt.IsZero() && n.silentSince.IsZero() {
+			// It answers, and lists the rest of its ends with its next reports.
+			continue
+		}
 		if !now.Before(until) {
 			delete(s.unknown, id)
 			s.requestPass()
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -10,7 +10,8 @@
 )
 
 // Reported handles a worker's report. sent is when the report was requested: a run confirmed before then and missing from
-// the report has ended.
+// the report has ended. While further ends are to be listed, a missing run may be among them, and so may runs of an earlier
+// owner: not all of the worker's runs are known.
 func (s *State) Reported(id ids.InstanceID, report worker.RunReport, sent, now time.Time) {
 	n := s.nodes[id]
 	if n == nil || n.processEnded && !sent.After(n.endedAt) && report.Incarnation == n.Incarnation {
@@ -18,7 +19,7 @@
 		return
 	}
 	if !n.reported || !n.silentSince.IsZero() {
-		n.reported = true
+		n.reported = n.reported || !report.MoreEnds
 		s.requestPass()
 		s.capacityChanged(n)
 		s.invalidateRackFits()
@@ -67,7 +68,7 @@
 			s.stopLateStart(r, "the worker was restarted", now)
 			continue
 		}
-		if r.confirmedAt.IsZero() || !r.confirmedAt.Before(sent) {
+		if r.confirmedAt.IsZero() || !r.confirmedAt.Before(sent) || report.MoreEnds {
 			continue
 		}
 		if !r.mayHaveCrashedAt.IsZero() {
@@ -85,7 +86,9 @@
 	}
 	s.orderDueStops(n, now)
 	s.markChanged(n)
-	delete(s.unknown, id)
+	if n.reported {
+		delete(s.unknown, id)
+	}
 	s.resolveUnseen(n, now)
 }
 
--- a/internal/process/poolowner/faults_test.go
+++ b/internal/process/poolowner/faults_test.go
@@ -352,3 +352,43 @@
 		w.awaitState(1, "a", pool.Completed)
 	})
 }
+
+// Guards against tasks that run twice, since more of them have ended on a worker than its report holds: a run beyond the listed ends is neither active nor listed as
+// ended, and counted as lost. Ends pile up while the store is out and they can't be acknowledged.
+func TestEndsBeyondReport(t *testing.T) {
+	const tasks, runTime = 16, 3 * time.Second
+	for name, test := range map[string]struct {
+		// atEnd is called just before the store is back, and again is set if tasks may be started again after it.
+		atEnd func(w *cluster)
+		again bool
+	}{
+		"store out":                        {atEnd: func(*cluster) {}},
+		"store out, and the owner changes": {atEnd: func(w *cluster) { w.ownerInstance().kill(false) }},
+		"store out, and the workers restart": {again: true, atEnd: func(w *cluster) {
+			for id := range w.listed {
+				w.fleet.Worker(id).Crash()
+				w.fleet.Worker(id).Restart()
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.checker.BeginDisturbance()
+				w.fleet.EndsPerReport = 2
+				step := gangStep(tasks, 1)
+				step.Gang = false
+				w.mustSubmit(w.instances[0], "a", jobSpec{steps: []pool.Step{step}, runTime: runTime})
+				time.Sleep(500 * time.Millisecond)
+				require.Equal(t, tasks, w.checker.StartCount("a"))
+				w.store.SetOutage(true, true)
+				time.Sleep(runTime + time.Second)
+				test.atEnd(w)
+				w.store.SetOutage(false, true)
+				w.awaitState(1, "a", pool.Completed)
+				if !test.again {
+					require.Equal(t, tasks, w.checker.StartCount("a"), w.checker.EventLog())
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -22,6 +22,8 @@
 		Observe func(e Event)
 		// RefuseWhenDown makes calls to a crashed worker fail at once, as if its machine refused connections. Otherwise they get no answer.
 		RefuseWhenDown bool
+		// EndsPerReport limits the ends that a report holds; zero means no limit.
+		EndsPerReport int
 		// RestartAfter is the time after which a worker that a task has crashed restarts under its id.
 		RestartAfter time.Duration
 
@@ -516,6 +518,9 @@
 			report.Active = append(report.Active, worker.ActiveRun{Run: r.Run, Percent: r.progressPercent(w.hangRuns)})
 		}
 		report.Ended = append(report.Ended, w.pendingEnds...)
+		if limit := w.fleet.EndsPerReport; limit > 0 && len(report.Ended) >= limit {
+			report.Ended, report.MoreEnds = report.Ended[:limit], true
+		}
 		return nil
 	}
 	err := w.handleCall(ctx, "renew", func() error {
