Decode the entries of the instance list one by one

On our own interface, instances stopped following the instance list while one of its entries was malformed, and kept their last list: leaving targets got work.

Cause: the whole answer was decoded at once, and any error discarded it. The entries are decoded one by one now; those that can't be read are left out, and the timeline has an event InstanceMalformed.

TestInstanceListWithoutAnswer also checks the event and that the list is followed.

--- a/internal/connection/instancelist/instancelist.go
+++ b/internal/connection/instancelist/instancelist.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/apimachinery/pkg/labels"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
@@ -34,6 +36,7 @@
 
 	// Client holds the calls of the instance list.
 	Client struct {
+		// List returns the instances. With ErrMalformed it returns those whose entries can be read.
 		List func(ctx context.Context) ([]Instance, error)
 	}
 )
@@ -45,6 +48,9 @@
 	Runner Role = "Runner"
 )
 
+// ErrMalformed means that some entries of the list can't be read.
+var ErrMalformed = errors.New("an entry of the instance list is malformed")
+
 // PathInstances is the path of the list.
 const PathInstances = "/v1/instances"
 
@@ -52,8 +58,24 @@
 func Dial(address string, timeout time.Duration) Client {
 	client := httpjson.NewClient(address)
 	client.Timeout = timeout
-	return Client{List: func(ctx context.Context) (instances []Instance, err error) {
-		err = client.Call(ctx, "GET", PathInstances, nil, &instances)
-		return instances, err
+	return Client{List: func(ctx context.Context) ([]Instance, error) {
+		var entries []json.RawMessage
+		if err := client.Call(ctx, "GET", PathInstances, nil, &entries); err != nil {
+			return nil, err
+		}
+		return decode(entries)
 	}}
 }
+
+// decode decodes the entries one by one, so that a malformed one does not hide the others.
+func decode(entries []json.RawMessage) (instances []Instance, malformed error) {
+	for i, e := range entries {
+		var instance Instance
+		if err := json.Unmarshal(e, &instance); err != nil {
+			malformed = errors.Mark(errors.Wrapf(err, "entry %d of the instance list", i), ErrMalformed)
+			continue
+		}
+		instances = append(instances, instance)
+	}
+	return instances, malformed
+}
--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/apimachinery/pkg/labels"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/instancelist"
@@ -55,6 +56,7 @@
 // in use until one succeeds, since neither runners nor workers can be found otherwise.
 func (d *directory) run(ctx context.Context, refresh func()) {
 	var failingSince time.Time
+	malformed := false
 	for ctx.Err() == nil {
 		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, d.callTimeout)
@@ -63,7 +65,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
+		isPartial := errors.Is(err, instancelist.ErrMalformed)
+		if err != nil && !isPartial {
 			if failingSince.IsZero() {
 				failingSince = sent
 				d.onEvent("InstanceListLost", err.Error())
@@ -75,6 +78,10 @@
 			d.onEvent("InstanceListRegained", "after "+time.Since(failingSince).Round(time.Millisecond).String())
 			failingSince = time.Time{}
 		}
+		if isPartial && !malformed {
+			d.onEvent("InstanceMalformed", err.Error())
+		}
+		malformed = isPartial
 		d.snapshot.Store(newSnapshot(instances))
 		refresh()
 		pause.For(ctx, d.pollInterval)
--- a/internal/process/entry/directory_test.go
+++ b/internal/process/entry/directory_test.go
@@ -29,7 +29,11 @@
 					<-ctx.Done()
 					return nil, ctx.Err()
 				}
-				return []instancelist.Instance{{ID: worker, Role: instancelist.Worker, DataCentre: "d", Leaving: leaving}}, nil
+				var err error
+				if polls > 3 {
+					err = instancelist.ErrMalformed
+				}
+				return []instancelist.Instance{{ID: worker, Role: instancelist.Worker, DataCentre: "d", Leaving: leaving}}, err
 			}},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -43,5 +47,11 @@
 		}
 		require.Less(t, time.Since(began), 2500*time.Millisecond)
 		require.Equal(t, []string{"InstanceListLost", "InstanceListRegained"}, kinds)
+		// Malformed entries of others are an event, once, and the list is followed.
+		leaving = false
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []string{"InstanceListLost", "InstanceListRegained", "InstanceMalformed"}, kinds)
+		nodes, known := d.nodes("d", nil)
+		require.True(t, known && !nodes[0].Leaving)
 	})
 }
