Leave out entries that name no worker to use

After a change of the owner, accepted jobs started nothing for 15 s if an odd entry stood among those of the workers: one with a port out of range, an address that is none, a capacity near the largest integer, a remaining time without bound, or a service that no configuration names.

Cause: an entry that can be decoded was taken for one that names a worker. It never reports, so a new owner waits for it as for a worker that may run tasks of its predecessor. Deeply nested entries and numbers too large for their types were left out before; no process ended.

Entries are decoded once a revision.

--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -74,9 +74,8 @@
 		// ColdRemaining is how much longer the worker stays slow after its start, as of its entry.
 		ColdRemaining time.Duration
 
-		// revision is the store's revision of the entry, which was written after writtenAfter; zero if unknown.
-		revision     store.Revision
-		writtenAfter timestamp
+		// revision is the store's revision of the entry.
+		revision store.Revision
 	}
 
 	// OwnerRecord is the value of the owner key in the store: the instance that owns the pool.
--- a/internal/process/poolowner/owner_test.go
+++ b/internal/process/poolowner/owner_test.go
@@ -518,3 +518,44 @@
 		})
 	}
 }
+
+// Guards against entries of other writers that are linked as workers, and against workers that stay unused once a configuration names their service, or are dropped with
+// their runs when none does any more.
+func TestWorkersOfUnnamedService(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		name := func(services ...ids.ServiceID) {
+			w.catalog.Version++
+			w.catalog.Services = make(map[ids.ServiceID]bool)
+			for _, s := range services {
+				w.catalog.Services[s] = true
+			}
+			w.writeConfig()
+			time.Sleep(time.Second)
+		}
+		name("service")
+		for i := range 3 {
+			id := ids.InstanceID(fmt.Sprintf("worker%02d", i))
+			l := w.listed[id]
+			l.ID, l.Service = "x"+id, "other"
+			w.fleet.Add(l.ID)
+			w.listed[l.ID] = l
+			w.listWorker(l.ID)
+		}
+		time.Sleep(time.Second)
+		links := func() int {
+			owner, _ := w.ownerInstance().current()
+			count := 0
+			require.NoError(t, owner.term.Load().do(t.Context(), func() { count = len(owner.term.Load().links) }))
+			return count
+		}
+		require.Equal(t, 6, links())
+		name("service", "other")
+		require.Equal(t, 9, links())
+		w.mustSubmit(w.instances[0], "a", jobSpec{steps: []pool.Step{gangStep(1, 8)}, runTime: 8 * time.Second})
+		time.Sleep(500 * time.Millisecond)
+		name("other")
+		w.ownerInstance().kill(false)
+		w.awaitState(1, "a", pool.Completed)
+		require.Equal(t, 1, w.checker.StartCount("a"), "its worker is of a service that is not named any more")
+	})
+}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -37,7 +37,9 @@
 		configConfirmedAt timestamp
 		// leaseRenewedAt is when the last successful renewal of the ownership lease was sent.
 		leaseRenewedAt atomic.Pointer[timestamp]
-		listed         map[ids.InstanceID]ListedWorker
+		// listEntries holds the entries of the instance list by key, and listed the workers that they name.
+		listEntries map[string]*listEntry
+		listed      map[ids.InstanceID]ListedWorker
 		// listConfirmedAt is when the call was sent whose answer last confirmed the instance list.
 		listConfirmedAt atomic.Pointer[timestamp]
 		// renewalFailedAt is when the last renewal of the ownership lease was sent that the store didn't answer.
@@ -51,9 +53,9 @@
 		evacuationState        listState
 		// unknownDataCentres are the requested data centres without workers, each logged once.
 		unknownDataCentres map[ids.DataCentreID]bool
-		// malformedEntries are the unreadable entries of the instance list, each logged once.
-		malformedEntries map[string]bool
-		links            map[ids.InstanceID]*link
+		// unusedEntries are the entries of the instance list that name no worker to use, each logged once.
+		unusedEntries map[string]bool
+		links         map[ids.InstanceID]*link
 		// firstRenewals limits the first renewals in flight.
 		firstRenewals chan struct{}
 		// jobRevisions are the store's revisions of the jobs' records.
@@ -147,7 +149,7 @@
 		end:    func(cause string) { cancel(errors.New(cause)) },
 		events: make(chan func(), eventQueueSize),
 		state:  &pool.State{Epoch: c.Epoch, Times: o.Pool},
-		listed: make(map[ids.InstanceID]ListedWorker), malformedEntries: make(map[string]bool), links: make(map[ids.InstanceID]*link),
+		listed: make(map[ids.InstanceID]ListedWorker), unusedEntries: make(map[string]bool), links: make(map[ids.InstanceID]*link),
 		unknownDataCentres: make(map[ids.DataCentreID]bool), firstRenewals: make(chan struct{}, maxFirstRenewals),
 		jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
 	}
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -28,6 +28,16 @@
 		hung        bool
 	}
 
+	// listEntry is an entry of the instance list.
+	listEntry struct {
+		revision store.Revision
+		// writtenAfter is a time before it was written; zero if unknown.
+		writtenAfter timestamp
+		worker       ListedWorker
+		// isReadable is set if the entry names a worker.
+		isReadable bool
+	}
+
 	// prefixWatch maintains a copy of the entries under a prefix.
 	prefixWatch struct {
 		prefix string
@@ -202,6 +212,9 @@
 			}
 			t.catalog, t.configRevision = c, e.Revision
 			t.state.SetAccounts(c.Accounts)
+			if t.listEntries != nil {
+				t.applyWorkers(time.Now())
+			}
 			t.revalidateWaiting()
 			t.log.Info("configuration: in force", zap.Uint64("version", uint64(c.Version)), zap.Uint64("revision", uint64(e.Revision)),
 				zap.Int("queues", len(c.Queues)), zap.Int("keys", len(c.Keys)))
@@ -223,21 +236,58 @@
 	w.run(t, entries, revision)
 }
 
-// setWorkers applies the instance list as it was when a call was sent, or newer. Unreadable entries are skipped.
+// setWorkers applies the instance list as it was when a call was sent, or newer.
 func (t *term) setWorkers(entries []store.Entry, sent timestamp) {
 	now := time.Now()
 	var previous timestamp
 	if at := t.listConfirmedAt.Swap(&sent); at != nil {
 		previous = *at
 	}
-	listed := make(map[ids.InstanceID]ListedWorker, len(entries))
+	known := make(map[string]*listEntry, len(entries))
 	for _, e := range entries {
-		w, err := t.owner.Worker(e.Key, e.Value)
-		if err != nil {
-			if !t.malformedEntries[e.Key] {
-				t.malformedEntries[e.Key] = true
-				t.log.Warn("workers: an entry can't be read", zap.String("key", e.Key), zap.Error(err))
-			}
+		if known[e.Key] = t.listEntries[e.Key]; known[e.Key] == nil || known[e.Key].revision != e.Revision {
+			known[e.Key] = t.readEntry(e, previous)
+		}
+	}
+	removed := t.removedEntries(known)
+	t.listEntries = known
+	t.applyWorkers(now)
+	for id, unwritten := range removed {
+		t.state.EntryRemoved(id, unwritten, now)
+	}
+}
+
+// readEntry decodes an entry that was written after a time. An entry of another writer may be unreadable; it names no worker.
+func (t *term) readEntry(e store.Entry, writtenAfter timestamp) *listEntry {
+	entry := &listEntry{revision: e.Revision, writtenAfter: writtenAfter}
+	w, err := t.owner.Worker(e.Key, e.Value)
+	if err != nil {
+		t.warnOfEntry(e.Key, err)
+		return entry
+	}
+	w.revision = e.Revision
+	entry.worker, entry.isReadable = w, true
+	return entry
+}
+
+// warnOfEntry logs once that an entry names no worker to use.
+func (t *term) warnOfEntry(key string, cause error) {
+	if !t.unusedEntries[key] {
+		t.unusedEntries[key] = true
+		t.log.Warn("workers: an entry names no worker to use", zap.String("key", key), zap.Error(cause))
+	}
+}
+
+// applyWorkers applies the entries of the instance list by the configuration.
+func (t *term) applyWorkers(now time.Time) {
+	listed := make(map[ids.InstanceID]ListedWorker, len(t.listEntries))
+	for key, e := range t.listEntries {
+		w := e.worker
+		if !e.isReadable {
+			continue
+		}
+		if !t.mayUse(w) {
+			t.warnOfEntry(key, errors.Newf("no configuration names its service %q", w.Service))
 			continue
 		}
 		if old := t.listed[w.ID]; w.Draining && old.Draining && old.Incarnation == w.Incarnation {
@@ -246,25 +296,17 @@
 		} else if w.Draining && w.Notice > 0 {
 			w.LeavesAt = now.Add(w.Notice)
 		}
-		w.revision, w.writtenAfter = e.Revision, previous
-		if old := t.listed[w.ID]; old.revision == e.Revision {
-			w.writtenAfter = old.writtenAfter
-		}
 		w.ColdUntil = coldUntil(w, t.listed[w.ID], now)
 		listed[w.ID] = w
 	}
 	t.logListChanges(listed)
-	removed := t.removedEntries(entries)
+	t.listed = listed
 	workers := make([]pool.Worker, 0, len(listed))
 	for id, w := range listed {
 		workers = append(workers, w.Worker)
 		t.state.EntryReplaced(id, w.Incarnation, now)
 	}
 	t.state.SetWorkers(workers)
-	for _, id := range removed {
-		t.state.EntryRemoved(id, t.owner.since(t.listed[id].writtenAfter), now)
-	}
-	t.listed = listed
 	for id, w := range listed {
 		l := t.links[id]
 		if l != nil && l.address != w.Address {
@@ -278,17 +320,26 @@
 	}
 }
 
-// removedEntries returns the listed workers that have no entry any more. It returns none if the store may have been unavailable to the workers while
-// they wrote their entries.
-func (t *term) removedEntries(entries []store.Entry) []ids.InstanceID {
+// mayUse reports whether a worker is of a service that the configuration names, or has been used while an earlier one named it.
+func (t *term) mayUse(w ListedWorker) bool {
+	if t.catalog == nil || len(t.catalog.Services) == 0 || t.catalog.Services[w.Service] || t.links[w.ID] != nil {
+		return true
+	}
+	_, used := slices.BinarySearch(t.usedWorkers, w.ID)
+	return used
+}
+
+// removedEntries returns the listed workers that have no entry any more, and how long their last entries may not have been written. It returns none if the store
+// may have been unavailable to the workers while they wrote their entries.
+func (t *term) removedEntries(present map[string]*listEntry) map[ids.InstanceID]time.Duration {
 	if failed := t.renewalFailedAt.Load(); failed != nil && t.owner.since(*failed) < pool.EntryLifetimes*t.state.Times.EntryInterval {
 		return nil
 	}
-	present := entriesByKey(entries)
-	var removed []ids.InstanceID
+	removed := make(map[ids.InstanceID]time.Duration)
 	for id := range t.listed {
-		if _, found := present[t.owner.WorkerPrefix+string(id)]; !found {
-			removed = append(removed, id)
+		key := t.owner.WorkerPrefix + string(id)
+		if last := t.listEntries[key]; present[key] == nil && last != nil {
+			removed[id] = t.owner.since(last.writtenAfter)
 		}
 	}
 	return removed
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -14,6 +14,8 @@
 	Catalog struct {
 		Version ids.Version
 		Queues  []Queue
+		// Services holds the services that the configuration names. Workers of others are not used; none means that all are.
+		Services map[ids.ServiceID]bool
 		// Keys maps each API key to its account.
 		Keys     map[string]ids.AccountID
 		Accounts map[ids.AccountID]pool.Account
