Promise a successor until when leases are ordered, and wait no longer

Cause: an owner that lost the store ordered leases for 9 s after its ownership had ended, and its successor counted 9 s and a lease from the end of its recovery. It now orders leases for 6 s after the last renewal, writes this as a promise (Jujubegrade/Term), and a successor counts from its claim. Without the record of the term before, written by an earlier version or unreadable, it waits for what those versions do.

TestWaitForPredecessorLeases holds the waits. TestWaitForUnknownWorkerAcrossTakeovers takes its bounds from the new time, 3 s less than before; its known failure stays.

--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -186,8 +186,9 @@
 type claim struct {
 	OwnerRecord
 	lease store.LeaseID
-	// grantedAt is when the grant of the lease was requested.
-	grantedAt timestamp
+	// grantedAt is when the grant of the lease was requested, and committedAt when the store had committed the claim. An earlier owner has renewed its ownership
+	// before then at the latest.
+	grantedAt, committedAt timestamp
 }
 
 // claim sets the owner key, which must have the expected revision, and increments the epoch.
@@ -222,12 +223,13 @@
 		Conditions: []store.Condition{{Key: keyOwner, Revision: expected}, {Key: keyEpoch, Revision: entry.Revision}},
 		Sets:       []store.Set{{Key: keyOwner, Value: ownerValue, Lease: lease}, {Key: keyEpoch, Value: epochValue}},
 	})
+	c.committedAt = o.now()
 	if err == nil || !errors.Is(err, store.ErrUnknown) {
 		return c, errors.Wrap(err, "committing the claim")
 	}
 	// The claim may have been committed. A claim that is committed after this read is not used and ends with its lease.
 	if entry, readErr := o.Store.Get(ctx, keyOwner); readErr == nil && bytes.Equal(entry.Value, ownerValue) {
-		c.revision = entry.Revision
+		c.revision, c.committedAt = entry.Revision, o.now()
 		return c, nil
 	}
 	return nil, errors.Wrap(err, "committing the claim")
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -115,6 +115,7 @@
 	keyOwner   = "Jujubegrade/Owner"
 	keyEpoch   = "Jujubegrade/Epoch"
 	keyWorkers = "Jujubegrade/Workers"
+	keyTerm    = "Jujubegrade/Term"
 	// keyEstimates holds the learned run times.
 	keyEstimates = "Jujubegrade/Estimates"
 	prefixJobs   = "Jujubegrade/Job/"
--- a/internal/process/poolowner/ownership.go
+++ b/internal/process/poolowner/ownership.go
@@ -77,12 +77,6 @@
 	return 2*confirmed > renewed
 }
 
-// workerLease returns the lease that workers may be ordered to grant now; none if it is not positive. It ends at the latest leaseGrace and a worker's lease after the
-// last renewal of the ownership, so that a successor knows how long to wait, even one that took this owner for dead before its ownership had expired.
-func (t *term) workerLease() time.Duration {
-	return min(t.owner.Times.WorkerLease, leaseGrace+t.owner.Times.WorkerLease-t.owner.since(*t.leaseRenewedAt.Load()))
-}
-
 // watchSuccessor ends the term once another instance has claimed the pool.
 func (t *term) watchSuccessor() {
 	after := t.claim.revision
--- a/internal/process/poolowner/recovery.go
+++ b/internal/process/poolowner/recovery.go
@@ -49,14 +49,15 @@
 			return errors.Wrap(err, "listing "+what)
 		})
 	}
-	var usedList, learnedList, speedsList []store.Entry
-	var ignored [4]store.Revision
+	var usedList, termList, learnedList, speedsList []store.Entry
+	var ignored [5]store.Revision
 	list("the configuration", t.owner.ConfigPrefix, &config, &configRev)
 	list("the workers", t.owner.WorkerPrefix, &workers, &workersRev)
 	list("the jobs", prefixJobs, &records, &ignored[0])
 	list("the used workers", keyWorkers, &usedList, &ignored[1])
 	list("the estimates", keyEstimates, &learnedList, &ignored[2])
 	list("the workers' speeds", keySpeeds, &speedsList, &ignored[3])
+	list("the term before", keyTerm, &termList, &ignored[4])
 	if err := g.Wait(); err != nil {
 		return err
 	}
@@ -70,6 +71,7 @@
 			t.usedWorkers = []ids.InstanceID{unreadableWorker}
 		}
 	}
+	t.loadPromise(entryOf(termList, keyTerm))
 	t.loadEstimates(learned)
 	t.setEvacuations(config, sent)
 	t.setConfig(config, sent)
@@ -139,7 +141,7 @@
 		}
 	}
 	// An earlier owner that lost the store may have renewed leases until its own grace period ended.
-	until := now.Add(leaseGrace + t.maxWorkerLease())
+	until := now.Add(t.predecessorLeases())
 	t.state.EndRecovery(missing, until, now)
 	t.owner.term.Store(t)
 	t.owner.recovering.Store(false)
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -73,6 +73,11 @@
 		// that no link was added or removed since.
 		usedUpToDate   bool
 		unknownAtCheck int
+		// predecessor is the record of the term before this one; nil if there is none. termStored is set once that of this term is stored, and termRevision is the
+		// revision of the latest one.
+		predecessor  *TermRecord
+		termStored   bool
+		termRevision store.Revision
 		// estimatesRevision is the store's revision of the learned run times, estimatesSavedAt when they were last written,
 		// and savedSamples how many samples they included.
 		estimatesRevision store.Revision
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -30,6 +30,8 @@
 		estimates         map[ids.QueueID]pool.RunTimes
 		estimatesRevision store.Revision
 		samples           int
+		// promise is the record of the term to store; nil leaves the stored one as it is.
+		promise *TermRecord
 	}
 
 	// record is the record of a job at one version.
@@ -85,7 +87,8 @@
 	if used, changed := t.usedWorkersChanged(); changed {
 		b.used, b.usedRevision = used, t.usedRevision
 	}
-	if len(b.records) == 0 && b.used == nil {
+	t.addPromise(b)
+	if len(b.records) == 0 && b.used == nil && b.promise == nil {
 		return
 	}
 	t.addEstimates(b)
@@ -101,7 +104,7 @@
 // has passed. They don't need a transaction of their own.
 func (t *term) addEstimates(b *batch) {
 	now := time.Now()
-	if len(b.records) == maxBatchRecords || now.Sub(t.estimatesSavedAt) < estimatesSaveInterval {
+	if len(b.records) == maxBatchRecords || b.promise != nil || now.Sub(t.estimatesSavedAt) < estimatesSaveInterval {
 		return
 	}
 	if all, samples := t.state.Estimates(); samples > t.savedSamples {
@@ -143,6 +146,9 @@
 		tx.Conditions = append(tx.Conditions, store.Condition{Key: keyWorkers, Revision: b.usedRevision})
 		tx.Sets = append(tx.Sets, store.Set{Key: keyWorkers, Value: value})
 	}
+	if b.promise != nil {
+		t.addPromiseTo(&tx, *b.promise)
+	}
 	if b.estimates != nil {
 		value, err := json.Marshal(b.estimates)
 		if err != nil {
@@ -244,6 +250,9 @@
 	if b.used != nil {
 		t.usedWorkers, t.usedRevision = b.used, revision
 	}
+	if b.promise != nil {
+		t.termStored, t.termRevision = true, revision
+	}
 	if b.estimates != nil {
 		t.estimatesRevision, t.savedSamples = revision, b.samples
 	}
