Take the lease of a start before the check of its age

The lease was also computed after the last check of the order's age, so that a suspension there went unnoticed.

The lease is taken before that check, and the test covers a suspension at one more reading of the clock.

--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -68,6 +68,9 @@
 		if l.ctx.Err() != nil {
 			return
 		}
+		if o.Lease = t.workerLease(); o.Lease <= 0 {
+			break
+		}
 		// The timeout counts from the check: after a pause of the process the order is not sent without another check. A pause
 		// between the client's look at the deadline and its write to the connection is not detected.
 		ctx, cancel := context.WithDeadline(l.ctx, checked.at.Add(workerCallTimeout))
@@ -75,10 +78,6 @@
 			cancel()
 			continue
 		}
-		if o.Lease = t.workerLease(); o.Lease <= 0 {
-			cancel()
-			break
-		}
 		l.markLeaseOrdered()
 		err := l.runs.Start(ctx, o)
 		cancel()
--- a/internal/process/poolowner/pause_test.go
+++ b/internal/process/poolowner/pause_test.go
@@ -17,11 +17,11 @@
 // TestPauseBeforeSendingStart guards against a first start order that is sent after a pause of the process between the check of its age
 // and the sending. The pause exceeds the bounds for draining workers and evacuated data centres.
 func TestPauseBeforeSendingStart(t *testing.T) {
-	for pausedCall, sent := range []int{1, 0, 0} {
+	for pausedCall, sent := range []int{1, 0, 0, 0} {
 		t.Run(fmt.Sprintf("at reading %d of the clock", pausedCall), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				readings, starts := 0, 0
-				o := &Owner{Suspended: func() time.Duration {
+				o := &Owner{Times: Times{}.withDefaults(), Suspended: func() time.Duration {
 					// Reading 0 is the time of the decision.
 					if readings++; readings == pausedCall+1 && pausedCall > 0 {
 						time.Sleep(6 * time.Second)
@@ -31,6 +31,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				term := &term{owner: o, claim: &claim{}, log: zap.NewNop(), ctx: ctx, events: make(chan func()), state: &pool.State{}}
+				term.leaseRenewedAt.Store(&timestamp{at: time.Now()})
 				go func() {
 					for {
 						select {
