Wait only for workers that have answered an owner

After a change of the owner, accepted jobs waited for each listed worker that did not report, also one that nobody has ever heard from: an entry of another writer whose address never answers, or a worker that was lost before it first answered.

Cause: the stored list of used workers named all that were listed. It names those that have answered now, and a start on a worker waits until the stored list names it.

--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -386,18 +386,13 @@
 	}
 }
 
-// EndRecovery ends the time for workers to report their runs. Workers that have not reported, and those in missing, which
-// an earlier owner used and which are not listed, may run tasks until the given time; recovered jobs don't start before.
-func (s *State) EndRecovery(missing []ids.InstanceID, until, now time.Time) {
+// EndRecovery ends the time for workers to report their runs. Those of the workers that an earlier owner used which have not
+// reported may run tasks until the given time; recovered jobs don't start before.
+func (s *State) EndRecovery(used []ids.InstanceID, until, now time.Time) {
 	s.init()
 	s.recovering, s.recoveredAt = false, now
 	s.requestPass()
-	for id, n := range s.nodes {
-		if n.listed && !n.reported {
-			s.unknown[id] = until
-		}
-	}
-	for _, id := range missing {
+	for _, id := range used {
 		if n := s.nodes[id]; n == nil || !n.reported {
 			s.unknown[id] = until
 		}
--- a/internal/process/poolowner/handover.go
+++ b/internal/process/poolowner/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,6 +57,18 @@
 	return grace + t.maxWorkerLease() - t.owner.since(t.claim.committedAt)
 }
 
+// isUsed reports whether the stored list names a worker that may run tasks.
+func (t *term) isUsed(id ids.InstanceID) bool {
+	_, used := slices.BinarySearch(t.usedWorkers, id)
+	return used
+}
+
+// isUsedUnreadable reports whether the stored list can't be read, so that any worker may run tasks.
+func (t *term) isUsedUnreadable() bool { return t.isUsed(unreadableWorker) }
+
+// mayHaveRuns reports whether a worker may have runs of earlier owners. A worker that has never answered one has none.
+func (t *term) mayHaveRuns(id ids.InstanceID) bool { return t.isUsed(id) || t.isUsedUnreadable() }
+
 // addPromise adds the record of this term to a batch that has room for it.
 func (t *term) addPromise(b *batch) {
 	if t.termStored || len(b.records) == maxBatchRecords {
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -124,6 +124,7 @@
 	busy := t.state.Busy(id)
 	if _, listed := t.listed[id]; !listed && !busy {
 		t.removeLink(l)
+		delete(t.answered, id)
 		return
 	}
 	w := desiredState{renew: busy || id == probe, acknowledge: t.state.AcknowledgedEnd(id), handled: t.state.HandledEnd(id), incarnation: t.state.Incarnation(id)}
@@ -281,6 +282,9 @@
 	handled := make(chan struct{})
 	l.term.post(func() {
 		defer close(handled)
+		if l.term.links[l.id] != nil && !l.term.answered[l.id] {
+			l.term.answered[l.id], l.term.usedUpToDate = true, false
+		}
 		l.term.state.Reported(l.id, report, sent, time.Now())
 	})
 	select {
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,45 @@
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
+// heldStart is a start order on a worker that the stored list of used workers does not name yet.
+type heldStart struct {
+	action  pool.Action
+	decided timestamp
+}
+
+// order carries out the actions of a scheduling pass. A start on a worker waits until the stored list of used workers names it, so that a successor accounts for it.
+func (t *term) order(actions []pool.Action, decided timestamp, now time.Time) {
+	for _, a := range actions {
+		if a.Kind == pool.StartRun && !t.isUsed(a.Worker) {
+			t.heldStarts = append(t.heldStarts, heldStart{a, decided})
+			continue
+		}
+		held := slices.IndexFunc(t.heldStarts, func(h heldStart) bool { return h.action.Worker == a.Worker && h.action.Run == a.Run })
+		if held < 0 {
+			t.dispatch(a, decided)
+			continue
+		}
+		// The run was stopped before its start was sent.
+		t.heldStarts = slices.Delete(t.heldStarts, held, held+1)
+		t.state.RunRefused(a.Worker, a.Run, errNotSent, false, now)
+	}
+}
+
+// releaseStarts sends the held orders to workers that the stored list names now, and drops those of runs that have been abandoned.
+func (t *term) releaseStarts(now time.Time) {
+	t.heldStarts = slices.DeleteFunc(t.heldStarts, func(h heldStart) bool {
+		switch {
+		case !t.state.MayStart(h.action.Worker, h.action.Run):
+			t.state.RunRefused(h.action.Worker, h.action.Run, errNotSent, false, now)
+		case t.isUsed(h.action.Worker):
+			t.dispatch(h.action, h.decided)
+		default:
+			return false
+		}
+		return true
+	})
+}
+
 // dispatch sends the order of one action that was decided at a time.
 func (t *term) dispatch(a pool.Action, decided timestamp) {
 	l := t.links[a.Worker]
--- a/internal/process/poolowner/recovery.go
+++ b/internal/process/poolowner/recovery.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -107,21 +109,11 @@
 	return store.Entry{}
 }
 
-// allReported reports whether every listed worker has reported its runs.
-func (t *term) allReported() bool {
-	for id := range t.listed {
-		if !t.state.HasReported(id) {
-			return false
-		}
-	}
-	return true
-}
-
-// missingReports returns the number of listed workers that have not reported.
+// missingReports returns the number of listed workers that have not reported and may have runs of earlier owners.
 func (t *term) missingReports() int {
 	missing := 0
 	for id := range t.listed {
-		if !t.state.HasReported(id) {
+		if t.mayHaveRuns(id) && !t.state.HasReported(id) {
 			missing++
 		}
 	}
@@ -134,17 +126,20 @@
 		return
 	}
 	now := time.Now()
-	var missing []ids.InstanceID
+	used, missing := slices.Clone(t.usedWorkers), 0
 	for _, id := range t.usedWorkers {
 		if _, found := t.listed[id]; !found {
-			missing = append(missing, id)
+			missing++
 		}
 	}
+	if t.isUsedUnreadable() {
+		used = slices.AppendSeq(used, maps.Keys(t.listed))
+	}
 	// An earlier owner that lost the store may have renewed leases until its own grace period ended.
 	until := now.Add(t.predecessorLeases())
-	t.state.EndRecovery(missing, until, now)
+	t.state.EndRecovery(used, until, now)
 	t.owner.term.Store(t)
 	t.owner.recovering.Store(false)
 	c := t.state.Counts(now)
-	t.log.Info("owner: ownership taken", zap.Int("unknown", c.Unknown), zap.Int("runs", c.Runs), zap.Int("jobs", c.LiveJobs), zap.Int("missing", len(missing)))
+	t.log.Info("owner: ownership taken", zap.Int("unknown", c.Unknown), zap.Int("runs", c.Runs), zap.Int("jobs", c.LiveJobs), zap.Int("missing", missing))
 }
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -56,11 +56,15 @@
 		// unusedEntries are the entries of the instance list that name no worker to use, each logged once.
 		unusedEntries map[string]bool
 		links         map[ids.InstanceID]*link
+		// answered holds the linked workers that have reported to this owner.
+		answered map[ids.InstanceID]bool
 		// firstRenewals limits the first renewals in flight.
 		firstRenewals chan struct{}
 		// jobRevisions are the store's revisions of the jobs' records.
 		jobRevisions map[ids.JobID]store.Revision
 		waiters      map[ids.JobID][]*waiter
+		// heldStarts are the starts on workers that the stored list of used workers does not name yet.
+		heldStarts []heldStart
 		// writeBlocked is set while the next batch has to wait, and inFlight is the batch being committed.
 		writeBlocked bool
 		inFlight     *batch
@@ -70,7 +74,7 @@
 		usedWorkers  []ids.InstanceID
 		usedRevision store.Revision
 		// usedUpToDate means that the stored list was correct at the last check, when unknownAtCheck workers were unknown, and
-		// that no link was added or removed since.
+		// that no link was added or removed and no worker has answered for the first time since.
 		usedUpToDate   bool
 		unknownAtCheck int
 		// predecessor is the record of the term before this one; nil if there is none. termStored is set once that of this term is stored, and termRevision is the
@@ -154,7 +158,7 @@
 		end:    func(cause string) { cancel(errors.New(cause)) },
 		events: make(chan func(), eventQueueSize),
 		state:  &pool.State{Epoch: c.Epoch, Times: o.Pool},
-		listed: make(map[ids.InstanceID]ListedWorker), unusedEntries: make(map[string]bool), links: make(map[ids.InstanceID]*link),
+		listed: make(map[ids.InstanceID]ListedWorker), unusedEntries: make(map[string]bool), links: make(map[ids.InstanceID]*link), answered: make(map[ids.InstanceID]bool),
 		unknownDataCentres: make(map[ids.DataCentreID]bool), firstRenewals: make(chan struct{}, maxFirstRenewals),
 		jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
 	}
@@ -239,7 +243,7 @@
 		case <-ticker.C:
 			t.tick()
 		}
-		if !t.isServing() && t.allReported() {
+		if !t.isServing() && t.missingReports() == 0 {
 			t.endRecovery()
 		}
 		t.decide()
@@ -310,9 +314,7 @@
 		t.logNotice(n)
 		t.owner.metrics.observeNotice(n)
 	}
-	for _, a := range actions {
-		t.dispatch(a, decided)
-	}
+	t.order(actions, decided, now)
 	t.updateLinks(now)
 	t.write()
 }
@@ -350,7 +352,7 @@
 }
 
 // usedWorkersChanged returns the workers that may run tasks, and whether the stored list differs. The next owner needs
-// the list to account for all of them.
+// the list to account for all of them. A worker that has never answered runs nothing.
 func (t *term) usedWorkersChanged() ([]ids.InstanceID, bool) {
 	unknown := t.state.UnknownWorkers()
 	if t.usedUpToDate && len(unknown) == t.unknownAtCheck {
@@ -360,7 +362,9 @@
 	}
 	list := unknown
 	for id := range t.links {
-		list = append(list, id)
+		if t.answered[id] {
+			list = append(list, id)
+		}
 	}
 	slices.Sort(list)
 	list = slices.Compact(list)
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -325,8 +325,7 @@
 	if t.catalog == nil || len(t.catalog.Services) == 0 || t.catalog.Services[w.Service] || t.links[w.ID] != nil {
 		return true
 	}
-	_, used := slices.BinarySearch(t.usedWorkers, w.ID)
-	return used
+	return t.isUsed(w.ID)
 }
 
 // removedEntries returns the listed workers that have no entry any more, and how long their last entries may not have been written. It returns none if the store
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -249,6 +249,7 @@
 	}
 	if b.used != nil {
 		t.usedWorkers, t.usedRevision = b.used, revision
+		t.releaseStarts(time.Now())
 	}
 	if b.promise != nil {
 		t.termStored, t.termRevision = true, revision
