Declare the run time of the jobs that fill the pool in a test

TestFirstStartOnWorkerWaitsForList failed in about 1 of 100 runs: its filling jobs declared 2 s and ran for a minute, so that their workers counted as slow and the last job waited for them.

--- a/internal/process/poolowner/takeover_test.go
+++ b/internal/process/poolowner/takeover_test.go
@@ -180,8 +180,10 @@
 	for name, cancel := range map[string]bool{"it waits": false, "it is cancelled meanwhile": true} {
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, func(t *testing.T, w *cluster) {
-				for i := range w.listed {
-					w.mustSubmit(w.instances[0], ids.JobID("fills"+i), jobSpec{steps: []pool.Step{gangStep(1, 8)}, runTime: time.Minute})
+				long := gangStep(1, 8)
+				long.Estimate = time.Minute
+				for id := range w.listed {
+					w.mustSubmit(w.instances[0], ids.JobID("fills"+id), jobSpec{steps: []pool.Step{long}, runTime: time.Minute})
 				}
 				w.mustSubmit(w.instances[0], "b", jobSpec{steps: []pool.Step{gangStep(1, 8)}, runTime: time.Second})
 				time.Sleep(time.Second)
