Lose only the runs that an ended process has listed

Cause: a newer incarnation in the entry, like its removal, shows the end of the process that last reported, not of one that the owner doesn't know yet. Only the runs that the ended process has listed are lost; the others wait for the next report or the lease.

--- a/internal/process/pool/departure.go
+++ b/internal/process/pool/departure.go
@@ -108,8 +108,25 @@
 
 // markIfEnded records that a worker's process has ended if that is proved.
 func (s *State) markIfEnded(n *node, now time.Time) {
-	if f, cause := n.evidence(now).fate(); f == processEnded && !n.processEnded {
+	f, cause := n.evidence(now).fate()
+	switch {
+	case f != processEnded || n.processEnded:
+	case n.otherProcess:
 		s.MarkDead(n.ID, cause, now)
+	default:
+		s.markReplaced(n, cause, now)
+	}
+}
+
+// markReplaced records that the process of a worker that last reported has ended. The worker may have another one already, in which runs may have been started
+// before that was known, so only the runs that the ended process has listed are lost.
+func (s *State) markReplaced(n *node, cause string, now time.Time) {
+	inEnded := func(r *run) bool { return r.listedIn != 0 && r.listedIn == n.Incarnation }
+	s.markEnded(n, cause, now, func(r *run) bool { return !inEnded(r) })
+	for _, r := range slices.Clone(n.runs) {
+		if inEnded(r) {
+			s.runLost(r, cause, now)
+		}
 	}
 }
 
--- a/internal/process/pool/departure_test.go
+++ b/internal/process/pool/departure_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
 // What is known of a worker that does not answer, and what may have become of its runs. The same table is in docs/PROOFS.md.
@@ -93,3 +94,48 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice, since their runs counted as lost with a process that had ended before they were started: the worker had a new process, which
+// the owner did not know of yet.
+func TestRunsOfReplacedProcess(t *testing.T) {
+	replaced := func(s *State, now time.Time) { s.EntryReplaced("w0000", 2, now) }
+	left := func(s *State, now time.Time) {
+		s.SetWorkers([]Worker{s.nodes["w0001"].Worker})
+		s.EntryRemoved("w0000", time.Second, now)
+	}
+	for name, test := range map[string]struct {
+		// listed is set if the earlier process has listed the run.
+		listed bool
+		ends   func(s *State, now time.Time)
+		// lists is set if the new process lists it afterwards.
+		lists bool
+		want  unitPhase
+	}{
+		"listed, replaced":                        {listed: true, ends: replaced, want: waiting},
+		"listed, left":                            {listed: true, ends: left, want: waiting},
+		"not listed, replaced":                    {ends: replaced, want: running},
+		"not listed, left":                        {ends: left, want: running},
+		"not listed, replaced, listed by the new": {ends: replaced, lists: true, want: running},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(2, 2)
+			j := gangJob("a", 1, 1, 8, 10*time.Second)
+			s.accept(j, testStart)
+			a := s.startAll(testStart)[0]
+			require.Equal(t, ids.InstanceID("w0000"), a.Worker)
+			s.ExtendLease(a.Worker, testStart.Add(simLease))
+			now := testStart.Add(time.Second)
+			active := []worker.ActiveRun{{Run: a.Run, Percent: 10}}
+			if test.listed {
+				s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Active: active}, now, now)
+			}
+			test.ends(s, now.Add(time.Second))
+			if test.lists {
+				s.Reported(a.Worker, worker.RunReport{Incarnation: 2, Active: active}, now.Add(2*time.Second), now.Add(2*time.Second))
+			}
+			require.Equal(t, test.want, j.units[0].phase)
+			s.Decide(testStart.Add(simLease + time.Second))
+			require.Equal(t, test.lists, j.units[0].phase == running, "without a report the run is lost with the lease")
+		})
+	}
+}
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -190,6 +190,8 @@
 		orderedAt time.Time
 		// reported is set once the worker has confirmed or listed the run. Until then the run may still be started.
 		reported bool
+		// listedIn is the incarnation of the worker that last listed the run; zero if none has.
+		listedIn uint64
 		// pinned is set if the run is a single task without checkpoints, which a stop sets back to its start.
 		pinned bool
 		// startUnanswered is set if a start order got no answer. The worker may still carry it out, even after a restart.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -260,23 +260,28 @@
 // MarkDead records that a worker's process has ended.
 func (s *State) MarkDead(id ids.InstanceID, cause string, now time.Time) {
 	if n := s.nodes[id]; n != nil {
-		if n.reported {
-			s.recordDeparture(n, now)
-		}
-		if !n.processEnded && len(n.runs) > 0 {
-			s.notice(Notice{Kind: "WorkerEnded", Worker: id, Tasks: len(n.runs), After: n.silentFor(now), Cause: cause})
-		}
-		s.recordCrash(n, cause, now, nil)
-		n.reported = false
-		if n.silentSince.IsZero() {
-			s.setSilent(n, now)
-		}
-		s.markChanged(n)
-		s.capacityChanged(n)
+		s.markEnded(n, cause, now, nil)
 		s.loseRuns(n, cause, now)
 	}
 }
 
+// markEnded marks a worker whose process has ended. survives is as in recordCrash.
+func (s *State) markEnded(n *node, cause string, now time.Time, survives func(r *run) bool) {
+	if n.reported {
+		s.recordDeparture(n, now)
+	}
+	if !n.processEnded && len(n.runs) > 0 {
+		s.notice(Notice{Kind: "WorkerEnded", Worker: n.ID, Tasks: len(n.runs), After: n.silentFor(now), Cause: cause})
+	}
+	s.recordCrash(n, cause, now, survives)
+	n.reported = false
+	if n.silentSince.IsZero() {
+		s.setSilent(n, now)
+	}
+	s.markChanged(n)
+	s.capacityChanged(n)
+}
+
 // loseRuns removes the runs of a worker whose process has ended. An unanswered start may still be carried out by the
 // worker's next incarnation; it is stopped there before the task may start elsewhere.
 func (s *State) loseRuns(n *node, cause string, now time.Time) {
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -262,7 +262,7 @@
 	if r.phase == runStarting {
 		s.confirmStart(r, now)
 	}
-	r.reported, r.mayHaveCrashedAt = true, time.Time{}
+	r.reported, r.listedIn, r.mayHaveCrashedAt = true, n.Incarnation, time.Time{}
 	r.percent = a.Percent
 	if r.unit != nil {
 		r.unit.job.begun = true
@@ -322,7 +322,7 @@
 	j := s.jobs[a.Job]
 	u := j.unitOf(a.Task)
 	s.lastRunSeq++
-	r := &run{seq: s.lastRunSeq, Run: a.Run, node: n, phase: runActive, reported: true, orderedAt: now, confirmedAt: now, percent: a.Percent}
+	r := &run{seq: s.lastRunSeq, Run: a.Run, node: n, phase: runActive, reported: true, listedIn: n.Incarnation, orderedAt: now, confirmedAt: now, percent: a.Percent}
 	if u != nil {
 		r.resources = u.spec().Each
 		j.ordered, j.begun = true, true
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -188,7 +188,7 @@
 		s.backOff(r.unit, now)
 		s.stopUnit(r.unit, cause, now)
 	}
-	if r.endsWithProcess && r.node.processEnded {
+	if r.endsWithProcess && r.node.processEnded && !r.node.replaced && !r.node.left {
 		s.runLost(r, cause, now)
 	}
 }
