Give each order to a worker an outcome

Cause: starts and stops returned without an outcome when their link closed. A start is now unknown, or refused if it was not sent; a stop that was not confirmed is ordered again with the worker's next report; an order for a worker without a link is refused.

TestAddressChangesDuringOrder failed before in both cases.

--- a/internal/process/poolowner/faults_test.go
+++ b/internal/process/poolowner/faults_test.go
@@ -392,3 +392,43 @@
 		})
 	}
 }
+
+// Guards against orders without an outcome: a worker's address changes while an order waits for its answer, and the run keeps its place without being started or
+// stopped again.
+func TestAddressChangesDuringOrder(t *testing.T) {
+	for call, runTime := range map[string]time.Duration{"start": 2 * time.Second, "stop": 10 * time.Minute} {
+		t.Run(call, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.checker.BeginDisturbance()
+				for id := range w.listed {
+					w.fleet.Worker(id).SetFault(func(c string) runservice.Fault { return runservice.Fault{Silent: c == call} })
+				}
+				w.mustSubmit(w.instances[0], "a", jobSpec{steps: []pool.Step{gangStep(3, 8)}, runTime: runTime})
+				time.Sleep(200 * time.Millisecond)
+				if call == "stop" {
+					_, err := w.call(w.instances[0], Cancel, 1, "a", jobSpec{})
+					require.NoError(t, err)
+					time.Sleep(100 * time.Millisecond)
+				}
+				for id, l := range w.listed {
+					l.Address = "elsewhere"
+					w.mu.Lock()
+					w.listed[id] = l
+					w.mu.Unlock()
+					w.listWorker(id)
+				}
+				time.Sleep(300 * time.Millisecond)
+				for id := range w.listed {
+					w.fleet.Worker(id).SetFault(nil)
+				}
+				if call == "start" {
+					w.awaitState(1, "a", pool.Completed)
+				}
+				w.defineJob("b", jobSpec{steps: []pool.Step{gangStep(6, 8)}, runTime: time.Second})
+				_, err := w.submit(w.instances[0], 0, "b")
+				require.NoError(t, err)
+				w.awaitState(0, "b", pool.Completed)
+			})
+		})
+	}
+}
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -57,15 +57,24 @@
 // dispatch sends the order of one action that was decided at a time.
 func (t *term) dispatch(a pool.Action, decided timestamp) {
 	l := t.links[a.Worker]
-	if l == nil {
-		return
-	}
 	switch a.Kind {
 	case pool.StartRun:
+		if l == nil {
+			t.state.RunRefused(a.Worker, a.Run, errNotSent, false, time.Now())
+			return
+		}
 		l.markLeaseOrdered()
 		t.spawn("a start order", func() { l.start(a, decided) })
 	case pool.StopRun:
-		t.spawn("a stop order", func() { l.stop(a) })
+		if l == nil {
+			t.state.StopUndelivered(a.Worker, a.Run)
+			return
+		}
+		t.spawn("a stop order", func() {
+			if !l.stop(a) {
+				t.post(func() { t.state.StopUndelivered(a.Worker, a.Run) })
+			}
+		})
 	}
 }
 
@@ -84,14 +93,15 @@
 	}
 }
 
-// start starts a run and reports the outcome to the term.
+// start starts a run and reports the outcome to the term, also if the link is closed meanwhile: the worker may have another address.
 func (l *link) start(a pool.Action, decided timestamp) {
 	queued := len(l.orderSlots) == cap(l.orderSlots)
+	t := l.term
 	if !l.acquireSlot() {
+		t.post(func() { t.state.RunRefused(l.id, a.Run, errNotSent, false, time.Now()) })
 		return
 	}
 	defer func() { <-l.orderSlots }()
-	t := l.term
 	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Checkpoint: a.Checkpoint}
 	// unknown means that an order may have been executed, and closed that only a process which has closed its connection since can have executed it.
 	unknown, closed := false, true
@@ -106,7 +116,7 @@
 			l.logLateStart(a.Run, attempt+1, t.owner.since(decided))
 		}
 		if l.ctx.Err() != nil {
-			return
+			break
 		}
 		if o.Lease = t.workerLease(); o.Lease <= 0 {
 			break
@@ -123,8 +133,6 @@
 		cancel()
 		t.owner.metrics.Starts.Add(1)
 		switch {
-		case l.ctx.Err() != nil:
-			return
 		case err == nil:
 			t.post(func() { t.state.RunStarted(l.id, a.Run, time.Now()) })
 			return
@@ -185,10 +193,11 @@
 	return errors.IsAny(err, worker.ErrNoCapacity, worker.ErrUnhealthy, worker.ErrIncarnationMismatch, worker.ErrInvalid, worker.ErrNotListening)
 }
 
-// stop stops a run. It repeats the order until the worker confirms it or the run can no longer exist there.
-func (l *link) stop(a pool.Action) {
+// stop stops a run. It repeats the order until the worker confirms it or the run can no longer exist there, and reports whether it was confirmed or needs no further
+// order.
+func (l *link) stop(a pool.Action) (done bool) {
 	if !l.acquireSlot() {
-		return
+		return false
 	}
 	release := func() { <-l.orderSlots }
 	t := l.term
@@ -199,24 +208,21 @@
 		cancel()
 		t.owner.metrics.Stops.Add(1)
 		switch {
-		case l.ctx.Err() != nil:
-			release()
-			return
 		case err == nil || errors.Is(err, worker.ErrSuperseded):
 			release()
 			t.post(func() { t.state.StopConfirmed(l.id, a.Run, time.Now()) })
 			l.pollAfterStop(a)
-			return
+			return true
 		case errors.Is(err, worker.ErrFenced):
 			release()
 			t.end("worker " + string(l.id) + " follows a newer owner")
-			return
+			return true
+		case l.ctx.Err() != nil:
 		case errors.IsAny(err, worker.ErrIncarnationMismatch, worker.ErrNotListening):
 			// Renewals find out when the worker can be reached again.
 			release()
 			l.callFailed(err, sent, failedAt(sent, 0))
-			t.post(func() { t.state.StopUndelivered(l.id, a.Run) })
-			return
+			return false
 		case !isRefusal(err):
 			// The renewal in flight may wait 1 s longer before it detects this.
 			l.callFailed(err, sent, failedAt(sent, 0))
@@ -227,6 +233,7 @@
 		pause.For(l.ctx, jitter(workerRetryDelay))
 	}
 	release()
+	return false
 }
 
 // mayStop reports whether a stop order may be repeated. The next incarnation of a process that has ended gets a new order.
--- a/internal/process/poolowner/soak_test.go
+++ b/internal/process/poolowner/soak_test.go
@@ -47,6 +47,9 @@
 			defer s.stop()
 			s.fleet.RestartAfter = time.Duration(rapid.IntRange(100, 8000).Draw(rt, "restart after")) * time.Millisecond
 			s.fleet.RefuseWhenDown = s.pick(2, "refuse") == 0
+			if !deadly {
+				s.fleet.EndsPerReport = s.pick(4, "ends per report")
+			}
 			s.catalog.UncheckedCapacity = true
 			s.writeConfig()
 			for range soakSteps {
@@ -67,6 +70,9 @@
 		s.killInstance, s.pauseInstance, s.storeOutage, s.storeFault, s.store.Compact,
 		s.crashWorker, s.disconnectWorker, s.breakWorker, s.delayOrders, s.expireEntry, s.changeConfig, s.evacuateAny, s.reduceCapacity,
 	}
+	if !s.deadly {
+		faults = append(faults, s.moveWorker)
+	}
 	switch n := s.pick(2*len(faults)+2, "action"); {
 	case n < len(faults):
 		faults[n]()
@@ -260,6 +266,17 @@
 	})
 }
 
+// moveWorker changes the address of a worker, whose process goes on.
+func (s *soak) moveWorker() {
+	id := ids.InstanceID(fmt.Sprintf("worker%02d", s.pick(soakWorkers, "worker")))
+	s.mu.Lock()
+	l := s.listed[id]
+	l.Address += "'"
+	s.listed[id] = l
+	s.mu.Unlock()
+	s.listWorker(id)
+}
+
 // changeConfig writes the next version of the configuration.
 func (s *soak) changeConfig() {
 	s.catalog.Version++
