Keep one job's record from stopping the writes of all others

A record that would be too large omits checkpoints and the workers of starts, which a successor can do without, and an ended job's record omits its units; reads both. A job that may outgrow a value even so is refused at submission, like one whose id or times can't be stored. What outgrows it all the same is taken out of the batch and ended, with a log line and a metric.

--- a/internal/process/pool/clock_test.go
+++ b/internal/process/pool/clock_test.go
@@ -19,7 +19,7 @@
 			s := testState(1, 1)
 			s.accept(j, testStart)
 			s.Cancel(j.ID, testStart)
-			record, err := j.Encode("1")
+			record, err := j.Encode("1", 0)
 			require.NoError(t, err)
 			restored, err := Decode(record)
 			require.NoError(t, err)
--- a/internal/process/pool/evacuate_test.go
+++ b/internal/process/pool/evacuate_test.go
@@ -91,7 +91,7 @@
 func TestDrainingWorkerAfterTakeover(t *testing.T) {
 	j := gangJob("a", 1, 1, 8, 10*time.Second)
 	testState(2, 2).accept(j, testStart)
-	record, err := j.Encode("1")
+	record, err := j.Encode("1", 0)
 	require.NoError(t, err)
 	restored, err := Decode(record)
 	require.NoError(t, err)
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -58,28 +58,61 @@
 // ErrFormat is returned for a record in a format that this version doesn't know.
 var ErrFormat = errors.New("the record has an unknown format")
 
-// Encode returns the job's record.
-func (j *Job) Encode(writer string) ([]byte, error) {
+// Encode returns the job's record of at most limit bytes; zero means no limit. If it would be larger, it omits what a successor can do without: checkpoints, and where
+// tasks were started, by which it counts crashes.
+func (j *Job) Encode(writer string, limit int) ([]byte, error) {
+	value, err := j.encode(writer, false)
+	if err != nil || limit == 0 || len(value) <= limit {
+		return value, err
+	}
+	if value, err = j.encode(writer, true); err == nil && len(value) > limit {
+		err = errors.Newf("the record has %d bytes, and a value of the store at most %d", len(value), limit)
+	}
+	return value, err
+}
+
+func (j *Job) encode(writer string, short bool) ([]byte, error) {
 	r := Record{
 		Format: recordFormat, ID: j.ID, Queue: j.Queue, Service: j.Service, Account: j.Account, Priority: j.Priority,
 		Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule, Elapsed: j.elapsed(), Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target,
 		State: j.State, Begun: j.begun, Finished: j.Finished, Writer: writer,
 	}
 	for i, u := range j.units {
-		if u.occurrence < r.Elapsed || (u.phase != done && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && len(u.crashes.started) == 0 && u.checkpoint == "") {
+		started, checkpoint := u.crashes.started, u.checkpoint
+		if short {
+			started, checkpoint = nil, ""
+		}
+		// Nothing of an ended job is started again.
+		if j.ended() || u.occurrence < r.Elapsed || (u.phase != done && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && len(started) == 0 && checkpoint == "") {
 			continue
 		}
 		if r.Units == nil {
 			r.Units = make(map[int]UnitRecord)
 		}
 		r.Units[i] = UnitRecord{
-			Done: u.phase == done, Failed: u.failedRuns, Checkpoint: u.checkpoint,
-			Crashes: u.crashes.list, Survived: u.crashes.survived, Started: u.crashes.started,
+			Done: u.phase == done, Failed: u.failedRuns, Checkpoint: checkpoint,
+			Crashes: u.crashes.list, Survived: u.crashes.survived, Started: started,
 		}
 	}
 	return json.Marshal(r)
 }
 
+// maxTaskRecord is the size of a task's part of a record that omits what can be omitted. Few tasks fail or crash their workers.
+const maxTaskRecord = 32
+
+// RecordBound returns how many bytes the job's record may take at least once the tasks of one occurrence have ended.
+func (j *Job) RecordBound() (int, error) {
+	tasks := 0
+	for _, s := range j.Steps {
+		tasks += s.Tasks
+	}
+	value, err := (&Job{
+		ID: j.ID, Queue: j.Queue, Service: j.Service, Account: j.Account, Priority: j.Priority, Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule,
+		Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target, State: Accepted,
+	}).encode("", false)
+	return len(value) + tasks*maxTaskRecord, err
+}
+
 // Decode reads a job from its record.
 func Decode(value []byte) (*Job, error) {
 	var r Record
--- a/internal/process/pool/record_test.go
+++ b/internal/process/pool/record_test.go
@@ -25,7 +25,7 @@
 			j, err := Decode(earlier)
 			require.NoError(t, err)
 			require.Equal(t, test.begun, j.Begun())
-			record, err := j.Encode("writer")
+			record, err := j.Encode("writer", 0)
 			require.NoError(t, err)
 			var want, got map[string]any
 			require.NoError(t, json.Unmarshal(earlier, &want))
@@ -37,3 +37,46 @@
 		})
 	}
 }
+
+// Guards against records that outgrow a value of the store, although a successor can do without a part of them.
+func TestRecordWithinLimit(t *testing.T) {
+	for name, test := range map[string]struct {
+		limit          int
+		state          JobState
+		started, fails bool
+	}{
+		"no limit":             {state: Accepted, started: true},
+		"large enough":         {limit: 10000, state: Accepted, started: true},
+		"without places":       {limit: 2000, state: Accepted},
+		"too small":            {limit: 600, state: Accepted, fails: true},
+		"too small, but ended": {limit: 600, state: Completed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(4, 2)
+			j := gangJob("4c1d", 1, 40, 1, 0)
+			j.Steps[0].Gang = false
+			s.accept(j, testStart)
+			s.startAll(testStart)
+			for i, u := range j.units {
+				if i < 20 {
+					u.setPhase(done)
+					continue
+				}
+				u.crashes.started = []StartedOn{{Worker: "w0000", Incarnation: 1764892800000, Tasks: []int{i}}}
+			}
+			j.State = test.state
+			value, err := j.Encode("writer", test.limit)
+			require.Equal(t, test.fails, err != nil)
+			if test.fails {
+				return
+			}
+			require.True(t, test.limit == 0 || len(value) <= test.limit)
+			stored, err := Decode(value)
+			require.NoError(t, err)
+			require.Equal(t, test.state, stored.State)
+			require.True(t, stored.Begun())
+			require.Equal(t, test.started, len(stored.units[20].crashes.started) > 0)
+			require.Equal(t, test.state == Accepted, stored.units[0].phase == done)
+		})
+	}
+}
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -135,7 +135,7 @@
 				require.Equal(t, !test.begun, s.Pending(j.Queue) == 1)
 			}
 			check(s, j)
-			record, err := j.Encode("1")
+			record, err := j.Encode("1", 0)
 			require.NoError(t, err)
 			stored, err := Decode(record)
 			require.NoError(t, err)
@@ -161,7 +161,7 @@
 	require.NotEmpty(t, s.nodes["w0001"].runs, "the other member holds its resources until it has ended")
 
 	j.State = Accepted
-	value, err := j.Encode("1")
+	value, err := j.Encode("1", 0)
 	require.NoError(t, err)
 	found, err := Decode(value)
 	require.NoError(t, err)
--- a/internal/process/pool/simulator_test.go
+++ b/internal/process/pool/simulator_test.go
@@ -326,7 +326,7 @@
 	old := s.State
 	var jobs []*Job
 	for _, j := range old.live {
-		record, err := j.Encode("")
+		record, err := j.Encode("", 0)
 		if err != nil {
 			panic(err)
 		}
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -407,6 +407,13 @@
 	}
 }
 
+// Fail ends a job that can't be kept.
+func (s *State) Fail(id ids.JobID, cause string, now time.Time) {
+	if j := s.jobs[id]; j != nil && !j.ended() {
+		s.end(j, Failed, cause, now)
+	}
+}
+
 // end ends a job and stops its runs.
 func (s *State) end(j *Job, state JobState, cause string, now time.Time) {
 	j.State = state
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
@@ -88,6 +89,8 @@
 	// infeasibleRetryAfter is the retry delay for a job that can't run in the pool as it is: it needs more resources than its
 	// workers have, or a feature that this version lacks. Workers or a newer version may come later.
 	infeasibleRetryAfter = 10 * time.Second
+	// maxKeyBytes is the length of the longest key of the platform's store.
+	maxKeyBytes = 200
 	// storeOutageThreshold is the time without an answer to a write after which no more jobs are accepted.
 	storeOutageThreshold = 600 * time.Millisecond
 )
@@ -233,6 +236,9 @@
 		ID: id, Queue: q.ID, Service: q.Service, Account: account, Priority: q.Priority, Payload: c.Payload, Steps: c.Steps, Schedule: c.Schedule,
 		Submitted: now, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target,
 	}
+	if cause := t.storable(j); cause != "" {
+		return t.refuse(c, Invalid, cause, 0), nil
+	}
 	if refusal := t.state.Admit(j, now); refusal != nil {
 		after := refusal.RetryAfter
 		if after == 0 {
@@ -247,6 +253,21 @@
 	return Answer{}, t.addWaiter(id, c.Key, false)
 }
 
+// storable returns why a job's record can't be stored, or may outgrow a value of the store; empty if it can.
+func (t *term) storable(j *pool.Job) string {
+	if len(prefixJobs)+len(j.ID) > maxKeyBytes {
+		return "the job's id is too long"
+	}
+	bound, err := j.RecordBound()
+	switch limit := t.owner.MaxValueBytes; {
+	case err != nil:
+		return "the job can't be stored: " + err.Error()
+	case limit > 0 && bound > limit:
+		return "the job's record may take " + strconv.Itoa(bound) + " bytes, and a value of the store at most " + strconv.Itoa(limit)
+	}
+	return ""
+}
+
 // cancelJob cancels a job. The caller is answered once the cancellation is stored.
 func (t *term) cancelJob(c Call, j *pool.Job, now time.Time) (Answer, *waiter) {
 	if j == nil {
--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -75,8 +75,9 @@
 		cancel    context.CancelFunc
 
 		mu sync.Mutex
-		// delayClaims is passed to the owner of the next process.
-		delayClaims bool
+		// delayClaims and maxValueBytes are passed to the owner of the next process.
+		delayClaims   bool
+		maxValueBytes int
 		// dead means that the process has terminated, and machineOff that its machine is off too.
 		dead, machineOff bool
 		// cutOff means that the instance reaches neither the store nor other instances, which find its port closed.
@@ -233,7 +234,7 @@
 		Dial:        func(l ListedWorker) worker.RunClient { return process.runs(l.ID, w.fleet.Worker(l.ID)) },
 		Log:         w.checker.Logger(i.name),
 		Suspended:   func() time.Duration { return 0 },
-		DelayClaims: i.delayClaims,
+		DelayClaims: i.delayClaims, MaxValueBytes: i.maxValueBytes,
 		// Jobs are retained for longer than any test runs.
 		Pool: pool.Times{Retention: 24 * time.Hour},
 	}
--- a/internal/process/poolowner/faults_test.go
+++ b/internal/process/poolowner/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -432,3 +433,53 @@
 		})
 	}
 }
+
+// Guards against one job that stops all writes: its record outgrows a value of the store, and the transaction is repeated without end. It is refused at submission if
+// that can be known, and otherwise ended, so that the others go on.
+func TestRecordOutgrowsValue(t *testing.T) {
+	const limit = 4000
+	step := gangStep(1, 1)
+	step.Gang = false
+	wide := step
+	wide.Tasks = 120
+	for name, test := range map[string]struct {
+		id   ids.JobID
+		spec jobSpec
+		// state is that of the job in the end; empty if it is refused.
+		state pool.JobState
+	}{
+		"small":       {"a", jobSpec{steps: []pool.Step{step}}, pool.Completed},
+		"too wide":    {"a", jobSpec{steps: []pool.Step{wide}}, ""},
+		"id too long": {ids.JobID(strings.Repeat("a", 200)), jobSpec{steps: []pool.Step{step}}, ""},
+		"many at once": {"a", jobSpec{steps: []pool.Step{step}, schedule: pool.Schedule{
+			Occurrences: 100, First: time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC), Interval: time.Millisecond,
+		}}, pool.Completed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.checker.BeginDisturbance()
+				for _, i := range w.instances {
+					i.maxValueBytes = limit
+				}
+				for _, i := range w.instances {
+					i.kill(false)
+					i.start()
+				}
+				time.Sleep(2 * time.Second)
+				w.awaitOwner()
+				test.spec.runTime = 3 * time.Second
+				w.defineJob(test.id, test.spec)
+				answer, err := w.submit(w.instances[0], 1, test.id)
+				require.NoError(t, err)
+				if test.state == "" {
+					require.Equal(t, Invalid, answer.Result, answer.Reason)
+				}
+				w.mustSubmit(w.instances[1], "other", jobSpec{steps: []pool.Step{step}, runTime: time.Second})
+				w.awaitState(1, "other", pool.Completed)
+				if test.state != "" {
+					w.awaitState(1, test.id, test.state)
+				}
+			})
+		})
+	}
+}
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -22,9 +22,11 @@
 	Metrics struct {
 		Claims, Calls, Refused expvar.Int
 		// Panics counts the panics that ended a term.
-		Panics                       expvar.Int
-		Writes, WritesFailed         expvar.Int
-		Renewals, RenewalsFailed     expvar.Int
+		Panics                   expvar.Int
+		Writes, WritesFailed     expvar.Int
+		Renewals, RenewalsFailed expvar.Int
+		// RecordsRejected counts the jobs that ended since their records can't be stored.
+		RecordsRejected              expvar.Int
 		Starts, StartsUnknown, Stops expvar.Int
 		// WorkerCrashes counts the workers whose processes ended unannounced, and RunsCrashed the runs that were lost with them.
 		WorkerCrashes, RunsCrashed expvar.Int
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -47,6 +47,8 @@
 		// Suspended returns the total time for which the machine has been suspended, which the monotonic clock doesn't
 		// count. Nil asks the operating system.
 		Suspended func() time.Duration
+		// MaxValueBytes is the size of the largest value that the store takes; zero means no limit.
+		MaxValueBytes int
 		// DelayClaims makes this instance delay its claims, so that other instances claim first.
 		DelayClaims bool
 
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -73,9 +73,9 @@
 	}
 	b := &batch{}
 	for _, j := range t.state.Dirty(maxBatchRecords) {
-		value, err := j.Encode(strconv.FormatUint(uint64(t.claim.Epoch), 10) + "." + strconv.FormatUint(j.Version(), 10))
+		value, err := j.Encode(strconv.FormatUint(uint64(t.claim.Epoch), 10)+"."+strconv.FormatUint(j.Version(), 10), t.owner.MaxValueBytes)
 		if err != nil {
-			t.log.Error("records: a job can't be encoded", zap.String("job", string(j.ID)), zap.Error(err))
+			t.rejectRecord(j, err.Error())
 			continue
 		}
 		r := record{id: j.ID, version: j.Version(), value: value, revision: t.jobRevisions[j.ID], isNew: !j.IsStored()}
@@ -100,6 +100,22 @@
 	})
 }
 
+// rejectRecord ends a job whose record can't be stored. The other records of a batch are written without it, and the ends of its runs are acknowledged once its end
+// is stored, which takes less.
+func (t *term) rejectRecord(j *pool.Job, cause string) {
+	t.owner.metrics.RecordsRejected.Add(1)
+	t.log.Error("records: a job's record can't be stored", zap.String("job", string(j.ID)), zap.String("cause", cause))
+	if j.IsStored() {
+		t.state.Fail(j.ID, cause, time.Now())
+		return
+	}
+	t.state.Withdraw(j.ID)
+	for _, w := range t.waiters[j.ID] {
+		w.answer <- Answer{Result: Invalid, Reason: cause}
+	}
+	delete(t.waiters, j.ID)
+}
+
 // addEstimates adds the learned run times to a batch that has room for them, if they have changed and the save interval
 // has passed. They don't need a transaction of their own.
 func (t *term) addEstimates(b *batch) {
