Ask for a report before a start counts as unknown

A report that lists the run now confirms it. The term of TestPauseBeforeSendingStart has a call for renewals, which fails.

--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -161,6 +161,8 @@
 		t.post(func() { t.state.RunRefused(l.id, a.Run, errNotSent, false, time.Now()) })
 		return
 	}
+	// A report that lists the run confirms it.
+	l.poll()
 	t.post(func() { t.state.RunStartUnknown(l.id, a.Run, closed, time.Now()) })
 }
 
@@ -261,6 +263,11 @@
 	if l.ctx.Err() != nil || !l.term.hasRun(l.id, a.Run) {
 		return
 	}
+	l.poll()
+}
+
+// poll requests a report.
+func (l *link) poll() {
 	sent := time.Now()
 	report, err := l.sendRenewal(worker.RenewRunsRequest{Epoch: l.term.claim.Epoch, Acknowledged: 0})
 	if err == nil {
--- a/internal/process/poolowner/pause_test.go
+++ b/internal/process/poolowner/pause_test.go
@@ -51,6 +51,9 @@
 					starts++
 					return nil
 				}
+				l.runs.Renew = func(context.Context, worker.RenewRunsRequest) (worker.RunReport, error) {
+					return worker.RunReport{}, worker.ErrConnectionClosed
+				}
 				l.start(pool.Action{Worker: "w"}, o.now())
 				require.Equal(t, sent, starts)
 			})
