Run the soak of processes with an earlier version beside this one

'make soak-upgrade FROM=COMMIT' builds a commit of the history; each instance takes turns between the two versions with each start, under the faults of the soak.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SEED ?= 1
 CHECKS ?= 20
 
-.PHONY: all build test check fmt demo tour soak measure bench capacity pages fuzz
+.PHONY: all build test check fmt demo tour soak soak-upgrade measure bench capacity pages fuzz
 
 all: fmt check
 
@@ -27,6 +27,13 @@
 	go test ./internal/process/placement ./internal/process/owner ./internal/process/poolowner -count=1 -run 'TestSoak$$' -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 	go test ./platform -count=1 -run TestProcessSoak -process.seed $(SEED)
 
+soak-upgrade: ## tests processes of this version beside those of the commit FROM, which take turns in each instance
+	test -n "$(FROM)"
+	rm -rf target/earlier && git worktree prune && git worktree add --detach target/earlier $(FROM)
+	cd target/earlier && go build -o bin/ ./cmd/...
+	go test ./platform -count=1 -run TestProcessSoak -process.seed $(SEED) -process.earlier $(CURDIR)/target/earlier/bin/jujubegrade; \
+		status=$$?; git worktree remove --force target/earlier; exit $$status
+
 measure: ## compares the decisions with two baselines, one figure per line
 	go run ./cmd/jujubegrade measure -seed $(SEED)
 
