--- a/internal/process/entry/directory_test.go
+++ b/internal/process/entry/directory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,10 +20,20 @@
 		const worker = ids.InstanceID("w")
 		began := time.Now()
 		polls, leaving := 0, false
+		var mu sync.Mutex
 		var kinds []string
+		seen := func() []string {
+			mu.Lock()
+			defer mu.Unlock()
+			return slices.Clone(kinds)
+		}
 		d := &directory{
 			pollInterval: time.Second, callTimeout: time.Second,
-			onEvent: func(kind, _ string) { kinds = append(kinds, kind) },
+			onEvent: func(kind, _ string) {
+				mu.Lock()
+				defer mu.Unlock()
+				kinds = append(kinds, kind)
+			},
 			list: instancelist.Client{List: func(ctx context.Context) ([]instancelist.Instance, error) {
 				polls++
 				if polls == 2 {
@@ -31,7 +43,7 @@
 				}
 				var err error
 				if polls > 3 {
-					err = instancelist.ErrMalformed
+					leaving, err = false, instancelist.ErrMalformed
 				}
 				return []instancelist.Instance{{ID: worker, Role: instancelist.Worker, DataCentre: "d", Leaving: leaving}}, err
 			}},
@@ -46,12 +58,11 @@
 			}
 		}
 		require.Less(t, time.Since(began), 2500*time.Millisecond)
-		require.Equal(t, []string{"InstanceListLost", "InstanceListRegained"}, kinds)
+		require.Equal(t, []string{"InstanceListLost", "InstanceListRegained"}, seen())
 		// Malformed entries of others are an event, once, and the list is followed.
-		leaving = false
 		time.Sleep(3 * time.Second)
-		require.Equal(t, []string{"InstanceListLost", "InstanceListRegained", "InstanceMalformed"}, kinds)
 		nodes, known := d.nodes("d", nil)
 		require.True(t, known && !nodes[0].Leaving)
+		require.Equal(t, []string{"InstanceListLost", "InstanceListRegained", "InstanceMalformed"}, seen())
 	})
 }
--- a/internal/process/poolowner/faults_test.go
+++ b/internal/process/poolowner/faults_test.go
@@ -375,7 +375,7 @@
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, func(t *testing.T, w *cluster) {
 				w.checker.BeginDisturbance()
-				w.fleet.EndsPerReport = 2
+				w.fleet.SetEndsPerReport(2)
 				step := gangStep(tasks, 1)
 				step.Gang = false
 				w.mustSubmit(w.instances[0], "a", jobSpec{steps: []pool.Step{step}, runTime: runTime})
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -169,8 +169,11 @@
 // mayStart returns the time of the check and whether a delayed or repeated order to start a run may still be sent. The run may have been abandoned,
 // its worker may be draining, or it may have ended on a worker that has restarted since and has no record of it. Such a worker
 // doesn't know the newest epoch either, so an instance sends late orders only if it is certain that it is still the owner.
-func (l *link) mayStart(r worker.Run) (checked timestamp, valid bool) {
+func (l *link) mayStart(r worker.Run) (timestamp, bool) {
 	t := l.term
+	// They are not results: the check may still run after the link is closed.
+	var checked timestamp
+	valid := false
 	if err := t.do(l.ctx, func() {
 		checked = t.owner.now()
 		valid = t.state.MayStart(l.id, r) && !t.currentListState().holdsStarts() && !t.currentEvacuationState().holdsStarts() && t.isStillOwner()
--- a/internal/process/poolowner/soak_test.go
+++ b/internal/process/poolowner/soak_test.go
@@ -48,7 +48,7 @@
 			s.fleet.RestartAfter = time.Duration(rapid.IntRange(100, 8000).Draw(rt, "restart after")) * time.Millisecond
 			s.fleet.RefuseWhenDown = s.pick(2, "refuse") == 0
 			if !deadly {
-				s.fleet.EndsPerReport = s.pick(4, "ends per report")
+				s.fleet.SetEndsPerReport(s.pick(4, "ends per report"))
 			}
 			s.catalog.UncheckedCapacity = true
 			s.writeConfig()
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -22,14 +22,14 @@
 		Observe func(e Event)
 		// RefuseWhenDown makes calls to a crashed worker fail at once, as if its machine refused connections. Otherwise they get no answer.
 		RefuseWhenDown bool
-		// EndsPerReport limits the ends that a report holds; zero means no limit.
-		EndsPerReport int
 		// RestartAfter is the time after which a worker that a task has crashed restarts under its id.
 		RestartAfter time.Duration
 
-		mu      sync.Mutex
-		workers map[ids.InstanceID]*Worker
-		gangs   map[gangKey]*gang
+		mu sync.Mutex
+		// endsPerReport limits the ends that a report holds; zero means no limit.
+		endsPerReport int
+		workers       map[ids.InstanceID]*Worker
+		gangs         map[gangKey]*gang
 	}
 
 	// TaskSpec describes the simulated behaviour of a task.
@@ -159,6 +159,13 @@
 	return w
 }
 
+// SetEndsPerReport limits the ends that a report holds; zero means no limit.
+func (f *Fleet) SetEndsPerReport(limit int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endsPerReport = limit
+}
+
 // Worker returns the worker with the given ID.
 func (f *Fleet) Worker(id ids.InstanceID) *Worker {
 	f.mu.Lock()
@@ -518,7 +525,7 @@
 			report.Active = append(report.Active, worker.ActiveRun{Run: r.Run, Percent: r.progressPercent(w.hangRuns)})
 		}
 		report.Ended = append(report.Ended, w.pendingEnds...)
-		if limit := w.fleet.EndsPerReport; limit > 0 && len(report.Ended) >= limit {
+		if limit := w.fleet.endsPerReport; limit > 0 && len(report.Ended) >= limit {
 			report.Ended, report.MoreEnds = report.Ended[:limit], true
 		}
 		return nil
