End the check of missing reports at the first missing one

Cause: whether all workers had reported was decided after each event of a recovery by counting those that had not, with a search of the list of used workers for each: the square of the number of workers.

--- a/internal/process/poolowner/recovery.go
+++ b/internal/process/poolowner/recovery.go
@@ -109,11 +109,22 @@
 	return store.Entry{}
 }
 
+// allReported reports whether every listed worker that may have runs of earlier owners has reported. It is called after each event of a recovery, so it must not
+// look at all workers.
+func (t *term) allReported() bool {
+	for id := range t.listed {
+		if !t.state.HasReported(id) && t.mayHaveRuns(id) {
+			return false
+		}
+	}
+	return true
+}
+
 // missingReports returns the number of listed workers that have not reported and may have runs of earlier owners.
 func (t *term) missingReports() int {
 	missing := 0
 	for id := range t.listed {
-		if t.mayHaveRuns(id) && !t.state.HasReported(id) {
+		if !t.state.HasReported(id) && t.mayHaveRuns(id) {
 			missing++
 		}
 	}
--- a/internal/process/poolowner/takeover_test.go
+++ b/internal/process/poolowner/takeover_test.go
@@ -63,7 +63,7 @@
 				served := time.Since(killed)
 				owner, _ := next.current()
 				for reported := false; !reported && time.Since(killed) < limit; time.Sleep(10 * time.Millisecond) {
-					require.NoError(t, owner.term.Load().do(context.Background(), func() { reported = owner.term.Load().missingReports() == 0 }))
+					require.NoError(t, owner.term.Load().do(context.Background(), func() { reported = owner.term.Load().allReported() }))
 				}
 				reported := time.Since(killed)
 				time.Sleep(12 * time.Second)
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -243,7 +243,7 @@
 		case <-ticker.C:
 			t.tick()
 		}
-		if !t.isServing() && t.missingReports() == 0 {
+		if !t.isServing() && t.allReported() {
 			t.endRecovery()
 		}
 		t.decide()
