Say with the lines of a job why its task was started again

The lines that name a job had no evidence: decision: WorkerEnded has no job, Stopped no worker, and the next Placed no reason. On-call could not tell which worker was believed ended, by what, and how old that was.

- decision: RunsLost names each run that counts as ended without an end listed by its worker, with the evidence, its age, the age of the last report and what was left of the lease.
- decision: Placed has the previous ending of the task, with the same fields.
- decision: UnknownRunStopped and Done say whether this owner had counted the run as ended, and why; JujubegradeLostRunsFound counts the former.
- store: watch failed and store: watch got no answer have the dataCentre and the contactAge, so that a cut of one can be told from an outage of the store.
- Lines that are not sampled have room of their own in the buffer of the log: a burst of others does not displace them.
- jujubegrade timeline -logs -job shows lines that list a run of the job.

TestTaskOfUnreachableWorker reads the lines of the job only, in each of its eleven cases; TestStalledReader fills the buffer with sampled lines first.

--- a/cmd/jujubegrade/command_test.go
+++ b/cmd/jujubegrade/command_test.go
@@ -108,17 +108,23 @@
 	require.NoError(t, os.WriteFile(first, []byte(`{"level":"info","ts":"2026-12-01T08:00:02.000Z","msg":"decision: Done","instance":"a","epoch":2,"job":"j1","worker":"w1","cause":"ran 1s"}
 not a log line
 {"level":"info","ts":"2026-12-01T08:00:03.000Z","msg":"decision: Done","instance":"a","epoch":2,"job":"j2","worker":"w1","cause":"ran 1s"}
+{"level":"info","ts":"2026-12-01T08:00:01.400Z","msg":"decision: RunsLost","instance":"a","epoch":2,"runs":["j2/0/0 run 1","j1/0/3 run 1001"],"job":"","worker":"w0","cause":"its entry names a new incarnation"}
+{"level":"info","ts":"2026-12-01T08:00:01.400Z","msg":"decision: RunsLost","instance":"a","epoch":2,"runs":["j2/0/1 run 1"],"job":"","worker":"w0","cause":"its entry names a new incarnation"}
+{"level":"info","ts":"2026-12-01T08:00:01.500Z","msg":"decision: Placed","instance":"a","epoch":2,"previous":{"run":1001,"lostOn":"w0","evidence":"its entry names a new incarnation"},"job":"j1","worker":"w1","cause":"free capacity"}
+{"level":"info","ts":"2026-12-01T08:00:01.600Z","msg":"owner: ownership taken","instance":"a","epoch":2,"runs":1,"jobs":2}
 `), 0o600))
 	require.NoError(t, os.WriteFile(second, []byte(`   0.5 b {"level":"info","ts":"2026-12-01T08:00:01.000Z","msg":"call: refused","instance":"b","path":"/queue/j1","result":"Refused","cause":"it would wait 6s"}
 `), 0o600))
 	code, out := runCommand(t, "timeline", "-logs", first+","+second, "-job", "j1")
 	require.Equal(t, exitOK, code, out)
 	lines := strings.Split(strings.TrimSpace(out), "\n")
-	require.Len(t, lines, 2, out)
+	require.Len(t, lines, 4, out)
 	require.Contains(t, lines[0], "call: refused")
 	require.Contains(t, lines[0], "Refused; it would wait 6s")
-	require.Contains(t, lines[1], "decision: Done")
-	require.Contains(t, lines[1], "ran 1s; w1")
+	require.Contains(t, lines[1], "decision: RunsLost")
+	require.Contains(t, lines[2], "free capacity; w1; lost on w0: its entry names a new incarnation")
+	require.Contains(t, lines[3], "decision: Done")
+	require.Contains(t, lines[3], "ran 1s; w1")
 	code, out = runCommand(t, "timeline", "-logs", filepath.Join(dir, "none.log"))
 	require.Equal(t, exitFailed, code, out)
 }
--- a/cmd/jujubegrade/timeline_logs.go
+++ b/cmd/jujubegrade/timeline_logs.go
@@ -38,6 +38,13 @@
 		Priority int              `json:"priority"`
 		// Objective is in seconds.
 		Objective float64 `json:"objective"`
+		// Runs lists the runs that a worker has lost, in some messages, or counts them.
+		Runs json.RawMessage `json:"runs"`
+		// Previous is how the previous run of a task ended.
+		Previous struct {
+			LostOn   ids.InstanceID `json:"lostOn"`
+			Evidence string         `json:"evidence"`
+		} `json:"previous"`
 	}
 )
 
@@ -52,7 +59,7 @@
 func readLogs(files []string, f operator.Filter) (operator.Timeline, error) {
 	var t operator.Timeline
 	err := eachLogLine(files, func(l logLine, when time.Time) {
-		if e := l.event(when); (f.Job == "" || e.Job == f.Job) && (f.Account == "" || e.Account == f.Account) && !when.Before(f.Since) {
+		if e := l.event(when); (f.Job == "" || e.Job == f.Job || l.listsRunOf(f.Job)) && (f.Account == "" || e.Account == f.Account) && !when.Before(f.Since) {
 			t.Events = append(t.Events, e)
 		}
 	})
@@ -60,6 +67,11 @@
 	return t, err
 }
 
+// listsRunOf reports whether the line lists a run of a job.
+func (l logLine) listsRunOf(job ids.JobID) bool {
+	return bytes.Contains(l.Runs, []byte(`"`+string(job)+"/"))
+}
+
 // eachLogLine calls use for the lines of log files, file by file. Text before the first brace of a line is ignored.
 func eachLogLine(files []string, use func(l logLine, when time.Time)) error {
 	for _, name := range files {
@@ -112,6 +124,9 @@
 			causes = append(causes, w)
 		}
 	}
+	if l.Previous.Evidence != "" {
+		causes = append(causes, "lost on "+string(l.Previous.LostOn)+": "+l.Previous.Evidence)
+	}
 	return operator.Event{
 		Time: when, Instance: l.Instance, Kind: l.Msg, DataCentre: l.Centre, Job: job, Account: l.Account, Target: l.Worker, Epoch: l.Epoch, Cause: strings.Join(causes, "; "),
 	}
--- a/internal/process/logsink/logsink.go
+++ b/internal/process/logsink/logsink.go
@@ -28,6 +28,9 @@
 		complete zapcore.Core
 	}
 
+	// completeWriter writes to all of a sink's buffer.
+	completeWriter struct{ *Sink }
+
 	// textErrors writes errors as their texts. Their verbose form would add a stack trace to each line.
 	textErrors struct{ zapcore.Core }
 )
@@ -36,15 +39,17 @@
 const Complete = "complete"
 
 const (
-	// bufferLines is the capacity of the buffer: about one second of logging under heavy load.
+	// bufferLines is the capacity of the buffer for sampled lines: about one second of logging under heavy load.
 	bufferLines = 2048
+	// completeLines is the additional capacity for lines of loggers named Complete: one for each of the workers of a large pool, and as many starts.
+	completeLines = 3 * bufferLines
 	// flushTimeout bounds the time that Close waits for the writer.
 	flushTimeout = 500 * time.Millisecond
 )
 
 // New returns a sink that writes to out.
 func New(out io.Writer) *Sink {
-	s := &Sink{lines: make(chan []byte, bufferLines), stopped: make(chan struct{}), done: make(chan struct{})}
+	s := &Sink{lines: make(chan []byte, bufferLines+completeLines), stopped: make(chan struct{}), done: make(chan struct{})}
 	go s.run(out)
 	return s
 }
@@ -74,8 +79,17 @@
 	}
 }
 
-// Write appends one line to the buffer, or drops it if the buffer is full. It never fails.
+// Write appends one line to the buffer, or drops it if the part for sampled lines is full. It never fails.
 func (s *Sink) Write(p []byte) (int, error) {
+	if len(s.lines) >= bufferLines {
+		s.dropped.Add(1)
+		return len(p), nil
+	}
+	return s.writeComplete(p)
+}
+
+// writeComplete appends one line to the buffer, or drops it if all of the buffer is full.
+func (s *Sink) writeComplete(p []byte) (int, error) {
 	line := append([]byte(nil), p...)
 	select {
 	case s.lines <- line:
@@ -85,6 +99,9 @@
 	return len(p), nil
 }
 
+// Write implements io.Writer.
+func (w completeWriter) Write(p []byte) (int, error) { return w.writeComplete(p) }
+
 // Sync does nothing: lines are written as soon as the writer accepts them.
 func (s *Sink) Sync() error { return nil }
 
@@ -155,10 +172,11 @@
 	c.EncodeTime = zapcore.ISO8601TimeEncoder
 	c.CallerKey, c.NameKey = zapcore.OmitKey, zapcore.OmitKey
 	core := textErrors{zapcore.NewCore(zapcore.NewJSONEncoder(c), s, level)}
+	complete := textErrors{zapcore.NewCore(zapcore.NewJSONEncoder(c), completeWriter{s}, level)}
 	count := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 		if d&zapcore.LogDropped != 0 {
 			onSuppressed()
 		}
 	})
-	return zap.New(selective{Core: zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter, count), complete: core})
+	return zap.New(selective{Core: zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter, count), complete: complete})
 }
--- a/internal/process/logsink/logsink_test.go
+++ b/internal/process/logsink/logsink_test.go
@@ -29,6 +29,7 @@
 		out := &stalledWriter{release: make(chan struct{})}
 		s := New(out)
 		const lines = 3 * bufferLines
+		log := Logger(s, zap.InfoLevel, nil)
 		for range lines {
 			n, err := s.Write([]byte("line\n"))
 			require.NoError(t, err)
@@ -36,9 +37,17 @@
 		}
 		dropped := s.Dropped()
 		require.Positive(t, dropped)
+		for range completeLines {
+			log.Named(Complete).Info("decision: RunsLost")
+		}
+		require.Equal(t, dropped, s.Dropped())
+		log.Named(Complete).Info("decision: RunsLost")
+		require.Equal(t, dropped+1, s.Dropped())
+		dropped++
 		close(out.release)
 		s.Close()
-		require.Equal(t, int64(lines), dropped+int64(strings.Count(out.String(), "\n")))
+		require.Equal(t, completeLines, strings.Count(out.String(), "decision: RunsLost"))
+		require.Equal(t, int64(lines+completeLines+1), dropped+int64(strings.Count(out.String(), "\n")))
 	})
 }
 
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -42,6 +42,7 @@
 			s.moveEvacuated(now)
 		}
 	}
+	s.completeLosses()
 	actions, notices := s.actions, s.notices
 	s.actions, s.notices = nil, nil
 	return actions, notices
@@ -115,7 +116,7 @@
 			continue
 		}
 		r.unit.maybeFailedRuns = append(r.unit.maybeFailedRuns, r.Number)
-		s.notice(Notice{Kind: "RunGone", Job: r.Job, Step: r.Step, Number: r.Number, Worker: n.ID, Cause: "its gang is broken, and the worker is silent"})
+		s.recordLoss(r, "its gang is broken, and the worker is silent", now)
 		s.recordUnseen(n, []lostRun{r.lost()}, now)
 		s.removeRun(r)
 		s.requeueStopped(r.unit)
--- a/internal/process/pool/departure.go
+++ b/internal/process/pool/departure.go
@@ -80,7 +80,9 @@
 	if n == nil || n.reportedAt.After(sent) {
 		return
 	}
-	n.otherProcess = n.otherProcess || kind == OtherProcess
+	if kind == OtherProcess {
+		n.otherProcess, n.evidenceAt = true, sent
+	}
 	s.MarkSilent(id, sent, failed)
 	s.markIfEnded(n, now)
 }
@@ -91,7 +93,7 @@
 	if n == nil || n.Incarnation == 0 || incarnation <= n.Incarnation {
 		return
 	}
-	n.replaced = true
+	n.replaced, n.evidenceAt = true, now
 	s.markIfEnded(n, now)
 }
 
@@ -102,7 +104,7 @@
 	if n == nil || n.listed || unwritten >= (EntryLifetimes-maxListLag)*s.Times.EntryInterval {
 		return
 	}
-	n.left = true
+	n.left, n.evidenceAt = true, now
 	s.markIfEnded(n, now)
 }
 
@@ -137,7 +139,7 @@
 	}
 	if now.After(n.leaseExpiry) {
 		s.notice(Notice{Kind: "WorkerLapsed", Worker: n.ID, Tasks: len(n.runs), After: n.silentFor(now), Cause: "it does not answer and its lease has expired"})
-		n.reported = false
+		n.reported, n.evidenceAt = false, n.leaseExpiry
 		s.markChanged(n)
 		s.capacityChanged(n)
 		s.recordUnseen(n, n.lostRuns(nil), now)
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -105,6 +105,7 @@
 		maybeFailedRuns []ids.RunNumber
 		checkpoint      string
 		crashes         crashRecord
+		ending          unitEnding
 		// isolated holds the workers that are kept from all other units.
 		isolated []*node
 		// trialPlacement holds the worker of each task for a trial whose start is being stored.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -48,6 +48,8 @@
 		// processEnded is set once the worker's process is known to have ended, until it reports again; endedAt is when that became known.
 		processEnded bool
 		endedAt      time.Time
+		// evidenceAt is a time before the latest evidence of the end of runs that the worker has not listed as ended.
+		evidenceAt time.Time
 		// joinedAt is when the worker first reported, crashedAt when it was last seen to crash, and isolatedFor the unit that alone may be started there;
 		// see trial.go.
 		joinedAt    time.Time
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -40,7 +40,7 @@
 		n.handledEnd, n.acknowledgedEnd, n.pendingEnds = 0, 0, nil
 	}
 	n.silentSince, n.failingSince, n.processEnded, n.reportedAt = time.Time{}, time.Time{}, false, now
-	n.otherProcess, n.replaced = false, false
+	n.otherProcess, n.replaced, n.evidenceAt = false, false, sent
 	for _, e := range report.Ended {
 		if e.Number > n.handledEnd {
 			n.handledEnd = e.Number
@@ -113,6 +113,8 @@
 		s.handleUnitEnd(u, n, e, now)
 	case e.Reason == worker.EndDone && e.Run.Number < u.number && u.phase != done:
 		// The worker was silent until its lease was assumed to have expired, and the unit was started elsewhere.
+		cause, _ := s.unexpectedCause(u, e.Run.Number, now)
+		s.notice(Notice{Kind: "Done", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: e.Run.Number, Worker: n.ID, After: now.Sub(u.job.Submitted), Cause: "an earlier run; " + cause})
 		s.stopUnit(u, "an earlier run completed", now)
 		s.completeUnit(u, n, now)
 	case e.Reason == worker.EndFailed && e.Run.Number < u.number:
@@ -341,7 +343,8 @@
 		r.staleOf = u
 		u.staleRuns++
 	}
-	s.notice(Notice{Kind: "UnknownRunStopped", Job: a.Job, Step: a.Step, Task: a.Index, Tasks: 1, Number: a.Number, Worker: n.ID, Cause: "this owner did not start it"})
+	cause, own := s.unexpectedCause(u, a.Number, now)
+	s.notice(Notice{Kind: "UnknownRunStopped", Job: a.Job, Step: a.Step, Task: a.Index, Tasks: 1, Number: a.Number, Worker: n.ID, OwnRun: own, Cause: cause})
 	s.stopRun(r, now)
 }
 
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -31,6 +31,7 @@
 // startUnit orders the start of a unit, one task on each entry of the placement.
 func (s *State) startUnit(u *unit, placement []*node, now time.Time) {
 	u.number = max(u.number, ids.RunNumber(s.Epoch)*runsPerEpoch) + 1
+	previous := u.previousEnding(now)
 	u.setPhase(starting)
 	u.startedAt, u.progressedAt = now, now
 	u.percent, u.broken, u.adopted, u.retryDelayed = 0, false, false, false
@@ -64,7 +65,7 @@
 	u.job.ordered = true
 	n := Notice{
 		Kind: "Placed", Job: u.job.ID, Priority: u.job.Priority, First: first, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: placement[0].ID, Workers: workers,
-		Cause: placedCause(u, placement), After: now.Sub(u.job.Submitted),
+		Previous: previous, Cause: placedCause(u, placement), After: now.Sub(u.job.Submitted),
 	}
 	if wait, isKnown := u.job.ExpectedWait(); first && isKnown {
 		n.Queue, n.Forecast = u.job.Queue, &wait
@@ -160,6 +161,7 @@
 	if r == nil || r.phase == runActive {
 		return
 	}
+	r.node.evidenceAt = now
 	if unhealthy {
 		s.recordFailure(r.node, ref.Job, now)
 	}
@@ -216,6 +218,7 @@
 		u.setPhase(waiting)
 	case starting, running:
 		u.setPhase(stopping)
+		u.ending = unitEnding{number: u.number, cause: cause, at: now}
 		s.notice(Notice{
 			Kind: "Stopped", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Cause: cause, After: now.Sub(u.job.Submitted),
 			Lost: s.lostWork(u, now).Seconds() * s.weightedCores(u),
@@ -280,15 +283,17 @@
 func (s *State) runLost(r *run, cause string, now time.Time) {
 	s.removeRun(r)
 	u := r.unit
-	if u == nil || u.number != r.Number {
-		return
+	if u != nil && u.number == r.Number {
+		u.broken = false
+		if u.phase == starting || u.phase == running {
+			s.backOff(u, now)
+			s.stopUnit(u, cause, now)
+		}
 	}
-	u.broken = false
-	if u.phase == starting || u.phase == running {
-		s.backOff(u, now)
-		s.stopUnit(u, cause, now)
+	s.recordLoss(r, cause, now)
+	if u != nil && u.number == r.Number {
+		s.requeueStopped(u)
 	}
-	s.requeueStopped(u)
 }
 
 // requeueStopped returns a stopped unit to phase waiting once all its runs have ended.
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -146,7 +146,9 @@
 		failureShare movingAverage
 		actions      []Action
 		notices      []Notice
-		dirty        map[ids.JobID]*Job
+		// losses holds the losses since the last decision; see loss.go.
+		losses map[lossKey]*Loss
+		dirty  map[ids.JobID]*Job
 	}
 
 	// Account holds the settings of a client account.
@@ -199,9 +201,13 @@
 		Worker ids.InstanceID
 		// Crashed lists the runs that were lost, for a crash.
 		Crashed []CrashedRun
-		// Workers lists the workers of all tasks, for a placement.
-		Workers []ids.InstanceID
-		Cause   string
+		// Workers lists the workers of all tasks, for a placement, and Previous is how the unit's previous run ended; nil if there was none.
+		Workers  []ids.InstanceID
+		Previous *Ending
+		// Loss is what was known of the worker, for lost runs. OwnRun is set if this owner had started an unexpected run.
+		Loss   *Loss
+		OwnRun bool
+		Cause  string
 		// Priority is the job's priority. First is set if no task of the job was started before. Outcome is
 		// the job's final state.
 		Priority int
--- a/internal/process/poolowner/departure_test.go
+++ b/internal/process/poolowner/departure_test.go
@@ -1,6 +1,8 @@
 package poolowner
 
 import (
+	"cmp"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,28 +26,29 @@
 		draining bool
 		// begin begins the disturbance.
 		begin func(w *cluster, id ids.InstanceID)
-		// waits is set if the task starts elsewhere only when the lease has expired.
-		waits bool
+		// waits is set if the task starts elsewhere only when the lease has expired, and evidence is what the log then names, or else.
+		waits    bool
+		evidence string
 	}{
-		"it leaves": {draining: true, begin: func(w *cluster, id ids.InstanceID) {
+		"it leaves": {draining: true, evidence: "it has left and removed its entry", begin: func(w *cluster, id ids.InstanceID) {
 			w.fleet.Worker(id).Leave()
 			w.unlistWorker(id)
 		}},
-		"it leaves unannounced": {begin: func(w *cluster, id ids.InstanceID) {
+		"it leaves unannounced": {evidence: "it has left and removed its entry", begin: func(w *cluster, id ids.InstanceID) {
 			w.fleet.Worker(id).Leave()
 			w.unlistWorker(id)
 		}},
-		"it restarts": {begin: func(w *cluster, id ids.InstanceID) {
+		"it restarts": {evidence: "the worker no longer lists the run", begin: func(w *cluster, id ids.InstanceID) {
 			w.fleet.Worker(id).Crash()
 			w.fleet.Worker(id).Restart()
 		}},
-		"it restarts behind a cut": {begin: func(w *cluster, id ids.InstanceID) {
+		"it restarts behind a cut": {evidence: "its entry names a new incarnation", begin: func(w *cluster, id ids.InstanceID) {
 			w.fleet.Worker(id).SetPartitioned(true)
 			w.fleet.Worker(id).Crash()
 			w.fleet.Worker(id).Restart()
 			w.listWorker(id)
 		}},
-		"another worker has its address": {begin: func(w *cluster, id ids.InstanceID) {
+		"another worker has its address": {evidence: "another process answers at its address", begin: func(w *cluster, id ids.InstanceID) {
 			w.fleet.Worker(id).Crash()
 			w.fleet.Worker(id).Restart()
 			cutOff(w, id, worker.ErrIncarnationMismatch)
@@ -107,11 +110,31 @@
 				require.Equal(t, 2, w.checker.StartCount("a"), w.checker.EventLog())
 				w.fleet.Worker(id).SetFault(nil)
 				w.awaitState(1, "a", pool.Completed)
+				requireLoss(t, linesOf(w.checker.EventLog(), "a"), id, cmp.Or(test.evidence, "the worker's lease has expired"))
 			})
 		})
 	}
 }
 
+// linesOf returns the lines of an event log that name a job, all that is read of a log to find out why its task was started again.
+func linesOf(log, job string) string {
+	var lines []string
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, `"`+job+`"`) || strings.Contains(line, `"`+job+"/") {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "")
+}
+
+// requireLoss requires that the lines of a job say which worker was believed to have lost its run, by which evidence, how old that was, and since when the worker
+// had not reported, both when it was lost and with its next start.
+func requireLoss(t *testing.T, lines string, id ids.InstanceID, evidence string) {
+	const ages = `"evidenceAge": "[^"]+", "reportAge": "[^"]+", "leaseLeft": "[^"]+"`
+	require.Regexp(t, `decision: RunsLost\t.*`+ages+`, "runs": \["a/0/0 run 1001"\], "listAge": .*"worker": "`+string(id)+`", "cause": "`+evidence+`"`, lines)
+	require.Regexp(t, `decision: Placed\t.*"previous": {"run": 1001, "cause": "[^"]+", "age": "[^"]+", "lostOn": "`+string(id)+`", "evidence": "`+evidence+`", `+ages+`}, "job": "a".*"run": 1002`, lines)
+}
+
 // Guards against tasks that wait for a worker of an earlier owner anew with each takeover: a new owner counted the time for which a worker that it doesn't know may
 // have runs from its own takeover. A worker that was listed again meanwhile may have a newer lease.
 func TestWaitForUnknownWorkerAcrossTakeovers(t *testing.T) {
--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -18,7 +18,7 @@
 // Run watches the owner key and claims it whenever no instance holds it, until ctx is done.
 func (o *Owner) Run(ctx context.Context) {
 	o.Times = o.Times.withDefaults()
-	o.ownerWatch = watchHealth{log: o.Log, metrics: &o.metrics, prefix: keyOwner}
+	o.ownerWatch = watchHealth{owner: o, log: o.Log, prefix: keyOwner}
 	failures := 0
 	for ctx.Err() == nil {
 		revision, err := o.readOwner(ctx)
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -30,6 +30,8 @@
 		Starts, StartsUnknown, Stops expvar.Int
 		// WorkerCrashes counts the workers whose processes ended unannounced, and RunsCrashed the runs that were lost with them.
 		WorkerCrashes, RunsCrashed expvar.Int
+		// LostRunsFound counts the runs that were found active after this owner had counted them as ended.
+		LostRunsFound expvar.Int
 		// GivenUp counts the jobs that were given up since workers crashed under one of their tasks.
 		GivenUp expvar.Int
 		// WatchesUnanswered counts the watches without an answer, and WatchesFailed those that failed otherwise.
@@ -112,6 +114,9 @@
 	if n.Kind == "WorkerEnded" || n.Kind == "WorkerLapsed" {
 		m.WorkerWait.Observe(fmt.Sprintf("end=%q", strings.TrimPrefix(n.Kind, "Worker")), n.After)
 	}
+	if n.OwnRun {
+		m.LostRunsFound.Add(1)
+	}
 	if n.Kind == "GivenUp" {
 		m.GivenUp.Add(1)
 	}
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -26,6 +26,8 @@
 	// be set.
 	Owner struct {
 		Instance ids.InstanceID
+		// DataCentre is where the instance is; it is only logged.
+		DataCentre ids.DataCentreID
 		// Address is where other instances reach this one.
 		Address string
 		Store   store.TransactionClient
--- a/internal/process/poolowner/ownership.go
+++ b/internal/process/poolowner/ownership.go
@@ -80,7 +80,7 @@
 // watchSuccessor ends the term once another instance has claimed the pool.
 func (t *term) watchSuccessor() {
 	after := t.claim.revision
-	health := watchHealth{log: t.log, metrics: &t.owner.metrics, prefix: keyOwner}
+	health := watchHealth{owner: t.owner, log: t.log, prefix: keyOwner}
 	for t.ctx.Err() == nil {
 		sent := time.Now()
 		ctx, cancel := context.WithTimeout(t.ctx, ownerWatchWait+watchMargin)
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -328,6 +328,13 @@
 
 func (t *term) logNotice(n pool.Notice) {
 	log := t.log
+	if n.Loss != nil {
+		// Each loss must be found in the log. The number of workers and that of starts bound these lines.
+		log = log.Named(logsink.Complete).With(zap.Inline(lossFields{n.Loss}), zap.Strings("runs", describeRuns(n.Loss.Runs)), zap.Duration("listAge", t.listAge()))
+	}
+	if n.OwnRun {
+		log = log.Named(logsink.Complete)
+	}
 	if n.Kind == "WorkerCrashed" {
 		// The runs on a crashed worker must be found in the log. The workers' restarts bound the number of these lines.
 		log = log.Named(logsink.Complete).With(zap.Strings("runs", describeCrashed(n.Crashed)))
@@ -337,6 +344,9 @@
 		age := t.listAge()
 		t.owner.metrics.StartListAge.record(age)
 		log = log.Named(logsink.Complete).With(zap.Any("workers", n.Workers), zap.Duration("listAge", age))
+		if n.Previous != nil {
+			log = log.With(zap.Object("previous", endingFields{n.Previous}))
+		}
 	}
 	log.Info("decision: "+n.Kind, zap.String("job", string(n.Job)), zap.Int("step", n.Step), zap.Int("task", n.Task), zap.Int("tasks", n.Tasks),
 		zap.Uint64("run", uint64(n.Number)), zap.String("worker", string(n.Worker)), zap.String("cause", n.Cause), zap.Duration("after", n.After), zap.Float64("lostCoreSeconds", n.Lost))
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -18,9 +18,9 @@
 type (
 	// watchHealth logs and counts the failures of the watches of one prefix and their recovery. It is used by one goroutine.
 	watchHealth struct {
-		log     *zap.Logger
-		metrics *Metrics
-		prefix  string
+		owner  *Owner
+		log    *zap.Logger
+		prefix string
 		// failures counts the consecutive failures, failedSince is when the first of these watches was sent, and hung is set if
 		// one of them got no answer.
 		failures    int
@@ -74,16 +74,17 @@
 	message := "store: watch failed"
 	if hung {
 		message = "store: watch got no answer"
-		h.metrics.WatchesUnanswered.Add(1)
+		h.owner.metrics.WatchesUnanswered.Add(1)
 	} else {
-		h.metrics.WatchesFailed.Add(1)
+		h.owner.metrics.WatchesFailed.Add(1)
 	}
 	if h.failures == 0 {
 		h.failedSince = sent
 	}
 	h.failures++
 	if h.failures == 1 || hung && !h.hung {
-		h.log.Warn(message, zap.String("prefix", h.prefix), zap.Uint64("revision", uint64(after)), zap.Duration("took", took), zap.Duration("timeout", timeout), zap.Error(err))
+		h.log.Warn(message, zap.String("prefix", h.prefix), zap.Uint64("revision", uint64(after)), zap.Duration("took", took), zap.Duration("timeout", timeout),
+			zap.String("dataCentre", string(h.owner.DataCentre)), zap.Duration("contactAge", h.owner.ContactAge()), zap.Error(err))
 	}
 	h.hung = h.hung || hung
 }
@@ -100,7 +101,7 @@
 // comes at once and depends on neither the history nor the watch.
 func (p prefixWatch) run(t *term, entries []store.Entry, revision store.Revision) {
 	known := entriesByKey(entries)
-	health := watchHealth{log: t.log, metrics: &t.owner.metrics, prefix: p.prefix}
+	health := watchHealth{owner: t.owner, log: t.log, prefix: p.prefix}
 	mustList := false
 	for t.ctx.Err() == nil {
 		sent := t.owner.now()
