Check starts after an end as done that is acknowledged later

An end whose worker's lease expires before it is acknowledged is exempt, as on the platform; the stand-in for workers reports the expiry.

--- a/internal/standin/history/checker.go
+++ b/internal/standin/history/checker.go
@@ -59,6 +59,7 @@
 		done                     map[worker.Task]bool
 		// acknowledgedDone holds the tasks whose end as done was acknowledged to the worker.
 		acknowledgedDone map[worker.Task]bool
+		openEnds         map[worker.Task][]*openEnd
 		// failedRuns holds the numbers of the failed runs of each task or gang, and acknowledgedFailed those whose failure was
 		// acknowledged.
 		failedRuns, acknowledgedFailed map[worker.Task]map[ids.RunNumber]bool
@@ -111,7 +112,7 @@
 	defer c.mu.Unlock()
 	c.jobs[id] = &job{
 		steps: steps, schedule: schedule, maxAttempts: maxAttempts,
-		done: make(map[worker.Task]bool), acknowledgedDone: make(map[worker.Task]bool),
+		done: make(map[worker.Task]bool), acknowledgedDone: make(map[worker.Task]bool), openEnds: make(map[worker.Task][]*openEnd),
 		failedRuns: make(map[worker.Task]map[ids.RunNumber]bool), acknowledgedFailed: make(map[worker.Task]map[ids.RunNumber]bool),
 		crashes: make(map[worker.Task]int), startsAfterCrashes: make(map[worker.Task]int),
 	}
@@ -239,9 +240,12 @@
 	switch e.Kind {
 	case runservice.Crashed:
 		c.active[e.Worker] = make(map[worker.Run]bool)
+		c.forgetEnds(e.Worker)
 		if j != nil {
 			j.crashes[e.Run.Task]++
 		}
+	case runservice.LeaseExpired:
+		c.forgetEnds(e.Worker)
 	case runservice.Started:
 		c.checkStart(e, j)
 		c.active[e.Worker][e.Run] = true
@@ -250,6 +254,7 @@
 		switch e.Reason {
 		case worker.EndDone:
 			j.markDone(j.done, e.Run.Task)
+			j.recordOpenEnd(e)
 		case worker.EndFailed:
 			j.recordFailure(j.failedRuns, e.Run)
 		}
@@ -264,6 +269,7 @@
 		return
 	}
 	j.started = true
+	j.recordStartAfterEnds(e)
 	c.starts[e.Run.Job]++
 	if j.pendingSubmissions == 0 && !j.outcomeUnknown && !j.accepted {
 		c.addViolation("%s was started, but every submission of its job was refused", e.Run.Task)
@@ -325,6 +331,7 @@
 	switch e.Reason {
 	case worker.EndDone:
 		j.markDone(j.acknowledgedDone, e.Run.Task)
+		c.checkAcknowledgedEnd(e, j)
 	case worker.EndFailed:
 		j.recordFailure(j.acknowledgedFailed, e.Run)
 	}
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -132,6 +132,8 @@
 	Ended   EventKind = "Ended"
 	// Acknowledged means that the worker discarded the report of an end after its acknowledgement.
 	Acknowledged EventKind = "Acknowledged"
+	// LeaseExpired means that the worker's lease has expired, which ends its runs.
+	LeaseExpired EventKind = "LeaseExpired"
 	// Crashed means that the worker lost its runs without reporting their ends.
 	Crashed EventKind = "Crashed"
 )
@@ -509,6 +511,7 @@
 		if time.Now().Before(w.leaseExpiry) {
 			return
 		}
+		w.observe(Event{Kind: LeaseExpired})
 		for _, r := range w.runs {
 			w.endRun(r, worker.EndLeaseExpired)
 		}
