Count the age of a crash from the worker's last report

The owner measured 1.03 s for one crash and 1.08 s for one under another job.

Cause: while a renewal waits at a worker, the owner may ask for another report, such as after a stop. If the worker crashes after that report, the waiting renewal's failure is ignored, since it was sent before the report, and the worker counted as failing only from when the next renewal was sent, after the crash. An age over a second keeps a crash out of the five after which a unit is given up, and makes it one that no task explains, for which the crashes of other tasks within ten seconds are not conclusive.

A call without an answer now means that the worker may have been gone since its last report, and the first failure since then sets the time.

TestAgeOfCrashEndsAtLastReport/1.6s failed before: "2.629377405s" is not less than or equal to "1.6s".

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -158,10 +158,12 @@
 func (n *node) lastAnswer(now time.Time) time.Time {
 	switch {
 	case !n.failingSince.IsZero():
-		return n.failingSince
+		return laterOf(n.failingSince, n.reportedAt)
 	case !n.reportedAt.IsZero():
-		// It restarted before a call failed.
+		// A call got no answer in time, or it restarted before a call failed.
 		return n.reportedAt
+	case !n.silentSince.IsZero():
+		return n.silentSince
 	}
 	return now
 }
--- a/internal/process/pool/departure.go
+++ b/internal/process/pool/departure.go
@@ -74,7 +74,7 @@
 }
 
 // CallFailed records that a call to a worker failed, which was sent at the given time. failed is the earliest time at which the worker may have stopped
-// answering.
+// answering; zero means at its last report.
 func (s *State) CallFailed(id ids.InstanceID, kind CallFailure, sent, failed, now time.Time) {
 	n := s.nodes[id]
 	if n == nil || n.reportedAt.After(sent) {
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -41,7 +41,7 @@
 		reported bool
 		// silentSince is when the worker stopped answering; zero if it answers.
 		silentSince time.Time
-		// failingSince is the earliest time at which the worker may have stopped answering; zero if it answers.
+		// failingSince is the earliest time at which the worker may have stopped answering; zero if it answers, or may have stopped at its last report.
 		failingSince time.Time
 		// otherProcess, replaced and left are evidence that the worker's process has ended; see departure.go.
 		otherProcess, replaced, left bool
@@ -320,7 +320,7 @@
 }
 
 // MarkSilent records that a worker did not answer a call sent at the given time, unless it has reported since. The worker's runs
-// are removed only once its lease must have expired. failed is the earliest time at which it may have stopped answering.
+// are removed only once its lease must have expired. failed is the earliest time at which it may have stopped answering; zero means at its last report.
 func (s *State) MarkSilent(id ids.InstanceID, sent, failed time.Time) {
 	if n := s.nodes[id]; n != nil && n.silentSince.IsZero() && !n.reportedAt.After(sent) {
 		s.setSilent(n, sent)
--- a/internal/process/poolowner/crash_test.go
+++ b/internal/process/poolowner/crash_test.go
@@ -1,10 +1,13 @@
 package poolowner
 
 import (
+	"encoding/json"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
 	"github.com/jujubegrade/jujubegrade/internal/standin/runservice"
 	"github.com/jujubegrade/jujubegrade/internal/standin/storeservice"
@@ -108,3 +111,26 @@
 		})
 	}
 }
+
+// Guards against a deadly task that seems to be a late crash: a report that arrived while a renewal waited hid that renewal's failure, and the age counted until the
+// next renewal, which was sent after the crash.
+func TestAgeOfCrashEndsAtLastReport(t *testing.T) {
+	for _, after := range []time.Duration{1400 * time.Millisecond, 1600 * time.Millisecond, 1800 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.fleet.RestartAfter = 4 * time.Second
+				// The owner requests a report after the last lost answer.
+				w.setStartFault(func() runservice.Fault { return runservice.Fault{LoseAnswer: true} })
+				w.mustSubmit(w.instances[0], "deadly", jobSpec{steps: []pool.Step{singleStep(1)}, runTime: 8 * time.Second, crashAfter: after})
+				var crashes []pool.Crash
+				require.Eventually(t, func() bool {
+					var r pool.Record
+					require.NoError(t, json.Unmarshal(w.store.Entries(prefixJobs)[prefixJobs+"deadly"].Value, &r))
+					crashes = r.Units[0].Crashes
+					return len(crashes) > 0
+				}, 20*time.Second, 100*time.Millisecond)
+				require.LessOrEqual(t, crashes[0].Age, after)
+			})
+		})
+	}
+}
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -170,7 +170,8 @@
 	// acknowledged is the last run end that was acknowledged to this incarnation of the worker.
 	acknowledged, incarnation := uint64(0), uint64(0)
 	failures := 0
-	var answered time.Time
+	// failed is the earliest time at which the worker may have stopped answering since its last answer.
+	var answered, failed time.Time
 	for l.ctx.Err() == nil {
 		w := l.desired.Load()
 		if !w.renew && w.acknowledge <= acknowledged {
@@ -228,8 +229,10 @@
 			l.deliverReport(report, sent.at)
 			continue
 		}
-		failures++
-		l.renewalFailed(err, failures, sent.at, failedAt(sent.at, o.Wait))
+		if failures++; failures == 1 {
+			failed = failedAt(sent.at, o.Wait)
+		}
+		l.renewalFailed(err, failures, sent.at, failed)
 		pause.For(l.ctx, jitter(workerRetryDelay))
 	}
 }
@@ -294,11 +297,11 @@
 	}
 }
 
-// failedAt returns the earliest time at which a worker may have stopped answering, given when a call was sent that failed just now and how long it may wait. If
-// it got no answer in time, the worker may have been gone from the beginning.
+// failedAt returns the earliest time at which a worker may have stopped answering, given when a call was sent that failed just now and how long it may wait. It is
+// zero if the call got no answer in time: the worker may have been gone since its last report.
 func failedAt(sent time.Time, wait time.Duration) time.Time {
 	if time.Since(sent) >= wait+workerCallTimeout {
-		return sent
+		return time.Time{}
 	}
 	return time.Now()
 }
