Don't take a unit for alone on a crashed worker beside runs that were given up

When a worker fell silent, the runs of broken gangs there were given up before its crash was known. Runs that were given up while the worker was silent count as being there now.

TestCrashBesideRunGivenUpIsNotAlone failed before ("Should be false").

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -145,8 +145,12 @@
 	s.notice(Notice{Kind: "WorkerCrashed", Worker: n.ID, Cause: cause, Crashed: runs})
 	s.crashes = slices.DeleteFunc(s.crashes, func(c poolCrash) bool { return at.Sub(c.at) > crashMemory })
 	s.crashes = append(s.crashes, crash)
+	ran := slices.Clone(crash.units)
+	for _, l := range lost {
+		ran = append(ran, l.unit)
+	}
 	for _, u := range crashedUnits(lost) {
-		s.addCrash(u, n, lost, Crash{at: at, alone: !slices.ContainsFunc(lost, func(l lostRun) bool { return l.unit != u })}, now)
+		s.addCrash(u, n, lost, Crash{at: at, alone: !slices.ContainsFunc(ran, func(other *unit) bool { return other != u })}, now)
 	}
 	for _, u := range crash.units {
 		s.undecided = append(s.undecided, u)
--- a/internal/process/pool/crash_test.go
+++ b/internal/process/pool/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -225,3 +226,26 @@
 		})
 	}
 }
+
+// Guards against a unit that seems to have been alone when its worker crashed: the run of another unit there was given up while the worker was silent.
+func TestCrashBesideRunGivenUpIsNotAlone(t *testing.T) {
+	s := testState(2, 2)
+	gang, other := gangJob("gang", 1, 2, 6, time.Second), gangJob("other", 1, 1, 2, 4*time.Second)
+	s.accept(gang, testStart)
+	s.accept(other, testStart)
+	now := testStart.Add(time.Second)
+	var shared ids.InstanceID
+	for _, a := range s.startAll(testStart) {
+		if a.Run.Job == "other" {
+			shared = a.Worker
+		}
+		s.ExtendLease(a.Worker, now.Add(time.Second))
+	}
+	gone := gang.units[0].runs[slices.IndexFunc(gang.units[0].runs, func(r *run) bool { return r.node.ID == shared })]
+	s.MarkSilent(shared, now, now)
+	s.recordUnseen(gone.node, []lostRun{gone.lost()}, now)
+	s.removeRun(gone)
+	s.MarkDead(shared, "its process has ended", now)
+	require.Len(t, other.units[0].crashes.list, 1)
+	require.False(t, other.units[0].crashes.list[0].alone)
+}
