Give a task up after five crashes in a row although some of them were late

Three of five crashes in a row are enough now if they were young or under trials: the unit was alone on its worker, no other worker crashed without a cause within a second, and the age is within the trial's length and ten seconds. A run that outlives its trial begins a new row. Tasks that last meet crashes of sound workers sooner or later, which the ten seconds leave out.

TestCrashesUnderTrialsCount/late failed before: the task was started without limit.

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -31,6 +31,9 @@
 		// Coincident is set if another worker crashed at the same time that ran no task which had just been started.
 		Coincident bool `json:",omitempty"`
 
+		// Trial is set if the unit was tried there alone after a crash, and had not outlived the trial.
+		Trial bool `json:",omitempty"`
+
 		// at is when the worker may have stopped answering; zero if another owner saw it. alone is set if no other unit ran there, and judged once it is known what
 		// else crashed then.
 		at            time.Time
@@ -102,8 +105,11 @@
 	// minCrashes is the least number of crashes in a row for a unit to be given up.
 	minCrashes = 3
 	// maxCrashes is the number of crashes under young runs or of an age that is not known, after which a unit is given up although runs of it outlived their trials.
-	// At least one of them must have been seen. The platform allows five starts of a task that crashes its workers.
+	// Until a run outlives a trial, minCrashes of them suffice if the others were later. At least one crash must have been seen. The platform allows five starts of a
+	// task that crashes its workers.
 	maxCrashes = 5
+	// maxTrialAge is the age up to which a crash under a trial counts: tasks that last meet a crash of a sound worker sooner or later.
+	maxTrialAge = 10 * time.Second
 	// forgottenCrashes is how many fewer suffice for a recovered job: an earlier owner may have been lost before it could store a start or a crash.
 	forgottenCrashes = 1
 )
@@ -255,6 +261,7 @@
 		at = n.lastAnswer(now)
 	}
 	c.Age = max(0, at.Sub(ordered))
+	c.Trial = c.alone && u.crashesInRow() > 0 && c.Age <= min(u.trialLength(), maxTrialAge)
 	u.crashes.list = append(u.crashes.list, c)
 	u.crashes.waitsSince = time.Time{}
 	u.crashes.started = slices.DeleteFunc(u.crashes.started, func(on StartedOn) bool { return on.Worker == n.ID && c.Run == u.number })
@@ -335,7 +342,8 @@
 	}
 	return prompt >= maxPromptCrashes ||
 		u.crashesInRow() >= minCrashes && (promptAndConclusive >= promptConclusive || conclusive >= lateConclusive) ||
-		mostOfOneTask(u.crashes.list, func(c Crash) bool { return c.counts() && (c.Unseen || c.Age <= youngRun) }) >= maxCrashes-forgotten && u.seenCrashes() > 0
+		u.crashesInRow() >= maxCrashes-forgotten && mostOfOneTask(row, Crash.isLikelyCaused) >= minCrashes ||
+		mostOfOneTask(u.crashes.list, Crash.isYoung) >= maxCrashes-forgotten && u.seenCrashes() > 0
 }
 
 // seenCrashes returns the largest number of crashes that were seen under any one of the unit's tasks.
@@ -343,6 +351,14 @@
 	return mostOfOneTask(u.crashes.list, func(c Crash) bool { return c.counts() && !c.Unseen })
 }
 
+// isYoung reports whether a crash hit a run that had just been started, as far as is known.
+func (c Crash) isYoung() bool { return c.counts() && (c.Unseen || c.Age <= youngRun) }
+
+// isLikelyCaused reports whether a crash hit a young run or one that was tried alone, while no other worker crashed without a cause.
+func (c Crash) isLikelyCaused() bool {
+	return !c.Coincident && !c.awaitsJudgement() && (c.isYoung() || c.Trial && c.counts())
+}
+
 func (c Crash) isPrompt() bool { return c.counts() && !c.Unseen && c.Age <= promptCrash }
 
 // mostOfOneTask returns the largest number of matching crashes under one task: a gang's members are on different workers.
--- a/internal/process/pool/crash_test.go
+++ b/internal/process/pool/crash_test.go
@@ -249,3 +249,68 @@
 	require.Len(t, other.units[0].crashes.list, 1)
 	require.False(t, other.units[0].crashes.list[0].alone)
 }
+
+// Guards against a task that is started a sixth time since crashes under its trials are late and never conclusive, and against sound tasks that are given up for such
+// crashes after they outlived a trial.
+func TestCrashesUnderTrialsCount(t *testing.T) {
+	for name, test := range map[string]struct {
+		// age is how long after its start the task crashes its worker. Another worker crashes after half of that time.
+		age     time.Duration
+		crashes int
+	}{
+		"late":                        {age: 4 * time.Second, crashes: maxCrashes},
+		"later than the trial counts": {age: maxTrialAge + time.Second},
+		"amid others":                 {age: 1200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(40, 8)
+			j := gangJob("a", 1, 1, 8, time.Minute)
+			s.accept(j, testStart)
+			now, crashes := testStart, 0
+			kill := func(id ids.InstanceID) {
+				s.MarkSilent(id, now, now)
+				s.MarkDead(id, "its process has ended", now)
+			}
+			report := func() {
+				for id, n := range s.nodes {
+					if !n.processEnded {
+						s.Reported(id, worker.RunReport{Incarnation: n.Incarnation, Active: activeRuns(n)}, now, now)
+					}
+				}
+			}
+			report()
+			for crashes < 8 && !j.ended() {
+				var started []Action
+				for len(started) == 0 && !j.ended() {
+					now = now.Add(100 * time.Millisecond)
+					s.MarkStored(j.ID, j.Version())
+					started = s.startAll(now)
+					require.Less(t, now.Sub(testStart), 5*time.Minute)
+				}
+				if j.ended() {
+					break
+				}
+				crashes++
+				for _, id := range []ids.InstanceID{ids.InstanceID(fmt.Sprintf("w%04d", 39-crashes)), started[0].Worker} {
+					// A worker without runs crashes by itself first.
+					now = now.Add(test.age / 2)
+					report()
+					kill(id)
+				}
+			}
+			if test.crashes == 0 {
+				require.Equal(t, 8, crashes)
+				return
+			}
+			require.Equal(t, Failed, j.State)
+			require.Equal(t, test.crashes, crashes)
+		})
+	}
+}
+
+func activeRuns(n *node) (active []worker.ActiveRun) {
+	for _, r := range n.runs {
+		active = append(active, worker.ActiveRun{Run: r.Run})
+	}
+	return active
+}
--- a/internal/process/pool/record_test.go
+++ b/internal/process/pool/record_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against instances of two versions that can't read each other's records during an upgrade. The files were written by c63ef0c5, which ignores fields that it
-// does not know and reads all others by their names.
+// Guards against instances of two versions that can't read each other's records during an upgrade. The files were written by the versions that they name, which ignore
+// fields that they do not know and read all others by their names.
 func TestRecordsOfEarlierVersion(t *testing.T) {
 	for name, test := range map[string]struct {
 		file  string
@@ -18,6 +18,7 @@
 	}{
 		"start ordered only": {file: "record-c63ef0c5-ordered.json"},
 		"tasks have ended":   {file: "record-c63ef0c5-begun.json", begun: true},
+		"workers crashed":    {file: "record-f1964db2-crashed.json", begun: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			earlier, err := os.ReadFile(filepath.Join("testdata", test.file))
@@ -33,6 +34,7 @@
 			begun, found := got["Begun"]
 			require.Equal(t, test.begun, found && begun == true)
 			delete(got, "Begun")
+			delete(want, "Begun")
 			require.Equal(t, want, got)
 		})
 	}
--- a/internal/process/pool/trial.go
+++ b/internal/process/pool/trial.go
@@ -68,11 +68,16 @@
 	if u.isTriedToItsEnd() {
 		return 0, false
 	}
+	return u.trialLength(), true
+}
+
+// trialLength returns how long a run outlives what crashed the unit's workers before.
+func (u *unit) trialLength() time.Duration {
 	oldest := time.Duration(0)
 	for _, c := range u.crashes.list[u.crashes.survived:] {
 		oldest = max(oldest, c.Age)
 	}
-	return 2*oldest + trialMargin, true
+	return 2*oldest + trialMargin
 }
 
 // placeTrial starts a unit on workers of its own. It returns false if the unit has to wait, and whether it may be placed like any other.
