Keep runs whose start order met a closed connection until they can't start

A task ran twice: the connection of its start order was closed, the worker restarted, and the order was carried out later by the worker's next process while the task ran again.

Cause: if the connections of all attempts of a start were closed or refused, the run counted as tied to the process that had closed them (endsWithProcess), and was given up with that process. That follows from TCP only if nothing lies between the two processes. The platform's protocol says of a call without a response that it may be executed seconds later, and does not tell a closed connection from one that stays silent.

Change: a start without a response is unanswered, however its connection ended. Its task starts again when the worker's next report shows that the run was stopped there, or when the lease has expired.

TestUnansweredStartEndsWithProcess required the opposite: that a start whose connection was closed is given up with the process. Its replacement, TestUnansweredStartMayOutliveProcess, requires for each such case that nothing starts before the stop is confirmed, that the task starts right after that, and otherwise with the lease.

--- a/internal/connection/worker/runs.go
+++ b/internal/connection/worker/runs.go
@@ -125,8 +125,7 @@
 	ErrInvalid = errors.New("the worker refused the request as invalid")
 	// ErrNotListening means that nothing listens at the worker's address.
 	ErrNotListening = errors.New("nothing listens at the worker's address")
-	// ErrConnectionClosed means that the connection was closed before a response: the call may have taken effect, but only in the process that had accepted the
-	// connection.
+	// ErrConnectionClosed means that the connection was closed before a response: the call may have taken effect, and may still do so later.
 	ErrConnectionClosed = errors.New("the worker closed the connection")
 )
 
--- a/internal/process/pool/crash_test.go
+++ b/internal/process/pool/crash_test.go
@@ -170,7 +170,7 @@
 			}
 			// The stop and a repeated order get no answer either.
 			s.RunStartUnanswered(a.Worker, a.Run)
-			s.RunStartUnknown(a.Worker, a.Run, false, now)
+			s.RunStartUnknown(a.Worker, a.Run, now)
 			now = now.Add(100 * time.Millisecond)
 			s.MarkDead(a.Worker, "its process has ended", now)
 			if test.others {
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -197,8 +197,6 @@
 		pinned bool
 		// startUnanswered is set if a start order got no answer. The worker may still carry it out, even after a restart.
 		startUnanswered bool
-		// endsWithProcess is set if the run was not confirmed, and exists at most in the process that the worker had when it was ordered.
-		endsWithProcess bool
 		// confirmedAt is when the worker confirmed the start, or in phase runStopping the stop.
 		confirmedAt time.Time
 		percent     int
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -289,7 +289,7 @@
 func (s *State) loseRuns(n *node, cause string, now time.Time) {
 	for _, r := range slices.Clone(n.runs) {
 		switch {
-		case r.reported && !r.startUnanswered, r.endsWithProcess:
+		case r.reported && !r.startUnanswered:
 			s.runLost(r, cause, now)
 		default:
 			s.stopLateStart(r, cause, now)
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -60,10 +60,6 @@
 		if listed[r.Run] {
 			continue
 		}
-		if restarted && r.endsWithProcess {
-			s.runLost(r, "the worker was restarted", now)
-			continue
-		}
 		if restarted && r.startUnanswered {
 			s.stopLateStart(r, "the worker was restarted", now)
 			continue
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -106,15 +106,15 @@
 	}{
 		"ordered":       {answer: func(*State, Action, time.Time) {}},
 		"refused":       {answer: func(s *State, a Action, now time.Time) { s.RunRefused(a.Worker, a.Run, unhealthy, true, now) }},
-		"no answer":     {answer: func(s *State, a Action, now time.Time) { s.RunStartUnknown(a.Worker, a.Run, false, now) }},
+		"no answer":     {answer: func(s *State, a Action, now time.Time) { s.RunStartUnknown(a.Worker, a.Run, now) }},
 		"process ended": {answer: func(s *State, a Action, now time.Time) { s.MarkDead(a.Worker, "its process has ended", now) }},
 		"confirmed":     {answer: func(s *State, a Action, now time.Time) { s.RunStarted(a.Worker, a.Run, now) }, begun: true},
 		"no answer, listed": {begun: true, answer: func(s *State, a Action, now time.Time) {
-			s.RunStartUnknown(a.Worker, a.Run, false, now)
+			s.RunStartUnknown(a.Worker, a.Run, now)
 			s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Active: []worker.ActiveRun{{Run: a.Run}}}, now, now)
 		}},
 		"no answer, stopped": {begun: true, answer: func(s *State, a Action, now time.Time) {
-			s.RunStartUnknown(a.Worker, a.Run, false, now)
+			s.RunStartUnknown(a.Worker, a.Run, now)
 			s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: a.Run, Number: 1, Reason: worker.EndStopped}}}, now, now)
 		}},
 		"confirmed, lost": {begun: true, answer: func(s *State, a Action, now time.Time) {
@@ -353,21 +353,30 @@
 	}
 }
 
-// Guards against gangs that wait for the lease of a worker whose process has ended, since a start order there got no answer: if the connection was closed, no later
-// process can carry it out. An order that got no answer at all may be carried out later.
-func TestUnansweredStartEndsWithProcess(t *testing.T) {
+// Guards against tasks that run twice after a start order without an answer, which the worker's next process may still carry out, and against tasks that wait for the
+// lease although that process has stopped the run. The task starts again only then, and not when the process that was called has ended.
+func TestUnansweredStartMayOutliveProcess(t *testing.T) {
+	ended := func(s *State, now time.Time) { s.MarkDead("w0000", "its process has ended", now) }
+	reports := func(incarnation uint64) func(s *State, now time.Time) {
+		return func(s *State, now time.Time) {
+			s.Reported("w0000", worker.RunReport{Incarnation: incarnation}, now, now)
+		}
+	}
 	for name, test := range map[string]struct {
-		closed bool
-		// ends reports to the state that the process has ended, or that it runs.
-		ends      func(s *State, now time.Time)
-		restarted bool
+		// endsBefore is set if the process ends before the orders are given up, and after is called once they are.
+		endsBefore bool
+		after      func(s *State, now time.Time)
+		// stops is the incarnation that confirms the stop and reports again; zero if none does.
+		stops uint64
+		// lapses is set if the task starts again when the lease has expired.
+		lapses bool
 	}{
-		"closed, process ended":          {closed: true, restarted: true, ends: func(s *State, now time.Time) { s.MarkDead("w0000", "its process has ended", now) }},
-		"closed, process restarted":      {closed: true, restarted: true, ends: func(s *State, now time.Time) { s.Reported("w0000", worker.RunReport{Incarnation: 2}, now, now) }},
-		"closed, process still runs":     {closed: true, ends: func(s *State, now time.Time) { s.Reported("w0000", worker.RunReport{Incarnation: 1}, now, now) }},
-		"no answer, process ended":       {ends: func(s *State, now time.Time) { s.MarkDead("w0000", "its process has ended", now) }},
-		"no answer, process restarted":   {ends: func(s *State, now time.Time) { s.Reported("w0000", worker.RunReport{Incarnation: 2}, now, now) }},
-		"closed before the end is known": {closed: true, restarted: true, ends: func(*State, time.Time) {}},
+		"process ended":                   {after: ended, lapses: true},
+		"process ended before":            {endsBefore: true, after: func(*State, time.Time) {}, lapses: true},
+		"process still runs":              {after: reports(1), stops: 1},
+		"process restarted":               {after: reports(2), stops: 2},
+		"process ended, then restarted":   {endsBefore: true, after: reports(2), stops: 2},
+		"process restarted, not stopping": {after: reports(2)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := testState(2, 2)
@@ -377,21 +386,35 @@
 			s.accept(j, now)
 			actions, _ := s.Decide(now)
 			require.Equal(t, ids.InstanceID("w0000"), actions[0].Worker)
+			run := actions[0].Run
 			s.ExtendLease("w0000", now.Add(simLease))
-			s.RunStartUnanswered("w0000", actions[0].Run)
-			if name == "closed before the end is known" {
-				s.MarkDead("w0000", "its process has ended", now)
+			s.RunStartUnanswered("w0000", run)
+			if test.endsBefore {
+				ended(s, now)
+			}
+			s.RunStartUnknown("w0000", run, now)
+			starts := func() bool {
+				now = now.Add(time.Second)
+				var all []Action
+				for range 2 {
+					s.MarkStored("a", j.Version())
+					actions, _ = s.Decide(now)
+					all = append(all, actions...)
+				}
+				return slices.ContainsFunc(all, func(a Action) bool { return a.Kind == StartRun })
 			}
-			s.RunStartUnknown("w0000", actions[0].Run, test.closed, now)
 			now = now.Add(200 * time.Millisecond)
-			test.ends(s, now)
-			s.MarkStored("a", j.Version())
-			now = now.Add(2 * time.Second)
-			s.Decide(now)
-			s.MarkStored("a", j.Version())
-			actions, _ = s.Decide(now)
-			started := slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == StartRun })
-			require.Equal(t, test.restarted, started)
+			test.after(s, now)
+			require.False(t, starts(), "before the stop is confirmed")
+			if test.stops != 0 {
+				s.StopConfirmed("w0000", run, now)
+				now = now.Add(200 * time.Millisecond)
+				reports(test.stops)(s, now)
+				require.True(t, starts(), "after the stop is confirmed")
+				return
+			}
+			now = testStart.Add(simLease)
+			require.Equal(t, test.lapses, starts(), "after the lease")
 		})
 	}
 }
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -175,23 +175,13 @@
 	}
 }
 
-// RunStartUnknown records that the outcome of a start is unknown and that no order for it is sent any more. The run may exist or still start; if the connections of
-// all orders were closed, it can't outlive the process that the worker had. The whole unit is stopped.
-func (s *State) RunStartUnknown(id ids.InstanceID, ref worker.Run, closed bool, now time.Time) {
+// RunStartUnknown records that the outcome of a start is unknown and that no order for it is sent any more. The run may exist or still start, also in the worker's
+// next process: what closes a connection may deliver the order later. The whole unit is stopped.
+func (s *State) RunStartUnknown(id ids.InstanceID, ref worker.Run, now time.Time) {
 	r := s.findRun(id, ref)
-	if r == nil {
-		return
-	}
-	if closed && r.phase != runActive {
-		r.startUnanswered, r.endsWithProcess = false, true
-	}
-	cause := "a start was not answered by " + string(id)
-	if r.phase == runStarting && r.unit != nil {
+	if r != nil && r.phase == runStarting && r.unit != nil {
 		s.backOff(r.unit, now)
-		s.stopUnit(r.unit, cause, now)
-	}
-	if r.endsWithProcess && r.node.processEnded && !r.node.replaced && !r.node.left {
-		s.runLost(r, cause, now)
+		s.stopUnit(r.unit, "a start was not answered by "+string(id), now)
 	}
 }
 
--- a/internal/process/poolowner/faults_test.go
+++ b/internal/process/poolowner/faults_test.go
@@ -173,31 +173,38 @@
 	}
 }
 
-// A start whose answer is lost, after which its worker restarts at once, leads to no second run at the same time and none after
-// the end: the checker verifies both.
+// Guards against tasks that run twice, since the answer to their start is lost and the worker restarts at once: a start whose connection was closed counted as gone
+// with the process that had closed it, but it may still be carried out by the next one. The checker verifies that no second run exists at the same time, and none
+// starts after the end.
 func TestLostStartAnswerBeforeRestart(t *testing.T) {
-	inCluster(t, func(t *testing.T, w *cluster) {
-		w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(1, 8)}, runTime: 3 * time.Second})
-		for id := range w.listed {
-			done := false
-			w.fleet.Worker(id).SetFault(func(call string) runservice.Fault {
-				if call != "start" || done {
-					return runservice.Fault{}
+	for name, fault := range map[string]runservice.Fault{
+		"no answer": {LoseAnswer: true},
+		"the connection is closed, executed late": {Refusal: worker.ErrConnectionClosed, ExecuteAfter: 1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.defineJob("a", jobSpec{steps: []pool.Step{gangStep(1, 8)}, runTime: 3 * time.Second})
+				for id := range w.listed {
+					w.fleet.Worker(id).SetFault(func(call string) runservice.Fault {
+						if call != "start" {
+							return runservice.Fault{}
+						}
+						return fault
+					})
+				}
+				_, err := w.submit(w.instances[0], 1, "a")
+				require.NoError(t, err)
+				time.Sleep(200 * time.Millisecond)
+				for id := range w.listed {
+					w.fleet.Worker(id).SetFault(nil)
+					w.fleet.Worker(id).Crash()
+					w.fleet.Worker(id).Restart()
+					w.listWorker(id)
 				}
-				done = true
-				return runservice.Fault{LoseAnswer: true}
+				w.awaitState(1, "a", pool.Completed)
 			})
-		}
-		_, err := w.submit(w.instances[0], 1, "a")
-		require.NoError(t, err)
-		time.Sleep(200 * time.Millisecond)
-		for id := range w.listed {
-			w.fleet.Worker(id).Crash()
-			w.fleet.Worker(id).Restart()
-			w.listWorker(id)
-		}
-		w.awaitState(1, "a", pool.Completed)
-	})
+		})
+	}
 }
 
 // Guards against stop orders that multiply until the owner runs out of memory: each one that failed marked its worker as dead, and a dead worker got new stop
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -107,8 +107,8 @@
 	}
 	defer func() { <-l.orderSlots }()
 	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Checkpoint: a.Checkpoint}
-	// unknown means that an order may have been executed, and closed that only a process which has closed its connection since can have executed it.
-	unknown, closed := false, true
+	// unknown means that an order may have been executed, or may still be.
+	unknown := false
 	// checked is when the run was last found to be one that may start.
 	checked := decided
 	for attempt := range maxStartAttempts {
@@ -149,7 +149,6 @@
 			t.post(func() { t.state.RunRefused(l.id, a.Run, err, errors.Is(err, worker.ErrUnhealthy), time.Now()) })
 			return
 		}
-		closed = closed && errors.IsAny(err, worker.ErrConnectionClosed, worker.ErrNotListening)
 		if !unknown {
 			unknown = true
 			t.post(func() { t.state.RunStartUnanswered(l.id, a.Run) })
@@ -167,7 +166,7 @@
 	}
 	// A report that lists the run confirms it.
 	l.poll()
-	t.post(func() { t.state.RunStartUnknown(l.id, a.Run, closed, time.Now()) })
+	t.post(func() { t.state.RunStartUnknown(l.id, a.Run, time.Now()) })
 }
 
 // mayStart returns the time of the check and whether a delayed or repeated order to start a run may still be sent. The run may have been abandoned,
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -91,7 +91,8 @@
 
 	// Fault is the fault to inject into one call. Its zero value injects none.
 	Fault struct {
-		// ExecuteAfter executes the call after a delay and never answers it.
+		// ExecuteAfter executes the call after a delay and never answers it. With Refusal, the call fails at once and is executed nevertheless, also by the
+		// worker's next incarnation: a device on the path has closed the caller's connection and delivers the call later.
 		ExecuteAfter time.Duration
 		// LoseAnswer executes the call and never answers it.
 		LoseAnswer bool
@@ -316,7 +317,8 @@
 		return worker.ErrNotListening
 	}
 	incarnation := w.incarnation
-	unanswered := w.down || w.partitioned || f.Silent || f.ExecuteAfter > 0
+	isClosedOnPath := f.Refusal != nil && f.ExecuteAfter > 0
+	unanswered := !isClosedOnPath && (w.down || w.partitioned || f.Silent || f.ExecuteAfter > 0)
 	var err error
 	switch {
 	case unanswered:
@@ -331,7 +333,7 @@
 		time.AfterFunc(f.ExecuteAfter, func() {
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
-			if !w.down && w.incarnation == incarnation {
+			if !w.down && (w.incarnation == incarnation || isClosedOnPath) {
 				_ = execute() // the caller never gets the outcome
 			}
 		})
