Order leases only for as long as the owner's key was seen to be the owner's

A task ran twice after a change of the owner: the earlier owner renewed the leases of a worker that only it reached for as long as its watch of the owner's key failed, while the successor waited for these leases for 12.2 s.

Cause: a successful renewal of the ownership lease was taken for proof that the pool is still owned. An instance that finds the owner's port refused replaces the key at once. The earlier lease stays, although it holds no key any more, and the store answers its renewals with success. Only the watch of the key, or a worker that follows the newer owner, ends the earlier owner then. If the watch fails and its busy workers are cut off from the successor, nothing does.

Change: leases are ordered for orderGrace after the sending of the last call whose answer showed the key as this term's, which is before any claim of a successor. The watch shows it with each return. An answer to the watch that is older than an earlier one counts as failed.

--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -186,8 +186,8 @@
 type claim struct {
 	OwnerRecord
 	lease store.LeaseID
-	// grantedAt is when the grant of the lease was requested, and committedAt when the store had committed the claim. An earlier owner has renewed its ownership
-	// before then at the latest.
+	// grantedAt is when the grant of the lease was requested, and committedAt when the store had committed the claim. The key was an earlier
+	// owner's before then at the latest.
 	grantedAt, committedAt timestamp
 }
 
--- a/internal/process/poolowner/handover.go
+++ b/internal/process/poolowner/handover.go
@@ -16,7 +16,7 @@
 	// TermRecord is what an owner promises its successor. Versions that don't know it leave the record of an earlier term.
 	TermRecord struct {
 		Epoch ids.Epoch
-		// Grace is how long after the last renewal of its ownership the owner orders leases.
+		// Grace is how long the owner orders leases after its key was last seen to be its own.
 		Grace time.Duration
 		// Lapsing are the workers on which this owner orders no lease and starts nothing as long as the record names them.
 		Lapsing []LapsingWorkers `json:",omitempty"`
@@ -41,9 +41,9 @@
 )
 
 // workerLease returns the lease that workers may be ordered to grant now; none if it is not positive. It ends at the latest orderGrace and a worker's lease after the
-// last renewal of the ownership, so that a successor knows how long to wait, even one that took this owner for dead before its ownership had expired.
+// owner's key was last seen to be this term's, so that a successor knows how long to wait, even one that took this owner for dead before its ownership had expired.
 func (t *term) workerLease() time.Duration {
-	return min(t.owner.Times.WorkerLease, orderGrace+t.owner.Times.WorkerLease-t.owner.since(*t.leaseRenewedAt.Load()))
+	return min(t.owner.Times.WorkerLease, orderGrace+t.owner.Times.WorkerLease-t.owner.since(*t.ownedAt.Load()))
 }
 
 // loadPromise reads the record of the term before this one.
--- a/internal/process/poolowner/ownership.go
+++ b/internal/process/poolowner/ownership.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -11,6 +11,8 @@
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 )
 
+const causeKeyChanged = "the owner's key has changed"
+
 // releaseOwnership deletes the owner key if it is still this term's.
 func (t *term) releaseOwnership() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
@@ -33,10 +35,14 @@
 		ctx, cancel := context.WithTimeout(t.ctx, t.owner.Times.Lease/3)
 		err := t.owner.Store.RenewLease(ctx, t.claim.lease)
 		cancel()
+		if err != nil && t.ctx.Err() == nil && !errors.Is(err, store.ErrRateLimited) {
+			t.renewalFailedAt.Store(&sent)
+		}
+		if err == nil && t.owner.since(*t.ownedAt.Load()) > ownerWatchWait+watchMargin {
+			// The watch of the key fails.
+			err = t.checkOwner()
+		}
 		if err != nil && t.ctx.Err() == nil {
-			if !errors.Is(err, store.ErrRateLimited) {
-				t.renewalFailedAt.Store(&sent)
-			}
 			if failures++; failures == 1 {
 				t.log.Warn("owner: renewing the lease failed", zap.Duration("leaseAge", t.owner.since(*t.leaseRenewedAt.Load())), zap.Error(err))
 			}
@@ -82,7 +88,7 @@
 	after := t.claim.revision
 	health := watchHealth{owner: t.owner, log: t.log, prefix: keyOwner}
 	for t.ctx.Err() == nil {
-		sent := time.Now()
+		sent := t.owner.now()
 		ctx, cancel := context.WithTimeout(t.ctx, ownerWatchWait+watchMargin)
 		events, at, err := t.owner.Store.Watch(ctx, keyOwner, after, ownerWatchWait)
 		cancel()
@@ -90,33 +96,43 @@
 			return
 		}
 		if errors.Is(err, store.ErrCompacted) {
-			t.checkOwner()
+			_ = t.checkOwner() // repeated with the next watch
 			pause.For(t.ctx, jitter(storeRetryDelay))
 			after = t.claim.revision
 			continue
 		}
+		if err == nil && at < after {
+			err = errStale
+		}
 		if err != nil {
-			health.failed(err, sent, ownerWatchWait+watchMargin, after)
+			health.failed(err, sent.at, ownerWatchWait+watchMargin, after)
 			pause.For(t.ctx, jitter(storeRetryDelay))
 			continue
 		}
 		health.returned()
 		t.owner.markContact()
 		after = at
-		for _, e := range events {
-			if e.Revision != t.claim.revision {
-				t.end("the owner's key has changed")
-			}
+		if slices.ContainsFunc(events, func(e store.Event) bool { return e.Revision != t.claim.revision }) {
+			t.end(causeKeyChanged)
+			return
 		}
+		t.ownedAt.Store(&sent)
 	}
 }
 
-// checkOwner ends the term if the owner key is no longer this term's.
-func (t *term) checkOwner() {
+// checkOwner ends the term if the owner key is no longer this term's. It returns an error unless the key is.
+func (t *term) checkOwner() error {
 	ctx, cancel := context.WithTimeout(t.ctx, storeCallTimeout)
 	defer cancel()
+	sent := t.owner.now()
 	entry, err := t.owner.Store.Get(ctx, keyOwner)
-	if errors.Is(err, store.ErrNotFound) || (err == nil && entry.Revision != t.claim.revision) {
-		t.end("the owner's key has changed")
+	switch {
+	case errors.Is(err, store.ErrNotFound), err == nil && entry.Revision != t.claim.revision:
+		t.end(causeKeyChanged)
+		return errors.New(causeKeyChanged)
+	case err != nil:
+		return errors.Wrap(err, "reading the owner's key")
 	}
+	t.ownedAt.Store(&sent)
+	return nil
 }
--- a/internal/process/poolowner/pause_test.go
+++ b/internal/process/poolowner/pause_test.go
@@ -32,6 +32,7 @@
 				defer cancel()
 				term := &term{owner: o, claim: &claim{}, log: zap.NewNop(), ctx: ctx, events: make(chan func()), state: &pool.State{}}
 				term.leaseRenewedAt.Store(&timestamp{at: time.Now()})
+				term.ownedAt.Store(&timestamp{at: time.Now()})
 				go func() {
 					for {
 						select {
--- a/internal/process/poolowner/takeover_test.go
+++ b/internal/process/poolowner/takeover_test.go
@@ -87,40 +87,44 @@
 }
 
 // Guards against tasks that run twice after a change of the owner: an owner whose port refuses connections is replaced before its own lease has expired, and may run on
-// without the store. It renewed the leases of a worker that only it reached for longer than its successor waited for them.
+// without the store, or renew a lease that no longer holds its key. It renewed the leases of a worker that only it reached for longer than its successor waited for them.
 func TestOwnerTakenForDeadRunsOn(t *testing.T) {
-	inCluster(t, func(t *testing.T, w *cluster) {
-		w.checker.BeginDisturbance()
-		step := gangStep(1, 8)
-		step.Gang, step.Estimate = false, time.Minute
-		w.mustSubmit(w.instances[0], "a", jobSpec{steps: []pool.Step{step}, runTime: time.Minute})
-		time.Sleep(time.Second)
-		id := w.checker.ActiveWorkers("a")[0]
-		first := w.ownerInstance()
-		for _, i := range w.instances {
-			i.mu.Lock()
-			i.cutOff = i == first
-			i.unreachable = map[ids.InstanceID]bool{id: i != first}
-			i.mu.Unlock()
-		}
-		w.store.SetFault(func(client string, _ bool) storeservice.CallFault {
-			return storeservice.CallFault{Refuse: client == first.name}
-		})
-		w.store.SetWatchFault(func(client, _ string) storeservice.CallFault {
-			return storeservice.CallFault{Refuse: client == first.name}
+	for name, refusesCalls := range map[string]bool{"without the store": true, "without watches": false} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.checker.BeginDisturbance()
+				step := gangStep(1, 8)
+				step.Gang, step.Estimate = false, time.Minute
+				w.mustSubmit(w.instances[0], "a", jobSpec{steps: []pool.Step{step}, runTime: time.Minute})
+				time.Sleep(time.Second)
+				id := w.checker.ActiveWorkers("a")[0]
+				first := w.ownerInstance()
+				for _, i := range w.instances {
+					i.mu.Lock()
+					i.cutOff = i == first
+					i.unreachable = map[ids.InstanceID]bool{id: i != first}
+					i.mu.Unlock()
+				}
+				w.store.SetFault(func(client string, _ bool) storeservice.CallFault {
+					return storeservice.CallFault{Refuse: refusesCalls && client == first.name}
+				})
+				w.store.SetWatchFault(func(client, _ string) storeservice.CallFault {
+					return storeservice.CallFault{Refuse: client == first.name}
+				})
+				began := time.Now()
+				for _, i := range w.instances {
+					if i != first {
+						w.read(i, 1, "a")
+					}
+				}
+				w.awaitSuccessor(first)
+				require.Less(t, time.Since(began), DefaultLease, "the owner's lease has expired before it was replaced")
+				// The checker verifies that the task never runs twice at a time.
+				time.Sleep(orderGrace + 2*defaultWorkerLease)
+				require.Equal(t, 2, w.checker.StartCount("a"), w.checker.EventLog())
+			})
 		})
-		began := time.Now()
-		for _, i := range w.instances {
-			if i != first {
-				w.read(i, 1, "a")
-			}
-		}
-		w.awaitSuccessor(first)
-		require.Less(t, time.Since(began), DefaultLease, "the owner's lease has expired before it was replaced")
-		// The checker verifies that the task never runs twice at a time.
-		time.Sleep(orderGrace + 2*defaultWorkerLease)
-		require.Equal(t, 2, w.checker.StartCount("a"), w.checker.EventLog())
-	})
+	}
 }
 
 // Guards against a successor that waits for the leases of its predecessor for less time than that has promised: earlier versions promise nothing and order leases for
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -37,6 +37,9 @@
 		configConfirmedAt timestamp
 		// leaseRenewedAt is when the last successful renewal of the ownership lease was sent.
 		leaseRenewedAt atomic.Pointer[timestamp]
+		// ownedAt is when the last call was sent whose answer showed that the owner's key is this term's. A lease can be renewed although another instance has
+		// taken the key.
+		ownedAt atomic.Pointer[timestamp]
 		// listEntries holds the entries of the instance list by key, and listed the workers that they name.
 		listEntries map[string]*listEntry
 		listed      map[ids.InstanceID]ListedWorker
@@ -170,6 +173,7 @@
 		jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
 	}
 	t.leaseRenewedAt.Store(&c.grantedAt)
+	t.ownedAt.Store(&c.grantedAt)
 	t.log.Info("owner: ownership claimed")
 	o.metrics.Claims.Add(1)
 	o.recovering.Store(true)
