Drop a report that one of the worker's later process has overtaken

A report of a worker's earlier process that arrives after one of its new process, on another connection, counted as another restart. Starts in the new process that had no answer yet were stopped, a crash was recorded that had not happened, and the numbers of ends went back to those of the earlier process: a renewal within 50 ms acknowledged them to the new process, which then forgets ends that nobody has seen. The platform's protocol says that responses on different connections may overtake each other.

Change: a report with an earlier start time counts only if it was requested after the newest report had arrived. A clock that was set back gives a later process an earlier start time; its next report counts.

TestOvertakenReport failed before (the worker's incarnation went back from 2 to 1) and passes with the change.

--- a/internal/process/pool/departure_test.go
+++ b/internal/process/pool/departure_test.go
@@ -139,3 +139,34 @@
 		})
 	}
 }
+
+// Guards against ends that are acknowledged to a worker's new process by the numbers of the earlier one, and against starts there that are stopped: a report of the
+// earlier process was overtaken by one of the new process, and counted as another restart. A start time that is really earlier, after a clock was set back, counts.
+func TestOvertakenReport(t *testing.T) {
+	at := func(seconds float64) time.Time { return testStart.Add(time.Duration(seconds * float64(time.Second))) }
+	for name, test := range map[string]struct {
+		// sent is when the report was requested that names the earlier start time.
+		sent float64
+		want uint64
+	}{
+		"requested before the newer report arrived": {sent: 1, want: 2},
+		"requested after it":                        {sent: 3.1, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(1, 1)
+			s.accept(gangJob("a", 1, 1, 8, 10*time.Second), testStart)
+			a := s.startAll(testStart)[0]
+			s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Active: []worker.ActiveRun{{Run: a.Run}}}, at(0.5), at(0.6))
+			s.Reported(a.Worker, worker.RunReport{Incarnation: 2}, at(2), at(3))
+			s.accept(gangJob("b", 0, 1, 8, 10*time.Second), at(3))
+			actions, _ := s.Decide(at(3))
+			require.Len(t, actions, 1)
+			s.RunStartUnanswered(a.Worker, actions[0].Run)
+			s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Number: 58, Reason: worker.EndStopped}}}, at(test.sent), at(3.3))
+			require.Equal(t, test.want, s.Incarnation(a.Worker))
+			require.Equal(t, test.want == 1, s.HandledEnd(a.Worker) == 58)
+			actions, _ = s.Decide(at(3.4))
+			require.Equal(t, test.want == 1, len(actions) > 0, "the start is stopped")
+		})
+	}
+}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -14,9 +14,15 @@
 // owner: not all of the worker's runs are known.
 func (s *State) Reported(id ids.InstanceID, report worker.RunReport, sent, now time.Time) {
 	n := s.nodes[id]
-	if n == nil || n.processEnded && !sent.After(n.endedAt) && report.Incarnation == n.Incarnation {
+	switch {
+	case n == nil:
+		return
+	case n.processEnded && !sent.After(n.endedAt) && report.Incarnation == n.Incarnation:
 		// The process that answered has ended since.
 		return
+	case report.Incarnation != 0 && report.Incarnation < n.Incarnation && !sent.After(n.reportedAt):
+		// A report of a later process, on another connection, has overtaken this one.
+		return
 	}
 	if !n.reported || !n.silentSince.IsZero() {
 		n.reported = n.reported || !report.MoreEnds
