Say that an owner is taken for dead, not that its process has ended

An instance that finds the owner's port refused, or the owner without a term, logged that the owner's process has ended. That is a guess: a cut may refuse connections too. Nothing rests on it but the moment of the claim.

--- a/internal/process/pool/departure_test.go
+++ b/internal/process/pool/departure_test.go
@@ -61,6 +61,8 @@
 		"entry removed after long silence":    {written: -3, removed: 0.3},
 		"the same, calls fail, time is over ": {calls: []call{{NoAnswer, 0.1, 0.2}, {NoAnswer, 0.3, 0.4}}, draining: true, written: -3, removed: 0.3},
 		"entry removed, last write not known": {written: -1e9, removed: 0.3},
+		"removed just before two intervals":   {written: -2.6, removed: 0.3, want: evidence{left: true}},
+		"removed just after two intervals":    {written: -2.8, removed: 0.3},
 		"entry names a newer incarnation":     {listed: 2, want: evidence{replaced: true}},
 		"entry names the known incarnation":   {listed: 1},
 		"replaced, and the new one answers":   {listed: 2, answers: 2},
--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -157,13 +157,13 @@
 	return events, revision, nil
 }
 
-// TakeOver claims ownership from an owner whose process is known to have terminated, without waiting for its lease to
-// expire.
+// TakeOver claims ownership from an owner that refuses connections or knows of no ownership, without waiting for its lease to expire. Its process has probably
+// ended. If it has not, the claim ends its term, and its leases are waited for.
 func (o *Owner) TakeOver(dead *OwnerRecord) {
 	if o.leaving.Load() || o.currentOwner.Load() != dead || !o.deadOwner.CompareAndSwap(nil, dead) {
 		return
 	}
-	o.Log.Info("member: the owner's process has ended", zap.String("owner", string(dead.Instance)), zap.Uint64("epoch", uint64(dead.Epoch)))
+	o.Log.Info("member: the owner is taken for dead", zap.String("owner", string(dead.Instance)), zap.Uint64("epoch", uint64(dead.Epoch)))
 	if cancel := o.cancelWatch.Load(); cancel != nil {
 		(*cancel)()
 	}
--- a/internal/process/poolowner/forward.go
+++ b/internal/process/poolowner/forward.go
@@ -120,7 +120,7 @@
 	case err == nil:
 		return answer, true, nil
 	case errors.Is(err, syscall.ECONNREFUSED), errors.As(err, &fault) && fault.Code == codeNotOwner:
-		// The owner's process has terminated, or was restarted and no longer knows of its ownership.
+		// The call was not delivered, or not handled. The owner's process has probably ended, or was restarted and no longer knows of its ownership.
 		g.Owner.TakeOver(current)
 		return answer, true, ErrNotOwner
 	case errors.Is(err, peer.ErrUnreachable), errors.As(err, &fault) && fault.Code == codeRecovering:
