Store a start after a crash before it is sent, also beside other runs

A task that crashed its workers could be started six times (rule BUDGET; TestSoakOfDeadlyTasks). Only starts on workers of their own were stored first.

A unit with crashes reserves its workers now, and is ordered to start once the store holds the workers and their incarnations. A crash that was not seen delays the next start as well, unless the run was older than a second when its worker fell silent: a sound task that is cut off is replaced while the store is out, as before. All other starts go on while the store is out.

TestSharedStartAfterCrashIsStoredFirst and TestNoStartBeforeUnseenCrashIsStored failed before.

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -266,7 +266,7 @@
 	u.crashes.waitsSince = time.Time{}
 	u.crashes.started = slices.DeleteFunc(u.crashes.started, func(on StartedOn) bool { return on.Worker == n.ID && c.Run == u.number })
 	s.markDirty(u.job)
-	if !c.Unseen || u.crashCount() > 1 {
+	if u.mustStoreStart() {
 		u.job.crashVersion = u.job.version
 	}
 	s.notice(Notice{
@@ -346,6 +346,13 @@
 		mostOfOneTask(u.crashes.list, Crash.isYoung) >= maxCrashes-forgotten && u.seenCrashes() > 0
 }
 
+// mustStoreStart reports whether the unit's crashes and its next start must be stored before that start is ordered. A run that was older when its worker fell silent
+// has probably not crashed it, and is replaced while the store is out.
+func (u *unit) mustStoreStart() bool {
+	row := u.crashes.list[u.crashes.survived:]
+	return u.isTriedToItsEnd() || len(row) > 1 || len(row) == 1 && (!row[0].Unseen || row[0].Age <= youngRun)
+}
+
 // seenCrashes returns the largest number of crashes that were seen under any one of the unit's tasks.
 func (u *unit) seenCrashes() int {
 	return mostOfOneTask(u.crashes.list, func(c Crash) bool { return c.counts() && !c.Unseen })
--- a/internal/process/pool/crash_test.go
+++ b/internal/process/pool/crash_test.go
@@ -314,3 +314,61 @@
 	}
 	return active
 }
+
+// Guards against crashes that are lost with their owner while the store is away: a gang whose worker fell silent was started again before that was stored.
+func TestNoStartBeforeUnseenCrashIsStored(t *testing.T) {
+	s := testState(4, 4)
+	j := gangJob("a", 1, 2, 8, time.Second)
+	s.accept(j, testStart)
+	actions := s.startAll(testStart)
+	now := testStart.Add(time.Second)
+	s.Reported(actions[0].Worker, worker.RunReport{Incarnation: 1, Active: []worker.ActiveRun{{Run: actions[0].Run}}}, now, now)
+	s.ExtendLease(actions[0].Worker, now.Add(time.Second))
+	s.MarkSilent(actions[0].Worker, now, now)
+	s.Reported(actions[1].Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Run: actions[1].Run, Number: 1, Reason: worker.EndGangMemberLost}}}, now, now)
+	started := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		started += len(s.startAll(now))
+	}
+	require.True(t, j.units[0].crashes.list[0].Unseen)
+	require.Zero(t, started)
+	for range 3 {
+		s.MarkStored(j.ID, j.Version())
+		now = now.Add(100 * time.Millisecond)
+		started += len(s.startAll(now))
+	}
+	require.Equal(t, 2, started)
+}
+
+// Guards against crashes that are lost with their owner: a start after a crash beside other runs was sent before the record named its worker, so that the next owner
+// did not know of it.
+func TestSharedStartAfterCrashIsStoredFirst(t *testing.T) {
+	s := testState(2, 2)
+	for _, id := range []string{"x", "y"} {
+		s.accept(gangJob(id, 1, 1, 6, time.Minute), testStart)
+	}
+	require.Len(t, s.startAll(testStart), 2)
+	j := gangJob("a", 1, 1, 2, time.Second)
+	s.accept(j, testStart)
+	j.units[0].crashes.list = []Crash{{Run: 1, Worker: "gone", Tasks: []int{0}, Age: 10 * time.Millisecond}}
+	now := testStart
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		require.Empty(t, s.startAll(now))
+	}
+	require.Len(t, j.units[0].crashes.started, 1, "it may share a worker after a second")
+	s.MarkStored(j.ID, j.Version())
+	now = now.Add(100 * time.Millisecond)
+	actions := s.startAll(now)
+	for range 3 {
+		// The workers may have been released meanwhile.
+		s.MarkStored(j.ID, j.Version())
+		now = now.Add(100 * time.Millisecond)
+		actions = append(actions, s.startAll(now)...)
+	}
+	require.Len(t, actions, 1)
+	stored, err := j.Encode("writer", 0)
+	require.NoError(t, err)
+	require.Contains(t, string(stored), `"Started":[{"Worker":"`+string(actions[0].Worker)+`"`)
+}
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -162,7 +162,7 @@
 		return
 	}
 	for _, u := range slices.Clone(s.preempting) {
-		if placementSchedulable(u) && placementFree(u) {
+		if placementSchedulable(u) && placementFree(u) && !(u.mustStoreStart() && u.job.crashVersion > u.job.storedVersion) {
 			placement := u.placement
 			s.releasePlacement(u)
 			s.startUnit(u, placement, now)
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -28,8 +28,13 @@
 	maxQuarantine = time.Minute
 )
 
-// startUnit orders the start of a unit, one task on each entry of the placement.
+// startUnit orders the start of a unit, one task on each entry of the placement. After a crash the start is stored first, since the next owner must know of it.
 func (s *State) startUnit(u *unit, placement []*node, now time.Time) {
+	if u.mustStoreStart() && !u.isStartStored(placement) {
+		s.holdPlacement(u, placement, now)
+		s.storeStart(u, placement)
+		return
+	}
 	u.number = max(u.number, ids.RunNumber(s.Epoch)*runsPerEpoch) + 1
 	previous := u.previousEnding(now)
 	u.setPhase(starting)
@@ -58,7 +63,7 @@
 	if u.isSuspected() {
 		s.suspected[u] = true
 	}
-	u.recordStart(placement)
+	u.crashes.started = u.startedOn(placement)
 	s.markDirty(u.job)
 	s.fairQueue.advance(u.job)
 	first := !u.job.ordered
@@ -73,16 +78,30 @@
 	s.notice(n)
 }
 
-// recordStart records on which workers the unit's tasks are started.
-func (u *unit) recordStart(placement []*node) {
-	u.crashes.started = nil
+// storeStart records a start that must be stored before it is ordered.
+func (s *State) storeStart(u *unit, placement []*node) {
+	u.crashes.started = u.startedOn(placement)
+	s.markDirty(u.job)
+	u.job.crashVersion = u.job.version
+}
+
+// isStartStored reports whether the store holds the start of a unit on the workers of a placement.
+func (u *unit) isStartStored(placement []*node) bool {
+	return u.job.crashVersion <= u.job.storedVersion && slices.EqualFunc(u.crashes.started, u.startedOn(placement), func(a, b StartedOn) bool {
+		return a.Worker == b.Worker && a.Incarnation == b.Incarnation && slices.Equal(a.Tasks, b.Tasks)
+	})
+}
+
+// startedOn returns the workers of a placement with the unit's tasks there.
+func (u *unit) startedOn(placement []*node) (list []StartedOn) {
 	for i, n := range placement {
 		if i == 0 || placement[i-1] != n {
-			u.crashes.started = append(u.crashes.started, StartedOn{Worker: n.ID, Incarnation: n.Incarnation})
+			list = append(list, StartedOn{Worker: n.ID, Incarnation: n.Incarnation})
 		}
-		last := &u.crashes.started[len(u.crashes.started)-1]
+		last := &list[len(list)-1]
 		last.Tasks = append(last.Tasks, u.first+i)
 	}
+	return list
 }
 
 // recordRack records the rack in which a step was first started.
--- a/internal/process/pool/trial.go
+++ b/internal/process/pool/trial.go
@@ -93,9 +93,12 @@
 		if u.job.crashVersion > u.job.storedVersion {
 			return false, false
 		}
-		u.trialPlacement = nil
-		s.startUnit(u, placement, now)
-		return true, false
+		if u.isStartStored(placement) {
+			u.trialPlacement = nil
+			s.startUnit(u, placement, now)
+			return true, false
+		}
+		// A worker has restarted meanwhile.
 	}
 	u.trialPlacement = nil
 	if need == trialPreferred && !now.Before(u.crashes.waitsSince.Add(trialWait)) {
@@ -111,9 +114,7 @@
 		// The next owner must know of the start, so it is stored first. Nothing else starts on the workers meanwhile.
 		s.isolate(u, placement)
 		u.trialPlacement = placement
-		u.recordStart(placement)
-		s.markDirty(u.job)
-		u.job.crashVersion = u.job.version
+		s.storeStart(u, placement)
 		return false, false
 	}
 	if need == trialRequired {
