--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -180,11 +180,10 @@
 	if r == nil || r.phase == runActive {
 		return
 	}
-	r.node.evidenceAt = now
 	if unhealthy {
 		s.recordFailure(r.node, ref.Job, now)
 	}
-	s.runLost(r, "the worker refused the start: "+cause.Error(), now)
+	s.dropRun(r, "the worker refused the start: "+cause.Error(), now)
 }
 
 // RunStartUnanswered records that a start order got no answer; the order may be sent again.
@@ -290,19 +289,23 @@
 
 // runLost handles a run that has disappeared before it was done.
 func (s *State) runLost(r *run, cause string, now time.Time) {
+	s.dropRun(r, cause, now)
+	s.recordLoss(r, cause, now)
+}
+
+// dropRun handles a run that does not exist, or not any more, before it was done.
+func (s *State) dropRun(r *run, cause string, now time.Time) {
 	s.removeRun(r)
 	u := r.unit
-	if u != nil && u.number == r.Number {
-		u.broken = false
-		if u.phase == starting || u.phase == running {
-			s.backOff(u, now)
-			s.stopUnit(u, cause, now)
-		}
+	if u == nil || u.number != r.Number {
+		return
 	}
-	s.recordLoss(r, cause, now)
-	if u != nil && u.number == r.Number {
-		s.requeueStopped(u)
+	u.broken = false
+	if u.phase == starting || u.phase == running {
+		s.backOff(u, now)
+		s.stopUnit(u, cause, now)
 	}
+	s.requeueStopped(u)
 }
 
 // requeueStopped returns a stopped unit to phase waiting once all its runs have ended.
