Take no removed entry for proof if the heartbeat interval is not known

If the settings lack the interval at which workers write their entries, it counted as 1.5 s. A worker whose entry is written more often, and removed after a shorter silence, then counted as departed although it may run on. Without the interval the removal of an entry shows nothing, and the tasks wait for the lease.

TestEvidenceOfWorker failed before in its case "removed soon, interval not known". Its cases and the tests with processes name the interval now.

--- a/internal/process/pool/departure_test.go
+++ b/internal/process/pool/departure_test.go
@@ -35,6 +35,7 @@
 // Guards against runs that are started elsewhere on evidence that a worker which runs on can also give: calls that fail, however they fail, and an entry that
 // may have been removed since the worker could not write it. Times are in seconds after the worker's last answer.
 func TestEvidenceOfWorker(t *testing.T) {
+	const interval = 1500 * time.Millisecond
 	type call struct {
 		kind CallFailure
 		// sent and failed are when the call was sent and when it failed.
@@ -46,6 +47,8 @@
 		draining bool
 		// removed is when its entry was removed, and written the earliest time of its last write; the entry stays if both are zero.
 		removed, written float64
+		// interval is the time between the writes of its entry; zero if the settings lack it.
+		interval time.Duration
 		// listed is the incarnation that its entry names; zero if the entry is not written again.
 		listed uint64
 		// answers is the incarnation that answers in the end, to a call sent at 1; zero if none does.
@@ -56,13 +59,14 @@
 		"calls fail, its time is over":        {calls: []call{{NoAnswer, 0.1, 0.6}, {NoAnswer, 0.7, 1.2}}, draining: true},
 		"another process":                     {calls: []call{{OtherProcess, 0.1, 0.1}}, want: evidence{otherProcess: true}},
 		"another process before it answered":  {calls: []call{{OtherProcess, -0.1, 0.1}}},
-		"entry removed soon after a write":    {written: -1, removed: 0.3, want: evidence{left: true}},
-		"the same, calls fail, time is over":  {calls: []call{{NoAnswer, 0.1, 0.2}}, draining: true, written: -1, removed: 0.3, want: evidence{left: true}},
-		"entry removed after long silence":    {written: -3, removed: 0.3},
-		"the same, calls fail, time is over ": {calls: []call{{NoAnswer, 0.1, 0.2}, {NoAnswer, 0.3, 0.4}}, draining: true, written: -3, removed: 0.3},
-		"entry removed, last write not known": {written: -1e9, removed: 0.3},
-		"removed just before two intervals":   {written: -2.6, removed: 0.3, want: evidence{left: true}},
-		"removed just after two intervals":    {written: -2.8, removed: 0.3},
+		"entry removed soon after a write":    {written: -1, removed: 0.3, interval: interval, want: evidence{left: true}},
+		"the same, calls fail, time is over":  {calls: []call{{NoAnswer, 0.1, 0.2}}, draining: true, written: -1, removed: 0.3, interval: interval, want: evidence{left: true}},
+		"entry removed after long silence":    {written: -3, removed: 0.3, interval: interval},
+		"the same, calls fail, time is over ": {calls: []call{{NoAnswer, 0.1, 0.2}, {NoAnswer, 0.3, 0.4}}, draining: true, written: -3, removed: 0.3, interval: interval},
+		"entry removed, last write not known": {written: -1e9, removed: 0.3, interval: interval},
+		"removed just before two intervals":   {written: -2.6, removed: 0.3, interval: interval, want: evidence{left: true}},
+		"removed soon, interval not known":    {written: -1, removed: 0.3},
+		"removed just after two intervals":    {written: -2.8, removed: 0.3, interval: interval},
 		"entry names a newer incarnation":     {listed: 2, want: evidence{replaced: true}},
 		"entry names the known incarnation":   {listed: 1},
 		"replaced, and the new one answers":   {listed: 2, answers: 2},
@@ -72,7 +76,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			at := func(seconds float64) time.Time { return testStart.Add(time.Duration(seconds * float64(time.Second))) }
-			s := testState(2, 2)
+			s := testStateOf(Times{EntryInterval: test.interval}, 2, 2)
 			n := s.nodes["w0000"]
 			n.reportedAt, n.leaseExpiry = testStart, at(10)
 			if test.draining {
--- a/internal/process/pool/helpers_test.go
+++ b/internal/process/pool/helpers_test.go
@@ -13,7 +13,12 @@
 
 // testState returns a state with workers of one service, in racks, that have reported.
 func testState(workers, perRack int) *State {
-	s := &State{Epoch: 1}
+	return testStateOf(Times{EntryInterval: 1500 * time.Millisecond}, workers, perRack)
+}
+
+// testStateOf is testState with other times.
+func testStateOf(times Times, workers, perRack int) *State {
+	s := &State{Epoch: 1, Times: times}
 	var list []Worker
 	for i := range workers {
 		list = append(list, Worker{
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -169,7 +169,7 @@
 		RemoteSlowdown float64
 		// IdleWait is the longest time for which nothing of a job may run while the pool is idle; see isIdleFor.
 		IdleWait time.Duration
-		// EntryInterval is the time between a worker's writes of its entry.
+		// EntryInterval is the time between a worker's writes of its entry. If it is not known, the removal of an entry shows nothing.
 		EntryInterval time.Duration
 		// Retention is how long ended jobs are kept.
 		Retention time.Duration
@@ -258,7 +258,6 @@
 	s.Times.Restore = cmp.Or(s.Times.Restore, 100*time.Millisecond)
 	s.Times.RemoteSlowdown = cmp.Or(s.Times.RemoteSlowdown, 3)
 	s.Times.IdleWait = cmp.Or(s.Times.IdleWait, 3*time.Second)
-	s.Times.EntryInterval = cmp.Or(s.Times.EntryInterval, 1500*time.Millisecond)
 	s.Times.Retention = cmp.Or(s.Times.Retention, 2*time.Minute)
 }
 
--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -236,7 +236,7 @@
 		Suspended:   func() time.Duration { return 0 },
 		DelayClaims: i.delayClaims, MaxValueBytes: i.maxValueBytes,
 		// Jobs are retained for longer than any test runs.
-		Pool: pool.Times{Retention: 24 * time.Hour},
+		Pool: pool.Times{Retention: 24 * time.Hour, EntryInterval: entryInterval},
 	}
 	i.mu.Lock()
 	i.owner, i.forwarder = owner, &Forwarder{Owner: owner, Log: w.checker.Logger(i.name), Call: w.peerCall}
