--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -56,9 +56,7 @@
 		evacuationState        listState
 		// unknownDataCentres are the requested data centres without workers, each logged once.
 		unknownDataCentres map[ids.DataCentreID]bool
-		// unusedEntries are the entries of the instance list that name no worker to use, each logged once.
-		unusedEntries map[string]bool
-		links         map[ids.InstanceID]*link
+		links              map[ids.InstanceID]*link
 		// answered holds the linked workers that have reported to this owner.
 		answered map[ids.InstanceID]bool
 		// firstRenewals limits the first renewals in flight.
@@ -168,7 +166,7 @@
 		end:    func(cause string) { cancel(errors.New(cause)) },
 		events: make(chan func(), eventQueueSize),
 		state:  &pool.State{Epoch: c.Epoch, Times: o.Pool},
-		listed: make(map[ids.InstanceID]ListedWorker), unusedEntries: make(map[string]bool), links: make(map[ids.InstanceID]*link), answered: make(map[ids.InstanceID]bool), returned: make(map[ids.InstanceID]bool),
+		listed: make(map[ids.InstanceID]ListedWorker), links: make(map[ids.InstanceID]*link), answered: make(map[ids.InstanceID]bool), returned: make(map[ids.InstanceID]bool),
 		unknownDataCentres: make(map[ids.DataCentreID]bool), firstRenewals: make(chan struct{}, maxFirstRenewals),
 		jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
 	}
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -36,6 +37,8 @@
 		worker       ListedWorker
 		// isReadable is set if the entry names a worker.
 		isReadable bool
+		// isWarned is set once it was logged that the entry under this key names no worker to use.
+		isWarned bool
 	}
 
 	// prefixWatch maintains a copy of the entries under a prefix.
@@ -247,7 +250,7 @@
 	known := make(map[string]*listEntry, len(entries))
 	for _, e := range entries {
 		if known[e.Key] = t.listEntries[e.Key]; known[e.Key] == nil || known[e.Key].revision != e.Revision {
-			known[e.Key] = t.readEntry(e, previous)
+			known[e.Key] = t.readEntry(e, previous, t.listEntries[e.Key])
 		}
 	}
 	removed := t.removedEntries(known)
@@ -259,11 +262,11 @@
 }
 
 // readEntry decodes an entry that was written after a time. An entry of another writer may be unreadable; it names no worker.
-func (t *term) readEntry(e store.Entry, writtenAfter timestamp) *listEntry {
-	entry := &listEntry{revision: e.Revision, writtenAfter: writtenAfter}
+func (t *term) readEntry(e store.Entry, writtenAfter timestamp, old *listEntry) *listEntry {
+	entry := &listEntry{revision: e.Revision, writtenAfter: writtenAfter, isWarned: old != nil && old.isWarned}
 	w, err := t.owner.Worker(e.Key, e.Value)
 	if err != nil {
-		t.warnOfEntry(e.Key, err)
+		t.warnOfEntry(e.Key, entry, err)
 		return entry
 	}
 	w.revision = e.Revision
@@ -272,10 +275,11 @@
 }
 
 // warnOfEntry logs once that an entry names no worker to use.
-func (t *term) warnOfEntry(key string, cause error) {
-	if !t.unusedEntries[key] {
-		t.unusedEntries[key] = true
-		t.log.Warn("workers: an entry names no worker to use", zap.String("key", key), zap.Error(cause))
+func (t *term) warnOfEntry(key string, e *listEntry, cause error) {
+	if !e.isWarned {
+		e.isWarned = true
+		// The cause may quote a part of the entry, of any length.
+		t.log.Warn("workers: an entry names no worker to use", zap.String("key", key), zap.String("error", fmt.Sprintf("%.200s", cause.Error())))
 	}
 }
 
@@ -288,7 +292,7 @@
 			continue
 		}
 		if !t.mayUse(w) {
-			t.warnOfEntry(key, errors.Newf("no configuration names its service %q", w.Service))
+			t.warnOfEntry(key, e, errors.Newf("no configuration names its service %q", w.Service))
 			continue
 		}
 		if old := t.listed[w.ID]; w.Draining && old.Draining && old.Incarnation == w.Incarnation {
