Don't take an entry of an unnamed service for the worker that it replaces

A task was started again while its first run still went on (TestProcessOddEntryInPlaceOfWorker): another writer had replaced its worker's entry by one with a service that no configuration names and a later start time. A worker whose service is no longer named may be used on, which was decided by its id alone, so the entry counted, and its start time was taken as proof that the worker's process had ended.

Such an entry is a linked worker's only if it names the service that the worker has had. Otherwise the worker counts as not listed: its runs go on, and its lease decides. Without this both cases of the test fail with "was started again"; with it both pass.

--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -21,6 +21,8 @@
 		term    *term
 		id      ids.InstanceID
 		address string
+		// service is that of the worker's entry. It is used by the term's goroutine only.
+		service ids.ServiceID
 		runs    worker.RunClient
 		ctx     context.Context
 		cancel  context.CancelFunc
@@ -87,7 +89,7 @@
 func (t *term) newLink(w ListedWorker) *link {
 	ctx, cancel := context.WithCancel(t.ctx)
 	l := &link{
-		term: t, id: w.ID, address: w.Address, runs: t.owner.Dial(w), ctx: ctx, cancel: cancel,
+		term: t, id: w.ID, address: w.Address, service: w.Service, runs: t.owner.Dial(w), ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxConcurrentOrders),
 	}
 	l.desired.Store(&desiredState{renew: true})
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -321,15 +321,21 @@
 		if l == nil {
 			t.links[id] = t.newLink(w)
 			t.usedUpToDate = false
+			continue
 		}
+		l.service = w.Service
 	}
 }
 
-// mayUse reports whether a worker is of a service that the configuration names, or has been used while an earlier one named it.
+// mayUse reports whether a worker is of a service that the configuration names, or has been used while an earlier one named it. An entry that names yet another
+// service in place of a linked worker's is not that worker's.
 func (t *term) mayUse(w ListedWorker) bool {
-	if t.catalog == nil || len(t.catalog.Services) == 0 || t.catalog.Services[w.Service] || t.links[w.ID] != nil {
+	if t.catalog == nil || len(t.catalog.Services) == 0 || t.catalog.Services[w.Service] {
 		return true
 	}
+	if l := t.links[w.ID]; l != nil {
+		return l.service == w.Service
+	}
 	return t.isUsed(w.ID)
 }
 
