Limit the calls to workers that have never answered

Each entry whose worker never answered was called every 150 ms without end, and each failed call led to a scheduling pass that went through all silent workers.

The delay between calls to such a worker doubles up to 2.4 s, and all of them together are called ten times a second. Each that answers after all lets eight others follow at once, so that a part of the pool that was cut off when it was listed is soon in use. Their first calls don't take the slots of workers that have answered an owner before. Silent workers without runs are left out of the passes until they have some.

TestManyWorkersThatNeverAnswered failed (5,044 calls in 10 s by 300 workers).

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -73,6 +73,10 @@
 		s.endAdoption(now)
 	}
 	for n := range s.suspects {
+		if n.isIdleSilent() {
+			delete(s.suspects, n)
+			continue
+		}
 		id := n.ID
 		if !n.quarantinedUntil.IsZero() && !now.Before(n.quarantinedUntil) {
 			n.quarantinedUntil = time.Time{}
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -356,7 +356,7 @@
 	return n.acknowledgedEnd
 }
 
-// Suspects returns the workers that are quarantined, silent or not listed. The runs of silent and unlisted workers are lost
+// Suspects returns the workers that are quarantined, silent with runs, or not listed. The runs of silent and unlisted workers are lost
 // once their leases have expired; the next call of Decide takes the leases passed to ExtendLease into account.
 func (s *State) Suspects() []ids.InstanceID {
 	var list []ids.InstanceID
@@ -366,6 +366,11 @@
 	return list
 }
 
+// isIdleSilent reports whether a worker only waits for an answer: it has no run that could end, and stays in the list.
+func (n *node) isIdleSilent() bool {
+	return n.listed && len(n.runs) == 0 && !n.silentSince.IsZero() && n.quarantinedUntil.IsZero()
+}
+
 func (s *State) markChanged(n *node) {
 	s.changed[n.ID] = true
 	s.invalidateExpectedEnds(n)
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -253,6 +253,9 @@
 // addRun adds a run to its worker, whose resources it holds.
 func (s *State) addRun(r *run) {
 	n := r.node
+	if !n.silentSince.IsZero() {
+		s.suspects[n] = true
+	}
 	n.runs = append(n.runs, r)
 	n.used = n.used.Plus(r.resources)
 	s.markChanged(n)
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -117,7 +117,7 @@
 		rackFitsVersion uint64
 		// changed holds the workers whose Busy, AcknowledgedEnd, HandledEnd or Incarnation may have changed.
 		changed map[ids.InstanceID]bool
-		// suspects holds the workers that are quarantined, silent or not listed.
+		// suspects holds the workers that are quarantined, silent with runs, or not listed. Others that are silent stay until the next call of Decide.
 		suspects map[*node]bool
 		// leaving holds the draining workers with runs, and departureDelays maps notices to how workers stayed beyond them.
 		leaving         map[*node]bool
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
-	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
@@ -36,6 +35,8 @@
 		confirmedAt atomic.Pointer[timestamp]
 		// answered is set once the worker has answered a renewal at its address.
 		answered atomic.Bool
+		// heard is set if the worker has answered this owner or an earlier one.
+		heard bool
 		// orderSlots limits the concurrent orders, and so the connections.
 		orderSlots chan struct{}
 		// malformed is set once a part of a report could not be read, which is logged once.
@@ -90,7 +91,7 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	l := &link{
 		term: t, id: w.ID, address: w.Address, service: w.Service, runs: t.owner.Dial(w), ctx: ctx, cancel: cancel,
-		wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxConcurrentOrders),
+		heard: t.answered[w.ID] || t.mayHaveRuns(w.ID), wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxConcurrentOrders),
 	}
 	l.desired.Store(&desiredState{renew: true})
 	t.spawn("a worker's renewals", l.renewLoop)
@@ -209,7 +210,7 @@
 		sent := l.term.owner.now()
 		report, err := l.sendRenewal(o)
 		if first {
-			<-l.term.firstRenewals
+			<-l.firstSlots()
 		}
 		if l.ctx.Err() != nil {
 			return
@@ -217,6 +218,9 @@
 		if err == nil {
 			if failures > 0 {
 				l.term.log.Info("workers: answering again", zap.String("worker", string(l.id)), zap.Int("failures", failures))
+				if !l.heard && !l.answered.Load() {
+					l.term.unheardRetries.succeeded()
+				}
 			}
 			failures = 0
 			answered = time.Now()
@@ -235,14 +239,14 @@
 			failed = failedAt(sent.at, o.Wait)
 		}
 		l.renewalFailed(err, failures, sent.at, failed)
-		pause.For(l.ctx, jitter(workerRetryDelay))
+		l.pauseBeforeRetry(failures)
 	}
 }
 
 // acquireFirst waits until the first renewal may be sent. A new owner of a large pool sends them to all workers at once.
 func (l *link) acquireFirst() bool {
 	select {
-	case l.term.firstRenewals <- struct{}{}:
+	case l.firstSlots() <- struct{}{}:
 		return true
 	case <-l.ctx.Done():
 		return false
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -59,8 +59,10 @@
 		links              map[ids.InstanceID]*link
 		// answered holds the linked workers that have reported to this owner.
 		answered map[ids.InstanceID]bool
-		// firstRenewals limits the first renewals in flight.
-		firstRenewals chan struct{}
+		// firstRenewals limits the first renewals in flight to workers that have answered an owner, and unheardRenewals those to others, which may never answer.
+		firstRenewals, unheardRenewals chan struct{}
+		// unheardRetries limits the further renewals to workers that have never answered.
+		unheardRetries retryPacer
 		// jobRevisions are the store's revisions of the jobs' records.
 		jobRevisions map[ids.JobID]store.Revision
 		waiters      map[ids.JobID][]*waiter
@@ -167,7 +169,7 @@
 		events: make(chan func(), eventQueueSize),
 		state:  &pool.State{Epoch: c.Epoch, Times: o.Pool},
 		listed: make(map[ids.InstanceID]ListedWorker), links: make(map[ids.InstanceID]*link), answered: make(map[ids.InstanceID]bool), returned: make(map[ids.InstanceID]bool),
-		unknownDataCentres: make(map[ids.DataCentreID]bool), firstRenewals: make(chan struct{}, maxFirstRenewals),
+		unknownDataCentres: make(map[ids.DataCentreID]bool), firstRenewals: make(chan struct{}, maxFirstRenewals), unheardRenewals: make(chan struct{}, maxFirstRenewals), unheardRetries: newRetryPacer(),
 		jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
 	}
 	t.leaseRenewedAt.Store(&c.grantedAt)
