Bound the record of lapsing workers and allow for the rates of the owners' clocks

By reading: a record of thousands of long names could outgrow a value of the store, and a successor whose clock is faster than its predecessor's waited up to 2% too short. The tests of takeovers pass.

--- a/internal/process/poolowner/handover.go
+++ b/internal/process/poolowner/handover.go
@@ -38,6 +38,8 @@
 	unpromisedGrace = leaseGrace + 2*DefaultLease
 	// lapsingRefresh is the time after which the remaining times of lapsing workers are stored again. A successor can't know the age of the record.
 	lapsingRefresh = 2 * time.Second
+	// lapsingBytes is the most that a lapsing worker takes in the record besides its name.
+	lapsingBytes = 64
 )
 
 // workerLease returns the lease that workers may be ordered to grant now; none if it is not positive. It ends at the latest orderGrace and a worker's lease after the
@@ -92,7 +94,9 @@
 	sinceClaim := t.owner.since(t.claim.committedAt)
 	for _, l := range t.predecessor.Lapsing {
 		for _, id := range l.Workers {
-			t.state.LeasesEndBy(id, now.Add(l.Remaining-sinceClaim))
+			// The clocks of the owners may differ in rate as those of workers do.
+			remaining := time.Duration(float64(max(0, l.Remaining)) * (1 + maxClockDrift))
+			t.state.LeasesEndBy(id, now.Add(remaining-sinceClaim))
 		}
 	}
 }
@@ -134,19 +138,30 @@
 	return lapsing != nil && len(*lapsing) > 0 && now.Sub(t.termSavedAt) >= lapsingRefresh && t.state.HasUnknown()
 }
 
-// addPromise adds the record of this term to a batch.
-func (t *term) addPromise(b *batch, now time.Time) {
-	r := &TermRecord{Epoch: t.claim.Epoch, Grace: orderGrace}
-	remaining := make(map[time.Duration][]ids.InstanceID)
+// lapsingWorkers returns the workers on which this owner has ordered nothing, with their remaining times. It returns none if they would outgrow a value of the store:
+// the successor then waits for the whole time.
+func (t *term) lapsingWorkers(now time.Time) []LapsingWorkers {
+	remaining, size := make(map[time.Duration][]ids.InstanceID), 0
 	for _, id := range t.state.UnknownWorkers() {
 		if left := t.state.UnknownUntil(id).Sub(now); left > 0 && !t.returned[id] {
 			remaining[left] = append(remaining[left], id)
+			size += len(id) + lapsingBytes
 		}
 	}
+	if limit := t.owner.MaxValueBytes; limit > 0 && size > limit {
+		return nil
+	}
+	var list []LapsingWorkers
 	for _, left := range slices.Sorted(maps.Keys(remaining)) {
 		slices.Sort(remaining[left])
-		r.Lapsing = append(r.Lapsing, LapsingWorkers{Remaining: left, Workers: remaining[left]})
+		list = append(list, LapsingWorkers{Remaining: left, Workers: remaining[left]})
 	}
+	return list
+}
+
+// addPromise adds the record of this term to a batch.
+func (t *term) addPromise(b *batch, now time.Time) {
+	r := &TermRecord{Epoch: t.claim.Epoch, Grace: orderGrace, Lapsing: t.lapsingWorkers(now)}
 	b.promise = r
 	t.termOutdated, t.termSavedAt = false, now
 	var stored map[ids.InstanceID]bool
