Count the leases of earlier owners on a worker that falls silent after its first answer

After a change of the owner, tasks ran twice: the new owner gave up the runs of a worker 1.5 s after its first answer as "the worker's lease has expired", while the lease of the earlier owner had seconds left.

Cause: a new owner orders no lease with its first call to a worker, and none while its stored record names the worker as lapsing. A worker that answered only after the recovery left the list of those that may have runs of earlier owners with its report. If its next call got no answer, the owner knew of no lease there, and no known lease counted as an expired one.

Change: with the first report after the recovery, the time until which leases of earlier owners may last becomes the worker's.

TestSilentAfterFirstAnswer failed before in both cases and passes with the change.

--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -47,6 +47,10 @@
 	}
 	n.silentSince, n.failingSince, n.processEnded, n.reportedAt = time.Time{}, time.Time{}, false, now
 	n.otherProcess, n.replaced, n.evidenceAt = false, false, sent
+	if until, unknown := s.unknown[id]; unknown {
+		// This owner may have ordered no lease there yet, but an earlier one has.
+		s.ExtendLease(id, until)
+	}
 	for _, e := range report.Ended {
 		if e.Number > n.handledEnd {
 			n.handledEnd = e.Number
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -316,6 +316,30 @@
 	return actions
 }
 
+// Guards against tasks that run twice after a change of the owner: a worker that first answered after the recovery, and then fell silent, had no lease of the new
+// owner yet, which counted as an expired one, while the lease of the earlier owner was in force.
+func TestSilentAfterFirstAnswer(t *testing.T) {
+	for name, moreEnds := range map[string]bool{"whole report": false, "more ends to be listed": true} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(1, 1)
+			s.nodes["w0000"].reported = false
+			j := gangJob("a", 1, 1, 8, 10*time.Second)
+			j.State, j.Submitted = Accepted, testStart
+			s.Recover([]*Job{j})
+			until := testStart.Add(12 * time.Second)
+			s.EndRecovery([]ids.InstanceID{"w0000"}, until, testStart.Add(time.Second))
+			now := testStart.Add(2 * time.Second)
+			run := worker.Run{Task: worker.Task{Job: "a"}, Number: 7}
+			s.Reported("w0000", worker.RunReport{Incarnation: 1, Active: []worker.ActiveRun{{Run: run}}, MoreEnds: moreEnds}, now, now)
+			s.CallFailed("w0000", NoAnswer, now.Add(time.Second), now.Add(time.Second), now.Add(time.Second))
+			s.Decide(until.Add(-time.Second))
+			require.True(t, s.HasRun("w0000", run), "before the leases of earlier owners have ended")
+			s.Decide(until.Add(time.Second))
+			require.False(t, s.HasRun("w0000", run))
+		})
+	}
+}
+
 // A gang of an earlier owner of which only a part has reported at the end of recovery runs on while the worker with the other
 // member may still report. It is stopped once that worker has reported without it.
 func TestPartialGangAfterRecovery(t *testing.T) {
