Double the time limit of a list of workers that got no answer in time

With a hundred entries of another writer, each of the store's largest value, no job was started any more: an accepted job was still queued after 60 s. Listing the entries took longer than its time limit, which allows for the usual size of a worker's entry, so that the owner listed them anew without end.

Each list without an answer in time doubles the limit of the next, up to that of the reading of the stored state.

--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -65,6 +65,8 @@
 	listTimeout = 2 * storeCallTimeout
 	// listEntryTime is the time that a worker's entry takes over a link of 10 Mbit/s.
 	listEntryTime = 500 * time.Microsecond
+	// maxListDoublings limits how often the time limit of a list doubles.
+	maxListDoublings = 6
 	// workersBatchDelay is the delay between watches that batches the changes of many workers.
 	workersBatchDelay = 100 * time.Millisecond
 )
@@ -106,18 +108,24 @@
 	known := entriesByKey(entries)
 	health := watchHealth{owner: t.owner, log: t.log, prefix: p.prefix}
 	mustList := false
+	// unanswered is the number of lists in a row that got no answer in time.
+	unanswered := 0
 	for t.ctx.Err() == nil {
 		sent := t.owner.now()
 		if mustList {
-			list, at, err := t.listPrefix(p.prefix, len(known))
+			list, at, err := t.listPrefix(p.prefix, len(known), unanswered)
 			if err == nil && at < revision {
 				err = errStale
 			}
 			if err != nil {
+				if t.owner.since(sent) >= storeCallTimeout {
+					unanswered++
+				}
 				p.failed(t, &health, errors.Wrap(err, "listing"), sent, storeCallTimeout, revision)
 				continue
 			}
 			health.returned()
+			unanswered = 0
 			mustList, revision, known = false, at, entriesByKey(list)
 			p.onChange(maps.Clone(known), sent)
 			continue
@@ -177,9 +185,11 @@
 	return known
 }
 
-// listPrefix lists the entries under a prefix, of which a number is expected.
-func (t *term) listPrefix(prefix string, expected int) ([]store.Entry, store.Revision, error) {
+// listPrefix lists the entries under a prefix, of which a number is expected. The entries may be larger than expected, so that each list without an answer doubles
+// the time limit of the next.
+func (t *term) listPrefix(prefix string, expected, unanswered int) ([]store.Entry, store.Revision, error) {
 	timeout := listTimeout + time.Duration(expected)*listEntryTime
+	timeout = max(timeout, min(timeout<<min(unanswered, maxListDoublings), maxReadTimeout))
 	if t.isStoreUnavailable() {
 		// A call that is sent during an outage may get no answer after it either.
 		timeout = storeCallTimeout
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -293,7 +293,7 @@
 func (t *term) refreshConfig() {
 	for t.ctx.Err() == nil {
 		sent := t.owner.now()
-		entries, _, err := t.listPrefix(t.owner.ConfigPrefix, 0)
+		entries, _, err := t.listPrefix(t.owner.ConfigPrefix, 0, 0)
 		if err != nil {
 			t.log.Warn("configuration: reading it again failed", zap.Error(err))
 			pause.For(t.ctx, jitter(storeRetryDelay))
