Say that the workers of an evacuated data centre are not known yet

An evacuation, or its dry run, right after an instance's start reported "its 0 workers with 0 accelerators get no new work": the instance had not read the instance list yet, and the effects did not tell that from an empty list. TestEvacuateCommand saw it once beside other load.

The effects now say that the list has not been read. TestEffectsBeforeInstanceList reproduces it without a race and failed with the words above.

--- a/cmd/jujubegrade/command_datacentre_test.go
+++ b/cmd/jujubegrade/command_datacentre_test.go
@@ -47,6 +47,11 @@
 		{[]string{"datacentre", "evacuate", "-undo", "-dry-run", "north"}, exitOK, "not accepted; version 2 is in force", true},
 		{[]string{"datacentre", "evacuate", "-undo", "north"}, exitOK, "accepted as version 3", false},
 	}
+	require.Eventually(t, func() bool {
+		code, out := runCommand(t, steps[0].args...)
+		require.Equal(t, exitOK, code, out)
+		return !strings.Contains(out, "its workers are not known yet")
+	}, 10*time.Second, 10*time.Millisecond, "the instance has read the list")
 	for _, s := range steps {
 		code, out := runCommand(t, s.args...)
 		require.Equal(t, s.code, code, out)
--- a/internal/process/entry/directory_test.go
+++ b/internal/process/entry/directory_test.go
@@ -11,9 +11,23 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/instancelist"
+	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
+// Guards against a dry run that reports no workers because the instance list has not been read yet.
+func TestEffectsBeforeInstanceList(t *testing.T) {
+	e := &Entry{}
+	c := &config.Config{DataCentres: map[ids.DataCentreID]config.DataCentre{"d": {Evacuate: true}, "e": {}}}
+	effects := func() []string {
+		_, effects := e.checkFeasibility(c)
+		return effects
+	}
+	require.Equal(t, []string{`DataCentre "d": evacuated; its workers are not known yet, since the instance list has not been read`}, effects())
+	e.directory.snapshot.Store(newSnapshot(nil))
+	require.Equal(t, []string{`DataCentre "d": evacuated, but no worker names it`}, effects())
+}
+
 // A worker that leaves is known soon after a poll of the instance list that got no answer, and the failure is an event.
 func TestInstanceListWithoutAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/entry/effects.go
+++ b/internal/process/entry/effects.go
@@ -58,7 +58,10 @@
 
 // evacuationEffects describes what the evacuation of a data centre takes from new work.
 func evacuationEffects(c *config.Config, id ids.DataCentreID, nodes []placement.Node, known bool) []string {
-	if known && len(nodes) == 0 {
+	if !known {
+		return []string{fmt.Sprintf("DataCentre %q: evacuated; its workers are not known yet, since the instance list has not been read", id)}
+	}
+	if len(nodes) == 0 {
 		return []string{fmt.Sprintf("DataCentre %q: evacuated, but no worker names it", id)}
 	}
 	accelerators := ids.Accelerators(0)
