Follow the instance list beside an entry that is nested too deeply or is no JSON

One such entry made the whole list unreadable, so that instances kept the last one that they had read and followed neither new nor leaving workers. Entries with negative or absurd resources, without an id or an address, with a port out of range, or with the id of another one were taken for instances; with the last, orders went to the address of the entry that came last.

The list is split into its entries before any is decoded, and each is checked; of several with one id only the first counts. An entry that leaves a bracket open still hides the list, since what follows can't be told apart.

--- a/internal/connection/instancelist/instancelist.go
+++ b/internal/connection/instancelist/instancelist.go
@@ -3,7 +3,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,23 +59,13 @@
 	client := httpjson.NewClient(address)
 	client.Timeout = timeout
 	return Client{List: func(ctx context.Context) ([]Instance, error) {
-		var entries []json.RawMessage
-		if err := client.Call(ctx, "GET", PathInstances, nil, &entries); err != nil {
+		response, err := client.Exchange(ctx, "GET", PathInstances, nil)
+		if err != nil {
 			return nil, err
 		}
-		return decode(entries)
-	}}
-}
-
-// decode decodes the entries one by one, so that a malformed one does not hide the others.
-func decode(entries []json.RawMessage) (instances []Instance, malformed error) {
-	for i, e := range entries {
-		var instance Instance
-		if err := json.Unmarshal(e, &instance); err != nil {
-			malformed = errors.Mark(errors.Wrapf(err, "entry %d of the instance list", i), ErrMalformed)
-			continue
+		if response.Status != http.StatusOK {
+			return nil, errors.Newf("the instance list: unexpected status %d", response.Status)
 		}
-		instances = append(instances, instance)
-	}
-	return instances, malformed
+		return decode(response.Body)
+	}}
 }
