--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -193,6 +193,13 @@
 	return w.incarnation
 }
 
+// IsDown reports whether the worker has crashed and not restarted.
+func (w *Worker) IsDown() bool {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return w.down
+}
+
 // SetPartitioned sets whether the worker is cut off by a network partition.
 func (w *Worker) SetPartitioned(partitioned bool) { w.update(func() { w.partitioned = partitioned }) }
 
