Count the first answer of a worker as the time of a lease

The first call has fenced the earlier owner, so that no lease there lasts longer than one that is ordered with the answer.

--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -224,7 +224,10 @@
 			}
 			failures = 0
 			answered = time.Now()
-			l.answered.Store(true)
+			if !l.answered.Swap(true) {
+				// Until it followed this owner, an earlier one may have ordered a lease.
+				l.markLeaseOrdered()
+			}
 			acknowledged = max(acknowledged, o.Acknowledged)
 			if reported := cmp.Or(report.Incarnation, w.incarnation); reported != incarnation {
 				// A restarted worker has seen no epoch and accepts any owner, so its answer confirms nothing.
