Wait for the lease if another worker answers at a worker's address

A task ran twice: its worker was cut off and ran on, another worker answered at its address, and the task was started elsewhere at once.

Cause: the answer of another worker where this one has answered before counted as proof of its end. It proves that the address is another's; that no machine gets the address of one that runs on behind a cut has no sentence. The guess waits for the lease now; the process then counts as ended, so that a crash is blamed on its tasks as before.

TestTaskOfUnreachableWorker/another_worker_has_its_address,_and_it_runs_on failed before ("started as run 1002 on worker03 while run 1001 was active on worker00"). The case of a restarted machine expected a start at once; it now expects none before the lease and the same cause. TestFateOfWorker follows.

--- a/internal/process/pool/departure.go
+++ b/internal/process/pool/departure.go
@@ -13,7 +13,8 @@
 
 	// evidence is what is known of a worker that does not answer.
 	evidence struct {
-		// otherProcess is set if another worker, or another incarnation of this one, answers where it has answered before.
+		// otherProcess is set if another worker, or another incarnation of this one, answers where it has answered before. The address may have passed to
+		// another machine while this one is cut off.
 		otherProcess bool
 		// replaced is set if its entry names a newer incarnation.
 		replaced bool
@@ -56,8 +57,8 @@
 // for the lease.
 func (e evidence) fate() (fate, string) {
 	switch {
-	case e.otherProcess:
-		return processEnded, "another process answers at its address"
+	case e.otherProcess && e.leaseExpired:
+		return processEnded, "another process answers at its address and its lease has expired"
 	case e.replaced:
 		return processEnded, "its entry names a new incarnation"
 	case e.left:
@@ -68,9 +69,9 @@
 	return mayRun, ""
 }
 
-// evidence returns what is known of a worker that does not answer.
-func (n *node) evidence(now time.Time) evidence {
-	return evidence{otherProcess: n.otherProcess, replaced: n.replaced, left: n.left, leaseExpired: now.After(n.leaseExpiry)}
+// evidence returns what is known of a worker that does not answer, given whether its leases are known to have expired.
+func (n *node) evidence(leaseExpired bool) evidence {
+	return evidence{otherProcess: n.otherProcess, replaced: n.replaced, left: n.left, leaseExpired: leaseExpired}
 }
 
 // CallFailed records that a call to a worker failed, which was sent at the given time. failed is the earliest time at which the worker may have stopped
@@ -84,7 +85,7 @@
 		n.otherProcess, n.evidenceAt = true, sent
 	}
 	s.MarkSilent(id, sent, failed)
-	s.markIfEnded(n, now)
+	s.markIfEnded(n, len(n.runs) == 0, now)
 }
 
 // EntryReplaced records that a worker's entry names an incarnation. If it is newer than the one known, the process that the worker had has ended.
@@ -94,7 +95,7 @@
 		return
 	}
 	n.replaced, n.evidenceAt = true, now
-	s.markIfEnded(n, now)
+	s.markIfEnded(n, false, now)
 }
 
 // EntryRemoved records that a worker's entry was removed while the store answered. unwritten is the longest time for which it may not have been written
@@ -105,12 +106,12 @@
 		return
 	}
 	n.left, n.evidenceAt = true, now
-	s.markIfEnded(n, now)
+	s.markIfEnded(n, false, now)
 }
 
-// markIfEnded records that a worker's process has ended if that is proved.
-func (s *State) markIfEnded(n *node, now time.Time) {
-	f, cause := n.evidence(now).fate()
+// markIfEnded records that a worker's process has ended if that is proved. leaseExpired is set if it has no lease any more.
+func (s *State) markIfEnded(n *node, leaseExpired bool, now time.Time) {
+	f, cause := n.evidence(leaseExpired).fate()
 	switch {
 	case f != processEnded || n.processEnded:
 	case n.otherProcess:
@@ -138,6 +139,9 @@
 		return
 	}
 	if now.After(n.leaseExpiry) {
+		if s.markIfEnded(n, true, now); len(n.runs) == 0 {
+			return
+		}
 		s.notice(Notice{Kind: "WorkerLapsed", Worker: n.ID, Tasks: len(n.runs), After: n.silentFor(now), Cause: "it does not answer and its lease has expired"})
 		n.reported, n.evidenceAt = false, n.leaseExpiry
 		s.markChanged(n)
--- a/internal/process/pool/departure_test.go
+++ b/internal/process/pool/departure_test.go
@@ -17,7 +17,7 @@
 		want     fate
 	}{
 		"no answer":                     {evidence{}, mayRun},
-		"another process answers":       {evidence{otherProcess: true}, processEnded},
+		"another process answers":       {evidence{otherProcess: true}, mayRun},
 		"replaced":                      {evidence{replaced: true}, processEnded},
 		"left":                          {evidence{left: true}, processEnded},
 		"lease expired":                 {evidence{leaseExpired: true}, lapsed},
@@ -95,7 +95,7 @@
 			if test.answers != 0 {
 				s.Reported(n.ID, worker.RunReport{Incarnation: test.answers}, at(1), at(1.1))
 			}
-			require.Equal(t, test.want, n.evidence(at(2)))
+			require.Equal(t, test.want, n.evidence(false))
 			require.Equal(t, test.want != evidence{}, n.processEnded)
 		})
 	}
--- a/internal/process/poolowner/departure_test.go
+++ b/internal/process/poolowner/departure_test.go
@@ -18,7 +18,10 @@
 // Guards against tasks that run twice, since the connections of a worker that is cut off are refused or closed although it runs on, and against tasks that wait
 // for the lease of a worker which is proved to have ended.
 func TestTaskOfUnreachableWorker(t *testing.T) {
-	const notice, prompt = 3 * time.Second, 2 * time.Second
+	const (
+		notice, prompt = 3 * time.Second, 2 * time.Second
+		otherProcess   = "another process answers at its address and its lease has expired"
+	)
 	cutOff := func(w *cluster, id ids.InstanceID, refusal error) {
 		w.fleet.Worker(id).SetFault(func(string) runservice.Fault { return runservice.Fault{Refusal: refusal} })
 	}
@@ -49,11 +52,12 @@
 			w.fleet.Worker(id).Restart()
 			w.listWorker(id)
 		}},
-		"another worker has its address": {evidence: "another process answers at its address", begin: func(w *cluster, id ids.InstanceID) {
+		"another worker has its address": {waits: true, evidence: otherProcess, begin: func(w *cluster, id ids.InstanceID) {
 			w.fleet.Worker(id).Crash()
 			w.fleet.Worker(id).Restart()
 			cutOff(w, id, worker.ErrIncarnationMismatch)
 		}},
+		"another worker has its address, and it runs on": {waits: true, evidence: otherProcess, begin: func(w *cluster, id ids.InstanceID) { cutOff(w, id, worker.ErrIncarnationMismatch) }},
 		"its address changes to that of another worker": {waits: true, begin: func(w *cluster, id ids.InstanceID) {
 			w.fleet.Worker(id).SetPartitioned(true)
 			l := w.listed[id]
