Wait for each worker that may run an earlier attempt

On our own interface, a job could start while a task of an earlier attempt ran on: of two workers with orphaned tasks, the confirmed stop on the one whose lease ends later ended the wait for both. Found by a review.

Cause: the wait was one time for the job. It is kept by worker now, and the latest of those that have not confirmed the stop counts.

TestStopOfOneOfTwoOrphans failed in both cases before (7 s and 9 s early) and passes.

--- a/internal/process/owner/recover.go
+++ b/internal/process/owner/recover.go
@@ -176,8 +176,8 @@
 	if len(tasks) == 0 && !recorded {
 		t.state.Restore(j)
 		if j.MaybeRan && r.Job.Idempotent && len(reports.unanswered) > 0 {
-			// The record of a start may not have been written.
-			t.state.MayRunUntil(r.ID, j.Attempt, now.Add(maxLeaseTime(t.workerLease())))
+			// The record of a start may not have been written. Which of these workers has it is not known.
+			t.state.MayRunUntil(r.ID, "", j.Attempt, now.Add(maxLeaseTime(t.workerLease())))
 		}
 		return
 	}
--- a/internal/process/owner/session.go
+++ b/internal/process/owner/session.go
@@ -273,8 +273,7 @@
 
 // stopOrphan stops a task that an earlier owner or an earlier attempt left on a worker. Its job does not start again before that.
 func (t *term) stopOrphan(session *workerSession, task worker.TaskReport) {
-	expiry := session.expiry()
-	queued := t.state.MayRunUntil(task.Job, task.Attempt, expiry)
+	queued := t.state.MayRunUntil(task.Job, session.id, task.Attempt, session.expiry())
 	if j := t.state.Job(task.Job); !queued && j != nil && task.Attempt > j.Attempt {
 		return
 	}
@@ -289,7 +288,7 @@
 			session.mu.Unlock()
 			return
 		}
-		t.doAsync(func() { t.state.HasStopped(task.Job, expiry, time.Now()) })
+		t.doAsync(func() { t.state.HasStopped(task.Job, session.id, time.Now()) })
 	})
 }
 
--- a/internal/process/placement/job.go
+++ b/internal/process/placement/job.go
@@ -74,6 +74,8 @@
 		// consecutiveFailures counts the starts and runs that failed in a row. The job is not retried before notBefore.
 		consecutiveFailures int
 		notBefore           time.Time
+		// mayRun is until when an earlier attempt may run on workers that have not confirmed its stop.
+		mayRun map[ids.InstanceID]time.Time
 		// lostAttempt is the last attempt in which an instance was lost, lostAt is when, and countedLoss is set if Losses includes it.
 		lostAttempt ids.Attempt
 		lostAt      time.Time
@@ -160,13 +162,19 @@
 	s.enqueue(j)
 }
 
-// MayRunUntil records that an attempt of a queued job may still run until a time. The job does not start before then. It reports whether the job is queued.
-func (s *State) MayRunUntil(id ids.JobID, attempt ids.Attempt, until time.Time) bool {
+// MayRunUntil records that an attempt of a queued job may still run on a worker until a time. The job does not start before then. It reports whether the job is queued.
+func (s *State) MayRunUntil(id ids.JobID, on ids.InstanceID, attempt ids.Attempt, until time.Time) bool {
 	j := s.jobs[id]
 	if j == nil || j.phase != queued {
 		return false
 	}
 	j.Attempt, j.MaybeRan = max(j.Attempt, attempt), true
+	if j.mayRun == nil {
+		j.mayRun = make(map[ids.InstanceID]time.Time)
+	}
+	if until.After(j.mayRun[on]) {
+		j.mayRun[on] = until
+	}
 	if !until.After(j.notBefore) {
 		return true
 	}
@@ -178,11 +186,28 @@
 	return true
 }
 
-// HasStopped records that the attempt that might have run until a time has stopped.
-func (s *State) HasStopped(id ids.JobID, until, now time.Time) {
-	if j := s.jobs[id]; j != nil && j.phase == queued && j.notBefore.Equal(until) {
-		j.notBefore = now
+// HasStopped records that the attempt that might have run on a worker has stopped.
+func (s *State) HasStopped(id ids.JobID, on ids.InstanceID, now time.Time) {
+	j := s.jobs[id]
+	if j == nil || j.phase != queued {
+		return
+	}
+	waitedFor := j.mayRunUntil(now)
+	delete(j.mayRun, on)
+	if j.notBefore.Equal(waitedFor) {
+		j.notBefore = j.mayRunUntil(now)
+	}
+}
+
+// mayRunUntil returns until when an earlier attempt may run on any worker; now if it can't.
+func (j *Job) mayRunUntil(now time.Time) time.Time {
+	last := now
+	for _, until := range j.mayRun {
+		if until.After(last) {
+			last = until
+		}
 	}
+	return last
 }
 
 func parseSelector(text string) labels.Selector {
