Don't let another worker's answer widen the proof of a new incarnation

A task ran twice: an idle worker restarted, confirmed a start and was cut off with answers of another worker; then its new entry arrived. The entry proves the end only of the runs that the earlier process has listed, but with the other answer all of its runs counted as ended.

Change: runs that the earlier process has not listed are lost with another worker's answer only once the lease has expired.

TestRunInNewProcessBehindOtherProcess and TestGuessDoesNotWidenProof failed before in the case of another process and pass.

--- a/internal/process/pool/departure.go
+++ b/internal/process/pool/departure.go
@@ -114,7 +114,7 @@
 	f, cause := n.evidence(leaseExpired).fate()
 	switch {
 	case f != processEnded || n.processEnded:
-	case n.otherProcess:
+	case n.otherProcess && leaseExpired:
 		s.MarkDead(n.ID, cause, now)
 	default:
 		s.markReplaced(n, cause, now)
--- a/internal/process/pool/departure_test.go
+++ b/internal/process/pool/departure_test.go
@@ -176,3 +176,31 @@
 		})
 	}
 }
+
+// Guards against a guess that widens a proof: an entry that names a newer incarnation, or was removed, proves the end of those runs only that the earlier process has
+// listed. If another worker had answered at the address before, all confirmed runs counted as ended, without a lease that has expired.
+func TestGuessDoesNotWidenProof(t *testing.T) {
+	for name, other := range map[string]bool{"replaced": false, "replaced, another process answers": true} {
+		t.Run(name, func(t *testing.T) {
+			s := testState(1, 1)
+			at := func(d float64) time.Time { return testStart.Add(time.Duration(d * float64(time.Second))) }
+			s.Reported("w0000", worker.RunReport{Incarnation: 1}, at(0), at(0))
+			j := gangJob("a", 1, 1, 8, time.Minute)
+			j.Steps[0].Gang = false
+			s.accept(j, at(0))
+			// Confirmed, perhaps by the next process, and not listed yet.
+			require.Len(t, s.startAll(at(0.1)), 1)
+			s.ExtendLease("w0000", at(7))
+			if other {
+				s.CallFailed("w0000", OtherProcess, at(0.2), at(0.2), at(0.2))
+				s.Decide(at(0.2))
+			}
+			s.EntryReplaced("w0000", 2, at(0.3))
+			_, notices := s.Decide(at(0.3))
+			for _, n := range notices {
+				t.Log(n.Kind, n.Cause)
+			}
+			require.Len(t, s.nodes["w0000"].runs, 1, "the run may be in the new process")
+		})
+	}
+}
--- a/internal/process/poolowner/departure_test.go
+++ b/internal/process/poolowner/departure_test.go
@@ -219,3 +219,38 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice: a worker that was idle restarts, starts a task, and is cut off before it has listed it. Its new entry proves the end of the earlier
+// process only, also if what cuts it off answers as another worker.
+func TestRunInNewProcessBehindOtherProcess(t *testing.T) {
+	for name, fault := range map[string]runservice.Fault{"no answer": {Silent: true}, "another process answers": {Refusal: worker.ErrIncarnationMismatch}} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, w *cluster) {
+				w.checker.BeginDisturbance()
+				for id := range w.listed {
+					w.fleet.Worker(id).Crash()
+					w.fleet.Worker(id).Restart()
+					w.fleet.Worker(id).SetFault(func(call string) runservice.Fault {
+						if call == "start" {
+							return runservice.Fault{}
+						}
+						return fault
+					})
+				}
+				step := gangStep(1, 8)
+				step.Gang, step.Estimate = false, time.Minute
+				w.mustSubmit(w.instances[0], "a", jobSpec{steps: []pool.Step{step}, runTime: time.Minute})
+				time.Sleep(600 * time.Millisecond)
+				id := w.checker.ActiveWorkers("a")[0]
+				for other := range w.listed {
+					if other != id {
+						w.fleet.Worker(other).SetFault(nil)
+					}
+				}
+				w.listWorker(id)
+				time.Sleep(2 * time.Second)
+				require.Equal(t, 1, w.checker.StartCount("a"), w.checker.EventLog())
+			})
+		})
+	}
+}
