Wait for this owner's leases on workers that have not listed all their ends

Tasks started after they had ended as done, an end that was acknowledged later: a worker with more ends than a report holds answered a new owner, which ordered leases there, and fell silent before it had listed them all. Only the leases of earlier owners were waited for. Found by a review.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -59,21 +59,25 @@
 // expire handles everything whose time limit has passed.
 func (s *State) expire(now time.Time) {
 	for id, until := range s.unknown {
-		if n := s.nodes[id]; n != nil && !n.reportedAt.IsZero() && n.silentSince.IsZero() {
-			// It answers, and lists the rest of its ends with its next reports.
-			continue
+		if n := s.nodes[id]; n != nil && !n.reportedAt.IsZero() {
+			if n.silentSince.IsZero() {
+				// It answers, and lists the rest of its ends with its next reports.
+				continue
+			}
+			// This owner may have ordered a lease since it answered.
+			until = laterOf(until, n.leaseExpiry)
 		}
 		if !now.Before(until) {
 			delete(s.unknown, id)
 			s.requestPass()
-			s.notice(Notice{Kind: "WorkerGone", Worker: id, Cause: "it never reported, and leases of an earlier owner have expired"})
+			s.notice(Notice{Kind: "WorkerGone", Worker: id, Cause: "it has not reported all of its runs, and its leases have expired"})
 		}
 	}
 	if s.adopting {
 		s.endAdoption(now)
 	}
 	for n := range s.suspects {
-		if n.isIdleSilent() {
+		if _, unknown := s.unknown[n.ID]; n.isIdleSilent() && !unknown {
 			delete(s.suspects, n)
 			continue
 		}
--- a/internal/process/poolowner/takeover_test.go
+++ b/internal/process/poolowner/takeover_test.go
@@ -166,8 +166,7 @@
 // Guards against accepted jobs that wait after a change of the owner for a listed worker that has never answered anyone.
 func TestWorkerThatNeverAnswered(t *testing.T) {
 	inCluster(t, func(t *testing.T, w *cluster) {
-		w.addWorker(6)
-		w.fleet.Worker("worker06").SetPartitioned(true)
+		w.addSilentWorker(6)
 		time.Sleep(time.Second)
 		second := gangStep(1, 8)
 		second.After = []int{0}
@@ -218,3 +217,53 @@
 		})
 	}
 }
+
+// Guards against tasks that are started after they had ended as done: a worker with more ends than a report holds answers a new owner, which orders leases there, and falls
+// silent before it has listed them all. Only the leases of earlier owners were waited for.
+func TestSilentBeforeAllEndsAreListed(t *testing.T) {
+	inCluster(t, func(t *testing.T, w *cluster) {
+		w.checker.BeginDisturbance()
+		w.fleet.SetEndsPerReport(2)
+		const tasks = 100
+		each := ids.Resources{Cores: 125, Memory: 64}
+		step := pool.Step{Tasks: tasks, Each: each, Estimate: 2 * time.Second}
+		// All other workers are full for a while.
+		id := ids.InstanceID("worker00")
+		for other := range w.listed {
+			if other != id {
+				w.unlistWorker(other)
+			}
+		}
+		time.Sleep(time.Second)
+		w.mustSubmit(w.instances[0], "a", jobSpec{steps: []pool.Step{step}, runTime: 2 * time.Second})
+		time.Sleep(time.Second)
+		require.Equal(t, tasks, w.checker.StartCount("a"))
+		for other := range w.listed {
+			w.listWorker(other)
+		}
+		time.Sleep(500 * time.Millisecond)
+		w.store.SetFault(func(_ string, write bool) storeservice.CallFault {
+			if write {
+				return storeservice.CallFault{Delay: 400 * time.Millisecond}
+			}
+			return storeservice.CallFault{}
+		})
+		first := w.ownerInstance()
+		first.kill(false)
+		w.awaitSuccessor(first)
+		owner, _ := w.ownerInstance().current()
+		tm := owner.term.Load()
+		left := func() (d time.Duration) {
+			require.NoError(t, tm.do(t.Context(), func() { d = time.Until(tm.state.UnknownUntil(id)) }))
+			return d
+		}
+		time.Sleep(left() + time.Second)
+		require.Equal(t, tasks, w.checker.StartCount("a"), w.checker.EventLog())
+		w.fleet.Worker(id).SetPartitioned(true)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, tasks, w.checker.StartCount("a"), "started while the worker's lease had not expired")
+		w.fleet.Worker(id).SetPartitioned(false)
+		w.store.SetFault(nil)
+		w.awaitState(1, "a", pool.Completed)
+	})
+}
