--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 
 soak: ## tests decisions and owners under random faults; SEED and CHECKS set the seed and the number of runs
 	go test ./internal/process/placement ./internal/process/owner ./internal/process/poolowner -count=1 -run 'TestSoak$$' -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
-	go test ./platform -count=1 -run TestProcessSoak -process.seed $(SEED)
+	go test ./platform -count=1 -run 'TestProcessSoak$$' -process.seed $(SEED)
 
 soak-large: ## tests 16 processes with 24 workers under random faults
 	go test ./platform -count=1 -run 'TestProcessSoak$$' -process.seed $(SEED) -process.instances 16 -process.workers 24
@@ -37,7 +37,7 @@
 	test -n "$(FROM)"
 	rm -rf target/earlier && git worktree prune && git worktree add --detach target/earlier $(FROM)
 	cd target/earlier && go build -o bin/ ./cmd/...
-	go test ./platform -count=1 -run TestProcessSoak -process.seed $(SEED) -process.$(FLAG) $(CURDIR)/target/earlier/bin/jujubegrade; \
+	go test ./platform -count=1 -run 'TestProcessSoak$$' -process.seed $(SEED) -process.$(FLAG) $(CURDIR)/target/earlier/bin/jujubegrade; \
 		status=$$?; git worktree remove --force target/earlier; exit $$status
 
 measure: ## compares the decisions with two baselines, one figure per line
