Review case 9: a job is not found under the route that replaced its own

A configuration replaces a route by one with the same host, prefix and service. GET and DELETE of a running job are answered 410, and its later steps are started all the same.

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -10,6 +10,7 @@
 	cases["crashes"] = crashes
 	cases["late-submission"] = lateSubmission
 	cases["moved-queue"] = movedQueue
+	cases["replaced-route"] = replacedRoute
 }
 
 const (
@@ -227,3 +228,56 @@
 	}
 	return ""
 }
+
+// replacedRoute: a configuration replaces a route by another one with the same host, prefix and service while a job of it runs.
+func replacedRoute(c *cluster, trouble bool) string {
+	for n := range 4 {
+		c.fleet.add(fmt.Sprintf("i-%04d", n+1), "pool", zone, "r1-1")
+	}
+	c.configure([]string{"pool"}, queue("r-before", "/jobs/", "pool", 1))
+	for range instances {
+		c.addInstance(false)
+	}
+	c.waitReady("/jobs/")
+	time.Sleep(time.Second)
+	const id, steps = "5c0e7a21d94b36f8", 3
+	const work = 6 * time.Second
+	var list []any
+	for n := range steps {
+		s := map[string]any{"count": 1, "cpu": 15000, "memMb": 22000, "gpu": 2, "estimateMs": work.Milliseconds()}
+		if n > 0 {
+			s["after"] = []int{n - 1}
+		}
+		list = append(list, s)
+	}
+	c.fleet.expect(id, step{work: work}, step{work: work}, step{work: work})
+	path := "/jobs/" + id
+	if a := c.instances[0].call("POST", path, map[string]any{"spec": "text of the job", "steps": list}, true); a.status/100 != 2 {
+		cannotRun(fmt.Sprintf("the job is not accepted: %d", a.status))
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		c.configure([]string{"pool"}, queue("r-after", "/jobs/", "pool", 1))
+	}
+	// The bounds of configurations and of the visibility of jobs have passed then.
+	time.Sleep(3500 * time.Millisecond)
+	broken := ""
+	if a := c.instances[1].call("GET", path, nil, true); a.status == http.StatusGone {
+		broken = "LOST: a GET for the accepted job is answered 410"
+	}
+	cancelled := time.Now()
+	a := c.instances[2].call("DELETE", path, nil, true)
+	if a.status/100 != 2 && a.status != http.StatusGone {
+		cannotRun(fmt.Sprintf("the cancelling is answered %d", a.status))
+	}
+	time.Sleep(time.Until(cancelled.Add(10 * time.Second)))
+	for n := 1; n < steps; n++ {
+		if task := fmt.Sprintf("%s.0.%d.0", id, n); c.fleet.countOf(c.fleet.starts, task) > 0 {
+			if broken != "" {
+				broken += "; "
+			}
+			broken += fmt.Sprintf("UNASKED: the task %s was started after the cancelling had been answered %d", task, a.status)
+		}
+	}
+	return broken
+}
