--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -46,19 +46,18 @@
 		gpu                             int
 
 		// The fields below are guarded by the fleet's lock.
-		down     bool
-		state    string
-		born     int64
-		started  time.Time
-		fence    uint64
-		until    time.Time
-		runs     map[string]*run
-		ended    []end
-		ends     uint64
-		highest  map[string]uint64
-		changed  chan struct{}
-		server   *http.Server
-		silentAt time.Time
+		down    bool
+		state   string
+		born    int64
+		started time.Time
+		fence   uint64
+		until   time.Time
+		runs    map[string]*run
+		ended   []end
+		ends    uint64
+		highest map[string]uint64
+		changed chan struct{}
+		server  *http.Server
 	}
 
 	run struct {
@@ -137,32 +136,6 @@
 	r.fleet.store.set("servers/"+r.id, entry)
 }
 
-// crash ends the runner's process: its runs are lost, and its connections are reset. Its entry goes after three heartbeats of silence.
-func (r *runner) crash() {
-	f := r.fleet
-	f.mu.Lock()
-	r.down, r.silentAt = true, time.Now()
-	born := r.born
-	for _, u := range r.runs {
-		f.rec.log("runner %s loses %s run %d", r.id, u.task, u.number)
-		u.drop()
-		u.breakGang()
-	}
-	r.runs = make(map[string]*run)
-	server := r.server
-	f.mu.Unlock()
-	f.rec.log("runner %s crashes", r.id)
-	_ = server.Close()
-	time.AfterFunc(3*heartbeat, func() {
-		f.mu.Lock()
-		gone := r.down && r.born == born
-		f.mu.Unlock()
-		if gone {
-			f.store.remove("servers/" + r.id)
-		}
-	})
-}
-
 // leave empties the runner and takes it away: it reports that it drains, serves on for the announced time and exits.
 func (r *runner) leave(after time.Duration) {
 	f := r.fleet
