--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -22,7 +22,7 @@
 	program = "target/jujubegrade"
 	host    = "queue.example"
 	apiKey  = "key-of-the-tenant"
-	// ports is the number of ports that each instance has for calls between instances.
+	// ports is the number of ports that each instance has for calls between instances. Two more follow, for clients and readiness.
 	ports = 16
 )
 
@@ -111,8 +111,8 @@
 		_, text, _ := net.SplitHostPort(freeAddress(ip))
 		first := 0
 		_, _ = fmt.Sscan(text, &first)
-		free := first+ports < 65000
-		for p := first; free && p < first+ports; p++ {
+		free := first+ports+2 < 65000
+		for p := first; free && p < first+ports+2; p++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, p))
 			if free = err == nil; free {
 				_ = l.Close()
@@ -185,7 +185,8 @@
 	n := len(c.instances) + 1
 	i := &instance{cluster: c, name: fmt.Sprintf("edge-%d", n), ip: loopback(n)}
 	first := freeRange(i.ip)
-	i.frontend, i.readiness, i.peers = freeAddress(i.ip), freeAddress(i.ip), fmt.Sprintf("%s:%d", i.ip, first)
+	address := func(port int) string { return fmt.Sprintf("%s:%d", i.ip, port) }
+	i.frontend, i.readiness, i.peers = address(first+ports), address(first+ports+1), address(first)
 	if rewrite {
 		i.link = newLink(c.rec, i.name, i.peers)
 	}
@@ -316,12 +317,15 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	// Whichever instance has written the key that holds an instance's address is the owner.
-	for _, i := range c.instances {
-		if bytes.Contains(c.store.get("Jujubegrade/Owner"), []byte(`"`+i.name+`"`)) {
-			c.rec.log("%s owns the pool", i.name)
-			return i
+	// Whichever instance has written the key that holds an instance's address is the owner. While the instances start, it may change.
+	for time.Now().Before(deadline) {
+		for _, i := range c.instances {
+			if bytes.Contains(c.store.get("Jujubegrade/Owner"), []byte(`"`+i.name+`"`)) {
+				c.rec.log("%s owns the pool", i.name)
+				return i
+			}
 		}
+		time.Sleep(50 * time.Millisecond)
 	}
 	cannotRun("no instance owns the pool")
 	return nil
