--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,5 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/review-rig2 ./review/rig2
+go build -o target/review-rig3 ./review/rig3
+review/build.sh
--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -7,71 +7,12 @@
 )
 
 var cases = map[string]func(r *rig) int{
-	"crashes":   playCrashes,
 	"schedules": playSchedules,
 	"stall":     playStall,
 	"flap":      playFlap,
 	"poison":    playPoison,
 }
 
-// playCrashes submits one job of one task. The runner that works on it crashes some seconds after the start, three times; each comes back 2 s later. The job's
-// task never ends as failed, so that the job must not be shown as failed.
-func playCrashes(r *rig) int {
-	const (
-		id         = "4c1d2e3f5a6b7c80"
-		task       = id + ".0.0.0"
-		crashes    = 3
-		crashAfter = 3 * time.Second
-		downFor    = 2 * time.Second
-	)
-	crashed := 0
-	r.onStart = func(w *runner, started string) {
-		if !r.trouble || started != task || crashed == crashes {
-			return
-		}
-		crashed++
-		time.AfterFunc(crashAfter, func() {
-			w.crash()
-			time.AfterFunc(downFor, func() {
-				if err := w.begin(); err != nil {
-					r.record("runner %s can't be restarted: %v", w.id, err)
-				}
-			})
-		})
-	}
-	if err := r.start(3, 8); err != nil {
-		r.record("can't start: %v", err)
-		return exitUnable
-	}
-	time.Sleep(2 * time.Second)
-	job := map[string]any{
-		"spec":  `{"MS":8500}`,
-		"steps": []any{map[string]any{"count": 1, "cpu": 26000, "memMb": 110000, "gpu": 8, "estimateMs": 8500}},
-	}
-	status, body := r.call(1, http.MethodPost, id, job)
-	r.record("client: POST %s -> %d %s", id, status, body)
-	if status != http.StatusOK {
-		return exitUnable
-	}
-	last := ""
-	for end := time.Now().Add(80 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		status, state := r.state(2, id)
-		if now := fmt.Sprintf("%d %s", status, state); now != last {
-			r.record("client: GET %s -> %s", id, now)
-			last = now
-		}
-		if state == "completed" {
-			return exitHeld
-		}
-		if state == "failed" {
-			r.record("LOST: the job is shown as failed; ends of its task as failed: %d, of 4 that its queue allows; crashes of runners under it: %d", r.endsOf(task, "failed"), crashed)
-			return exitBroken
-		}
-	}
-	r.record("the job has not ended")
-	return exitUnable
-}
-
 // playSchedules submits jobs that run hourly, for a year or, without the trouble, for a day. The platform kills a process that exceeds its memory limit and
 // starts it again. finish_s after the last submission the jobs are asked for.
 func playSchedules(r *rig) int {
@@ -206,7 +147,7 @@
 	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for _, id := range jobs {
 			used, fits, runs := r.use(id+".0.0.0", needs)
-			if runs > 0 || 2*used >= len(r.runners)*accs {
+			if runs > 0 || fits < 2 || 2*used >= len(r.runners)*accs {
 				delete(idleSince, id)
 				continue
 			}
@@ -227,8 +168,8 @@
 	return exitHeld
 }
 
-// use returns how many accelerators the runs of all runners take, how often a task that needs some would fit, and how many runs there are of one task. Each other
-// run takes one accelerator.
+// use returns how many accelerators the runs of all runners take, how often a task that needs some would fit on the runners of kind a, and how many runs there are
+// of one task. Each other run takes one accelerator.
 func (r *rig) use(task string, needs int) (used, fits, runs int) {
 	for _, w := range r.runners {
 		w.mu.Lock()
@@ -242,7 +183,7 @@
 			}
 		}
 		used += 8 - free
-		if w.up {
+		if w.up && w.kind == "a" {
 			fits += free / needs
 		}
 		w.mu.Unlock()
