--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -10,14 +10,13 @@
 	"schedules": playSchedules,
 	"stall":     playStall,
 	"flap":      playFlap,
-	"poison":    playPoison,
 }
 
 // playSchedules submits jobs that run hourly, for a year or, without the trouble, for a day. The platform kills a process that exceeds its memory limit and
 // starts it again. finish_s after the last submission the jobs are asked for.
 func playSchedules(r *rig) int {
 	const (
-		jobs      = 22
+		jobs      = 25
 		perYear   = 8760
 		perDay    = 24
 		finish    = 14 * time.Second
@@ -191,85 +190,6 @@
 	return used, fits, runs
 }
 
-// playPoison hands in small jobs, of which two can never be done: their tasks end as failed. They need a label that one runner has, and so does the second step of
-// a sound job, whose turn comes after their last attempts. That runner is sound and idle then.
-func playPoison(r *rig) int {
-	const (
-		id      = "4c1d2e3f5a6b7c82"
-		task    = id + ".0.1.0"
-		traffic = 24 * time.Second
-		soundAt = 17 * time.Second
-		finish  = 14 * time.Second
-		window  = 3 * time.Second
-		every   = 400 * time.Millisecond
-		needs   = 2
-	)
-	r.otherKind = 7
-	if err := r.start(3, 8); err != nil {
-		r.record("can't start: %v", err)
-		return exitUnable
-	}
-	time.Sleep(2 * time.Second)
-	submit := func(id, spec string, steps ...any) bool {
-		status, body := r.call(1, http.MethodPost, id, map[string]any{"spec": spec, "steps": steps})
-		r.record("client: POST %s -> %d %s", id, status, body)
-		return status == http.StatusOK
-	}
-	step := func(gpu int, label string, more map[string]any) map[string]any {
-		s := map[string]any{"count": 1, "cpu": 2000, "memMb": 4000, "gpu": gpu, "estimateMs": 5000}
-		if label != "" {
-			s["requiredLabel"] = label
-		}
-		for k, v := range more {
-			s[k] = v
-		}
-		return s
-	}
-	began := time.Now()
-	handedIn := false
-	for n := 0; time.Since(began) < traffic; n++ {
-		switch {
-		case r.trouble && n < 2:
-			submit(fmt.Sprintf("00000000000000d%d", n), `{"MS":200,"Fails":true}`, step(1, "b", nil))
-		case !handedIn && time.Since(began) > soundAt:
-			handedIn = submit(id, `{"MS":6000}`, step(1, "a", nil), step(needs, "b", map[string]any{"after": []int{0}}))
-			if !handedIn {
-				return exitUnable
-			}
-		default:
-			submit(fmt.Sprintf("000000000000e%03d", n), `{"MS":300}`, step(1, "a", nil))
-		}
-		time.Sleep(every)
-	}
-	r.record("the traffic ends")
-	time.Sleep(finish)
-	var idleSince time.Time
-	other := r.runners[r.otherKind]
-	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		status, state := r.state(2, id)
-		if state == "completed" {
-			r.record("client: GET %s -> %d %s", id, status, state)
-			return exitHeld
-		}
-		other.mu.Lock()
-		idle := len(other.runs) == 0
-		other.mu.Unlock()
-		if !idle || r.endsOf(id+".0.0.0", "done") == 0 {
-			idleSince = time.Time{}
-			continue
-		}
-		if idleSince.IsZero() {
-			idleSince = time.Now()
-			r.record("client: GET %s -> %d %s; its first step is done, nothing of it runs, and the runner with its label is up and idle", id, status, state)
-		}
-		if time.Since(idleSince) > window {
-			r.record("LOST: for %v job %s has had nothing running while the turn of task %s had come, with room for it %d times over", window, id, task, 8/needs)
-			return exitBroken
-		}
-	}
-	return exitUnable
-}
-
 // playFlap hands in eight jobs of one small task each, which share a runner. That runner crashes and comes back, and so does the one on which they run next. All
 // other runners are idle.
 func playFlap(r *rig) int {
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -15,8 +15,6 @@
 	taskSpec struct {
 		// MS is the run time of a task in milliseconds.
 		MS int
-		// Fails makes them end as failed.
-		Fails bool
 	}
 
 	// runner is a stand-in of a platform runner. It keeps its id and address across crashes.
@@ -275,11 +273,7 @@
 		r.timer = time.AfterFunc(r.length, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			how := "done"
-			if spec.Fails {
-				how = "failed"
-			}
-			w.end(r, how)
+			w.end(r, "done")
 		})
 		w.runs[runKey(o.Task, o.Run)] = r
 		w.rig.record("runner %s: start of %s run %d, fencing token %d", w.id, o.Task, o.Run, o.FencingToken)
