--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -61,6 +61,9 @@
 	// maxTime ends a case that hangs.
 	maxTime = 116 * time.Second
 
+	// restartDelay is the time after which the platform starts a process again that has ended.
+	restartDelay = 2 * time.Second
+
 	apiKey = "key-1"
 	host   = "jobs.example"
 )
@@ -287,7 +290,7 @@
 			i.mu.Unlock()
 			if !i.rig.isOver() {
 				i.rig.record("instance %s ended: %v", i.name, err)
-				time.Sleep(500 * time.Millisecond)
+				time.Sleep(restartDelay)
 			}
 		}
 	}()
