Carry out no forwarded call after a later answer about its job

Cause: a submission without an answer is forwarded again, and the refusal of the second attempt was taken for the outcome of both, although the network may deliver the first one later; and the owner obeyed a forwarded call of any age.

Change: calls that change something state their validity on the owner's clock, which answers show. The owner does not carry out a call that has expired, was sent to another epoch, or was received before an answer that denies its job: a refusal, a withdrawal or a DELETE that found none. After an attempt that an owner of an earlier version may still obey, a refusal leaves the outcome unknown.

--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -29,6 +29,11 @@
 		Schedule pool.Schedule `json:",omitzero"`
 		// Unsupported names a feature that the job requires and this version doesn't support; empty means none.
 		Unsupported string `json:",omitempty"`
+		// Validity limits when a call that another instance forwards is carried out. Nil means no limit: the instance's version states none.
+		Validity *Validity `json:",omitempty"`
+
+		// receivedAt is when this instance received the call from its client; zero if another one did.
+		receivedAt timestamp
 	}
 
 	// Answer is the answer to a call.
@@ -42,6 +47,8 @@
 		// Reason is the cause of a refusal, and RetryAfter the delay after which the caller may retry.
 		Reason     string        `json:",omitempty"`
 		RetryAfter time.Duration `json:",omitempty"`
+		// Clock is the owner's reading of its clock.
+		Clock *OwnerClock `json:",omitempty"`
 	}
 
 	// Result is the outcome of a call.
@@ -63,6 +70,8 @@
 	// Read requests a job's state, or the number of jobs that have not begun if the path names a queue.
 	Read   CallKind = "Read"
 	Cancel CallKind = "Cancel"
+	// readClock requests only the owner's reading of its clock. Versions that don't know it answer that there is no such queue.
+	readClock CallKind = "ReadClock"
 )
 
 // The outcomes of calls.
@@ -79,6 +88,8 @@
 	Invalid Result = "Invalid"
 	// timedOut means that the call exceeded its queue's timeout and its outcome is not known.
 	timedOut Result = "TimedOut"
+	// superseded means that nothing was done, since a later call about the job was answered before. The job may exist.
+	superseded Result = "Superseded"
 	// NotNow means that the call can't be answered at the moment; nothing was done, and nothing is known of the job.
 	NotNow Result = "NotNow"
 )
@@ -101,7 +112,21 @@
 	if t == nil {
 		return Answer{}, ErrNotOwner
 	}
+	arrived := o.now()
+	if c.Kind == readClock {
+		return Answer{Result: OK, Clock: t.reading(arrived)}, nil
+	}
 	o.metrics.Calls.Add(1)
+	if !c.receivedAt.at.IsZero() {
+		c.Validity = t.localValidity(ctx, c.receivedAt)
+	}
+	answer, err := t.answer(ctx, c)
+	answer.Clock = t.reading(arrived)
+	return answer, err
+}
+
+// answer answers a call.
+func (t *term) answer(ctx context.Context, c Call) (Answer, error) {
 	var answer Answer
 	var w *waiter
 	var handleErr error
@@ -133,6 +158,11 @@
 // handle answers a call, or returns a waiter for its answer.
 func (t *term) handle(c Call) (Answer, *waiter, error) {
 	now := time.Now()
+	if c.Kind != Read && t.isExpired(c) && (c.Kind != Submit || t.state.Job(c.jobID()) == nil) {
+		t.owner.metrics.CallsExpired.Add(1)
+		t.log.Info("call: expired", append(t.fieldsOf(c), zap.Uint64("sentTo", uint64(c.Validity.Epoch)), zap.Duration("late", t.clock()-c.Validity.Expires))...)
+		return Answer{}, nil, errExpired
+	}
 	if c.Kind == Submit && t.state.Job(c.jobID()) == nil && !t.isStillOwner() {
 		// Another instance may own the pool by now and know the job: a refusal would claim that it never runs.
 		return Answer{}, nil, ErrUnknown
@@ -162,6 +192,11 @@
 		// Another instance may own the pool by now and know the job.
 		return t.refuse(c, NotNow, "ownership is not confirmed", notNowRetryAfter), nil, nil
 	}
+	if (c.Kind == Cancel || c.Kind == Submit && t.state.Job(ids.JobID(rest)) == nil) && t.isSuperseded(c) {
+		t.owner.metrics.CallsSuperseded.Add(1)
+		t.log.Info("call: superseded", t.fieldsOf(c)...)
+		return Answer{Result: superseded}, nil, nil
+	}
 	var answer Answer
 	var w *waiter
 	switch c.Kind {
@@ -194,11 +229,12 @@
 	return j.State
 }
 
+// refuse answers that a call was not carried out. A submission of the same job that arrived earlier at any instance is not carried out any more.
 func (t *term) refuse(c Call, result Result, reason string, after time.Duration) Answer {
-	fields := []zap.Field{
-		zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path), zap.String("result", string(result)), zap.String("cause", reason),
-		zap.Duration("retryAfter", after),
+	if c.Kind == Submit {
+		t.superseded.add(c.jobID(), t.clock())
 	}
+	fields := append(t.fieldsOf(c), zap.String("result", string(result)), zap.String("cause", reason), zap.Duration("retryAfter", after))
 	if t.catalog != nil {
 		if q, _ := t.catalog.Resolve(c.Host, c.Path); q != nil {
 			fields = append(fields, zap.String("queue", string(q.ID)), zap.String("account", string(t.catalog.Keys[c.Key])), zap.Int("priority", q.Priority))
@@ -209,6 +245,15 @@
 	return Answer{Result: result, Reason: reason, RetryAfter: after}
 }
 
+// fieldsOf returns the log fields of a call. Its age is the longest time since an instance received it; zero if it states none.
+func (t *term) fieldsOf(c Call) []zap.Field {
+	fields := []zap.Field{zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path)}
+	if c.Validity != nil {
+		fields = append(fields, zap.Duration("age", t.clock()-c.Validity.Received))
+	}
+	return fields
+}
+
 func (t *term) submit(c Call, q *catalog.Queue, account ids.AccountID, id ids.JobID, j *pool.Job, now time.Time) (Answer, *waiter) {
 	if j != nil {
 		if j.IsStored() {
@@ -271,6 +316,7 @@
 // cancelJob cancels a job. The caller is answered once the cancellation is stored.
 func (t *term) cancelJob(c Call, j *pool.Job, now time.Time) (Answer, *waiter) {
 	if j == nil {
+		t.superseded.add(c.jobID(), t.clock())
 		return Answer{Result: NoJob}, nil
 	}
 	t.log.Info("call: cancel requested", zap.String("job", string(j.ID)), zap.String("state", string(j.State)))
@@ -326,12 +372,8 @@
 		if result == OK {
 			continue
 		}
-		t.state.Withdraw(id)
 		t.log.Info("call: withdrawn", zap.String("job", string(id)), zap.String("result", string(result)), zap.Uint64("version", uint64(t.catalog.Version)))
-		for _, w := range list {
-			w.answer <- Answer{Result: result}
-		}
-		delete(t.waiters, id)
+		t.withdraw(id, Answer{Result: result})
 	}
 }
 
@@ -341,17 +383,23 @@
 	if t.storeFailingSince.IsZero() || now.Sub(t.storeFailingSince) < storeOutageThreshold {
 		return
 	}
-	for id, list := range t.waiters {
+	for id := range t.waiters {
 		j := t.state.Job(id)
 		if j == nil || j.IsStored() || t.inFlight.contains(id) {
 			continue
 		}
-		t.state.Withdraw(id)
 		t.log.Info("call: withdrawn", zap.String("job", string(id)), zap.String("result", string(Refused)), zap.String("cause", "the store does not answer"),
 			zap.String("queue", string(j.Queue)), zap.String("account", string(j.Account)), zap.Int("priority", j.Priority))
-		for _, w := range list {
-			w.answer <- Answer{Result: Refused, Reason: "the store does not answer", RetryAfter: notNowRetryAfter}
-		}
-		delete(t.waiters, id)
+		t.withdraw(id, Answer{Result: Refused, Reason: "the store does not answer", RetryAfter: notNowRetryAfter})
+	}
+}
+
+// withdraw removes a job that no transaction includes, and answers the calls that wait for it.
+func (t *term) withdraw(id ids.JobID, answer Answer) {
+	t.state.Withdraw(id)
+	t.superseded.add(Call{Path: string(id)}.jobID(), t.clock())
+	for _, w := range t.waiters[id] {
+		w.answer <- answer
 	}
+	delete(t.waiters, id)
 }
--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -47,6 +47,10 @@
 		writtenAt map[ids.InstanceID]time.Time
 		// listFault is called before each list of a prefix of the store; the list fails with its error.
 		listFault func(prefix string) error
+		// holdCall returns how long the network holds a call between instances, whose sender gets no answer; zero delivers it at once.
+		holdCall func(c Call) time.Duration
+		// isEarlierVersion makes owners state no clock and ignore the validity of calls.
+		isEarlierVersion bool
 	}
 
 	// serial is a link or a processor, which serves its uses one after the other.
@@ -271,7 +275,15 @@
 }
 
 // peerCall sends a call to the instance at an address.
-func (w *cluster) peerCall(ctx context.Context, address string, c Call) (Answer, error) {
+func (w *cluster) peerCall(ctx context.Context, address string, sent Call) (Answer, error) {
+	value, err := json.Marshal(sent)
+	if err != nil {
+		return Answer{}, err
+	}
+	var c Call
+	if err := json.Unmarshal(value, &c); err != nil {
+		return Answer{}, err
+	}
 	for _, i := range w.instances {
 		if i.name != address {
 			continue
@@ -286,9 +298,17 @@
 		case dead || cutOff:
 			return Answer{}, errors.Mark(syscall.ECONNREFUSED, peer.ErrUnreachable)
 		}
+		if hold := w.holdOf(&c); hold > 0 {
+			time.AfterFunc(hold, func() { _, _ = forwarder.servePeer(context.Background(), c) })
+			<-ctx.Done()
+			return Answer{}, peer.ErrUnknown
+		}
 		answer, err := forwarder.servePeer(ctx, c)
 		i.mu.Lock()
 		defer i.mu.Unlock()
+		if w.isEarlierVersion {
+			answer.Clock = nil
+		}
 		if i.dead || i.machineOff {
 			return Answer{}, peer.ErrUnknown
 		}
@@ -297,6 +317,33 @@
 	return Answer{}, peer.ErrUnreachable
 }
 
+// holdOf returns how long the network holds a call, as its receiver reads it.
+func (w *cluster) holdOf(c *Call) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isEarlierVersion {
+		c.Validity = nil
+	}
+	if w.holdCall == nil {
+		return 0
+	}
+	return w.holdCall(*c)
+}
+
+// holdFirst makes the network hold the next call of a kind between instances for a time.
+func (w *cluster) holdFirst(kind CallKind, hold time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.holdCall = func(c Call) time.Duration {
+		if c.Kind != kind || hold == 0 {
+			return 0
+		}
+		d := hold
+		hold = 0
+		return d
+	}
+}
+
 // kill terminates the process at once. With machineOff, its machine is off too, so that calls to it get no answer.
 func (i *instance) kill(machineOff bool) {
 	i.mu.Lock()
--- a/internal/process/poolowner/forward.go
+++ b/internal/process/poolowner/forward.go
@@ -24,10 +24,20 @@
 		// Call sends a call to the instance at an address; nil sends it over the network.
 		Call func(ctx context.Context, address string, c Call) (Answer, error)
 
-		mu sync.Mutex
+		clocks ownerClocks
+		mu     sync.Mutex
 		// ownerClient is the connection to the owner that was called last.
 		ownerClient *peer.Client
 	}
+
+	// attempt is one attempt of a call.
+	attempt struct {
+		answer Answer
+		// tried is set if there was an owner to call.
+		tried bool
+		// limited is set if the owner carries the call out only while it is valid.
+		limited bool
+	}
 )
 
 // MethodPool is the peer method by which instances forward calls to the owner.
@@ -46,27 +56,26 @@
 	// codeRecovering means that the instance is the owner but doesn't serve yet.
 	codeRecovering = "Recovering"
 	codeUnknown    = "OutcomeUnknown"
+	// codeExpired means that the call came too late and was not carried out.
+	codeExpired = "Expired"
 )
 
 // Handle answers a call, here or at the owner. ErrUnknown means that the outcome is not known. A call may reach the owner
 // more than once; submissions are idempotent, since a job is identified by its id.
 func (g *Forwarder) Handle(ctx context.Context, c Call) (Answer, error) {
-	mayHaveRun := false
+	c.receivedAt = g.Owner.now()
+	mayHaveRun, mayRunLate := false, false
 	began := time.Now()
 	for ctx.Err() == nil {
-		answer, tried, err := g.tryOwner(ctx, c)
+		a, err := g.tryOwner(ctx, c)
 		switch {
-		case err == nil && answer.Result == timedOut:
+		case err == nil && a.leavesUnknown(c, mayHaveRun, mayRunLate):
 			g.logUnknown(c)
 			return Answer{}, ErrUnknown
-		case err == nil && mayHaveRun && c.Kind == Submit && (answer.Result == NoKey || answer.Result == NoQueue):
-			// An earlier attempt may have submitted the job while its key or queue still existed.
-			g.logUnknown(c)
-			return Answer{}, ErrUnknown
-		case err == nil && (!mayHaveRun || answer.Result != NotNow):
-			return answer, nil
-		case err != nil && tried:
-			mayHaveRun = mayHaveRun || !errors.Is(err, ErrNotOwner)
+		case err == nil && (!mayHaveRun || a.answer.Result != NotNow):
+			return a.answer, nil
+		case err != nil && a.tried && !errors.Is(err, ErrNotOwner):
+			mayHaveRun, mayRunLate = true, mayRunLate || !a.limited
 		}
 		if !mayHaveRun && time.Since(began) > maxOwnerWait {
 			break
@@ -78,7 +87,24 @@
 		return Answer{}, ErrUnknown
 	}
 	g.Log.Info("call: no owner", zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path))
-	return Answer{Result: NotNow, Reason: "no instance owns the pool at the moment", RetryAfter: notNowRetryAfter}, nil
+	return Answer{Result: NotNow, Reason: "no owner of the pool can be reached at the moment", RetryAfter: notNowRetryAfter}, nil
+}
+
+// leavesUnknown reports whether the outcome of a call is unknown although the owner has answered, given whether an earlier attempt may have run and whether one may
+// still run: an owner that doesn't know validities carries it out whenever it arrives.
+func (a attempt) leavesUnknown(c Call, mayHaveRun, mayRunLate bool) bool {
+	switch a.answer.Result {
+	case timedOut, superseded:
+		return true
+	case Refused:
+		return mayRunLate
+	case NoKey, NoQueue, Invalid:
+		// An earlier attempt may have submitted the job while its key or queue still existed.
+		return mayHaveRun && c.Kind == Submit
+	case NoJob:
+		return mayRunLate && c.Kind == Cancel
+	}
+	return false
 }
 
 // hasNoRecord reports whether the store is known to hold no record of a job, so that refusing it is correct.
@@ -96,37 +122,79 @@
 	g.Log.Info("call: outcome unknown", zap.String("kind", string(c.Kind)), zap.String("host", c.Host), zap.String("path", c.Path))
 }
 
-// tryOwner sends a call to the currently known owner; tried reports whether there was one.
-func (g *Forwarder) tryOwner(ctx context.Context, c Call) (answer Answer, tried bool, err error) {
+// tryOwner sends a call to the currently known owner.
+func (g *Forwarder) tryOwner(ctx context.Context, c Call) (a attempt, err error) {
 	if g.Owner.Owns() {
-		answer, err = g.Owner.Handle(ctx, c)
-		return answer, true, err
+		a.answer, err = g.Owner.Handle(ctx, c)
+		a.tried, a.limited = true, true
+		if errors.Is(err, errExpired) {
+			err = ErrNotOwner
+		}
+		return a, err
 	}
 	current := g.Owner.Current()
 	if current == nil || current.Address == "" || current.Instance == g.Owner.Instance {
-		return Answer{}, false, ErrNotOwner
+		return a, ErrNotOwner
 	}
+	a.tried = true
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
+	if c.Kind != Read {
+		if c.Validity, err = g.validity(ctx, c, current); err != nil {
+			// Only the owner's clock was read.
+			return a, ErrNotOwner
+		}
+	}
+	a.limited = c.Validity != nil
+	a.answer, err = g.callOwner(ctx, current, c)
+	return a, err
+}
+
+// validity returns the validity of a call to an owner; nil if the owner's version doesn't know it.
+func (g *Forwarder) validity(ctx context.Context, c Call, current *OwnerRecord) (*Validity, error) {
+	clock, has, known := g.clocks.of(current.Epoch, g.Owner.since)
+	if !known {
+		if _, err := g.callOwner(ctx, current, Call{Kind: readClock}); err != nil {
+			return nil, err
+		}
+		if clock, has, known = g.clocks.of(current.Epoch, g.Owner.since); !known {
+			// The answer was of another epoch.
+			return nil, ErrNotOwner
+		}
+	}
+	if !has {
+		return nil, nil
+	}
+	valid := peerCallTimeout
+	if deadline, limited := ctx.Deadline(); limited {
+		valid = time.Until(deadline)
+	}
+	return &Validity{Epoch: current.Epoch, Received: clock.Before(g.Owner.since(c.receivedAt)), Expires: clock.After(valid)}, nil
+}
+
+// callOwner makes a call to an owner and keeps its reading of its clock.
+func (g *Forwarder) callOwner(ctx context.Context, current *OwnerRecord, c Call) (Answer, error) {
 	call := g.Call
 	if call == nil {
 		call = func(ctx context.Context, _ string, c Call) (answer Answer, err error) {
 			return answer, g.clientFor(current).Call(ctx, MethodPool, c, &answer)
 		}
 	}
-	answer, err = call(ctx, current.Address, c)
+	answer, err := call(ctx, current.Address, c)
 	var fault *httpjson.Fault
+	isFault := errors.As(err, &fault)
 	switch {
 	case err == nil:
-		return answer, true, nil
-	case errors.Is(err, syscall.ECONNREFUSED), errors.As(err, &fault) && fault.Code == codeNotOwner:
+		g.clocks.set(current.Epoch, answer.Clock, g.Owner.now())
+		return answer, nil
+	case errors.Is(err, syscall.ECONNREFUSED), isFault && fault.Code == codeNotOwner:
 		// The call was not delivered, or not handled. The owner's process has probably ended, or was restarted and no longer knows of its ownership.
 		g.Owner.TakeOver(current)
-		return answer, true, ErrNotOwner
-	case errors.Is(err, peer.ErrUnreachable), errors.As(err, &fault) && fault.Code == codeRecovering:
-		return answer, true, ErrNotOwner
+		return answer, ErrNotOwner
+	case errors.Is(err, peer.ErrUnreachable), isFault && (fault.Code == codeRecovering || fault.Code == codeExpired):
+		return answer, ErrNotOwner
 	}
-	return answer, true, ErrUnknown
+	return answer, ErrUnknown
 }
 
 // WatchOwner watches the connection to the owner to detect the end of the owner's process, until ctx is done.
@@ -180,6 +248,8 @@
 		return answer, &httpjson.Fault{Status: 409, Code: codeRecovering, Message: err.Error()}
 	case errors.Is(err, ErrNotOwner):
 		return answer, &httpjson.Fault{Status: 409, Code: codeNotOwner, Message: err.Error()}
+	case errors.Is(err, errExpired):
+		return answer, &httpjson.Fault{Status: 409, Code: codeExpired, Message: err.Error()}
 	case err != nil:
 		return answer, &httpjson.Fault{Status: 504, Code: codeUnknown, Message: err.Error()}
 	}
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -21,6 +21,8 @@
 	// Metrics are the metrics of an owner. Counters count from the start of the process.
 	Metrics struct {
 		Claims, Calls, Refused expvar.Int
+		// CallsExpired counts the calls that came too late to be carried out, and CallsSuperseded those that came after a later answer about their jobs.
+		CallsExpired, CallsSuperseded expvar.Int
 		// Panics counts the panics that ended a term.
 		Panics                   expvar.Int
 		Writes, WritesFailed     expvar.Int
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -163,6 +163,8 @@
 	ErrNotOwner = errors.New("this instance does not own the pool")
 	// ErrUnknown means that ownership was lost or the call timed out before the outcome was known.
 	ErrUnknown = errors.New("the outcome is unknown")
+	// errExpired means that a call came too late; nothing was done.
+	errExpired = errors.New("the call has expired")
 )
 
 func (t Times) withDefaults() Times {
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -66,6 +66,7 @@
 		// jobRevisions are the store's revisions of the jobs' records.
 		jobRevisions map[ids.JobID]store.Revision
 		waiters      map[ids.JobID][]*waiter
+		superseded   supersededCalls
 		// heldStarts are the starts on workers that a successor does not account for yet.
 		heldStarts []heldStart
 		// writeBlocked is set while the next batch has to wait, and inFlight is the batch being committed.
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -115,11 +115,7 @@
 		t.state.Fail(j.ID, cause, time.Now())
 		return
 	}
-	t.state.Withdraw(j.ID)
-	for _, w := range t.waiters[j.ID] {
-		w.answer <- Answer{Result: Invalid, Reason: cause}
-	}
-	delete(t.waiters, j.ID)
+	t.withdraw(j.ID, Answer{Result: Invalid, Reason: cause})
 }
 
 // addEstimates adds the learned run times to a batch that has room for them, if they have changed and the save interval
