Let calls between instances expire with their callers' time limit

Requests with an idempotency key were run however late they arrived.

Change: the client reads the clock of the peer's process when it opens a connection and states in each such call until when it may be carried out on that clock. A peer of an earlier version has no such method and is called as before; an earlier client states nothing and is served as before.

Heartbeats carry nothing more.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -14,6 +14,25 @@
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
 )
 
+type (
+	// connClock is a reading of the clock of the peer's process at the other end of a connection.
+	connClock struct {
+		conn    *jsonrpc2.Conn
+		reading ClockReading
+		readAt  time.Time
+		isKnown bool
+	}
+
+	// callMeta is what a call states besides its parameters.
+	callMeta struct {
+		// Expires is the time on the peer's clock after which the call is not carried out.
+		Expires time.Duration
+	}
+)
+
+// maxClockReadingAge is the age from which a reading of a peer's clock is replaced: the estimate falls back by a fortieth of it.
+const maxClockReadingAge = 5 * time.Second
+
 // Client calls one peer over a single connection and reconnects after a failure.
 type Client struct {
 	// Address is the peer's IP:port.
@@ -22,9 +41,14 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Bytes counts the bytes sent and received over all connections; nil disables counting.
 	Bytes *atomic.Int64
+	// Expires reports whether calls of a method expire at the peer with their deadline, so that one that the network delivers later is not carried out; nil means that
+	// none do. A peer of a version that doesn't know it carries them out whenever they arrive.
+	Expires func(method string) bool
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
+	// clock is the peer's clock as of the opening of conn; nil if it was not read.
+	clock *connClock
 }
 
 var (
@@ -44,7 +68,19 @@
 	if err != nil {
 		return errors.Mark(err, ErrUnreachable)
 	}
-	err = conn.Call(ctx, method, in, out)
+	var options []jsonrpc2.CallOption
+	if deadline, limited := ctx.Deadline(); limited && c.Expires != nil && c.Expires(method) {
+		meta, err := c.expiry(ctx, conn, deadline)
+		if err != nil {
+			// Only the peer's clock was read.
+			c.discard(conn)
+			return errors.Mark(err, ErrUnreachable)
+		}
+		if meta != nil {
+			options = append(options, jsonrpc2.Meta(meta))
+		}
+	}
+	err = conn.Call(ctx, method, in, out, options...)
 	if err == nil {
 		return nil
 	}
@@ -56,6 +92,34 @@
 	return errors.Mark(err, ErrUnknown)
 }
 
+// expiry returns what states the deadline of a call on the peer's clock; nil if the peer shows none.
+func (c *Client) expiry(ctx context.Context, conn *jsonrpc2.Conn, deadline time.Time) (*callMeta, error) {
+	c.mu.Lock()
+	clock := c.clock
+	c.mu.Unlock()
+	if clock == nil || clock.conn != conn || time.Since(clock.readAt) > maxClockReadingAge {
+		clock = &connClock{conn: conn}
+		var rpcErr *jsonrpc2.Error
+		switch err := conn.Call(ctx, methodClock, struct{}{}, &clock.reading); {
+		case errors.As(err, &rpcErr):
+			// The peer's version has no such method.
+		case err != nil:
+			return nil, err
+		default:
+			clock.isKnown = true
+		}
+		clock.readAt = time.Now()
+		c.mu.Lock()
+		c.clock = clock
+		c.mu.Unlock()
+	}
+	if !clock.isKnown {
+		return nil, nil
+	}
+	e := ClockEstimate{Reading: clock.reading, SinceAnswered: time.Since(clock.readAt)}
+	return &callMeta{Expires: e.After(time.Until(deadline))}, nil
+}
+
 func faultOf(e *jsonrpc2.Error) error {
 	fault := &httpjson.Fault{Status: 500, Code: "Internal", Message: e.Message}
 	if e.Code == faultCode && e.Data != nil {
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -96,5 +96,10 @@
 	MethodRequest   = "Request"
 )
 
+// ChangesState reports whether a method accepts, cancels or runs something, so that its calls must not be carried out late.
+func ChangesState(method string) bool {
+	return method == MethodSubmit || method == MethodCancel || method == MethodRequest
+}
+
 // Filter selects events of the peer's timeline.
 type Filter = operator.Filter
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -8,12 +8,14 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/httpjson"
@@ -165,3 +167,121 @@
 	require.NoError(t, c.Call(callCtx, "Echo", "hello", &out))
 	require.ErrorIs(t, <-logged, syscall.EMFILE)
 }
+
+// heldConn delivers what is written while it is held only once it is released, also if it was closed meanwhile, as TCP does after a cut.
+type heldConn struct {
+	net.Conn
+	mu      sync.Mutex
+	isHeld  bool
+	pending []byte
+}
+
+// Write implements net.Conn.
+func (c *heldConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isHeld {
+		c.pending = append(c.pending, p...)
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *heldConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isHeld {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+func (c *heldConn) hold() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isHeld = true
+}
+
+func (c *heldConn) release() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isHeld = false
+	_, err := c.Conn.Write(c.pending)
+	return err
+}
+
+// A call that the network delivers after its sender has given it up is not carried out, unless the peer's version does not know deadlines.
+func TestLateCallExpires(t *testing.T) {
+	for name, test := range map[string]struct {
+		expires bool
+		want    int64
+	}{
+		"call that expires":         {expires: true, want: 1},
+		"call that does not expire": {expires: false, want: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			s := newServer()
+			Register(s, "Count", func(context.Context, string) (string, error) { calls.Add(1); return "", nil })
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			serverCtx, stop := context.WithCancel(context.Background())
+			defer stop()
+			go s.Serve(serverCtx, listener)
+			var conn *heldConn
+			c := &Client{
+				Address: listener.Addr().String(), Expires: func(string) bool { return test.expires },
+				Dial: func(ctx context.Context, address string) (net.Conn, error) {
+					raw, err := dialTCP(ctx, address)
+					conn = &heldConn{Conn: raw}
+					return conn, err
+				},
+			}
+			defer c.Close()
+			call := func(limit time.Duration) error {
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				defer cancel()
+				var out string
+				return c.Call(ctx, "Count", "", &out)
+			}
+			require.NoError(t, call(5*time.Second))
+			held := conn
+			held.hold()
+			require.True(t, errors.Is(call(50*time.Millisecond), ErrUnknown))
+			time.Sleep(50 * time.Millisecond)
+			require.NoError(t, held.release())
+			time.Sleep(200 * time.Millisecond)
+			require.Equal(t, test.want, calls.Load())
+		})
+	}
+}
+
+// A peer of a version without a clock is called as before.
+func TestCallOfEarlierVersion(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		earlier := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+			if req.Method != "Echo" {
+				return nil, rpcError(&httpjson.Fault{Status: 404, Code: "NoMethod"})
+			}
+			return "hello", nil
+		})
+		jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, codec{}), earlier)
+	}()
+	c := &Client{Address: listener.Addr().String(), Expires: func(string) bool { return true }}
+	defer c.Close()
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		var out string
+		require.NoError(t, c.Call(ctx, "Echo", "hello", &out))
+		require.Equal(t, "hello", out)
+	}
+}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"io"
 	"net"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -24,11 +26,20 @@
 		OnAcceptError func(err error)
 
 		methods map[string]method
+		// began is the origin of the server's clock.
+		began     time.Time
+		beganOnce sync.Once
 	}
 
 	method func(ctx context.Context, params json.RawMessage) (any, error)
 )
 
+// CodeExpired is the fault of a call that came too late and was not carried out.
+const CodeExpired = "Expired"
+
+// methodClock returns the server's reading of its clock.
+const methodClock = "Clock"
+
 // maxParamsSize is the maximum size of the parameters of one call, in bytes.
 const maxParamsSize = 72 << 20
 
@@ -67,6 +78,18 @@
 	}
 }
 
+// clock returns the time on the server's clock, which only this process shows.
+func (s *Server) clock() time.Duration {
+	s.beganOnce.Do(func() { s.began = time.Now() })
+	return time.Since(s.began)
+}
+
+// isExpired reports whether a call states that it must not be carried out any more.
+func (s *Server) isExpired(req *jsonrpc2.Request) bool {
+	var meta callMeta
+	return req.Meta != nil && json.Unmarshal(*req.Meta, &meta) == nil && meta.Expires > 0 && s.clock() > meta.Expires
+}
+
 // Serve serves the calls on all connections of a listener until ctx is done.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
 	listener = tcp.NewRetryListener(listener, s.OnAcceptError)
@@ -112,6 +135,12 @@
 			result, err = nil, &httpjson.Fault{Status: 500, Code: "Internal", Message: "the call failed unexpectedly"}
 		}
 	}()
+	if req.Method == methodClock {
+		return ClockReading{Arrived: s.clock()}, nil
+	}
+	if s.isExpired(req) {
+		return nil, &httpjson.Fault{Status: 503, Code: CodeExpired, Message: "the call came too late and was not carried out", RetryAfter: 1}
+	}
 	run, found := s.methods[req.Method]
 	if !found {
 		return nil, &httpjson.Fault{Status: 404, Code: "NoMethod", Message: "unknown method " + req.Method}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -128,7 +128,7 @@
 	}
 	callers := make(map[string]membership.Caller)
 	for _, address := range s.PeerAddresses {
-		c := &peer.Client{Address: address, Bytes: &e.peerBytes}
+		c := &peer.Client{Address: address, Bytes: &e.peerBytes, Expires: peer.ChangesState}
 		e.peerClients = append(e.peerClients, c)
 		callers[address] = c
 	}
--- a/internal/process/entry/fault.go
+++ b/internal/process/entry/fault.go
@@ -75,7 +75,7 @@
 // job's record is written.
 func outcomeOf(fault *httpjson.Fault) caller.Outcome {
 	switch fault.Code {
-	case codeNeverFits, codeQueueFull, codeEvacuated, codeNoOwner, codeStoreOut, codeInvalid, codeNotReady:
+	case codeNeverFits, codeQueueFull, codeEvacuated, codeNoOwner, codeStoreOut, codeInvalid, codeNotReady, peer.CodeExpired:
 		return caller.NotRun
 	}
 	return caller.OutcomeUnknown
--- a/internal/process/poolowner/validity_test.go
+++ b/internal/process/poolowner/validity_test.go
@@ -195,7 +195,9 @@
 	const held, while = 40 * time.Millisecond, 4 * time.Second
 	for _, back := range []time.Duration{0, time.Millisecond, 700 * time.Millisecond} {
 		for _, rate := range []float64{0.98, 1, 1.02} {
-			shown := func(later time.Duration) time.Duration { return time.Minute + time.Duration(rate*float64(held+back+later)) }
+			shown := func(later time.Duration) time.Duration {
+				return time.Minute + time.Duration(rate*float64(held+back+later))
+			}
 			e := peer.ClockEstimate{Reading: peer.ClockReading{Arrived: time.Minute, Held: time.Duration(rate * float64(held))}, SinceAnswered: while}
 			require.LessOrEqual(t, e.Now(), shown(while))
 			require.LessOrEqual(t, e.Before(while), shown(0))
