--- a/internal/process/pool/admit.go
+++ b/internal/process/pool/admit.go
@@ -30,13 +30,16 @@
 		return &Refusal{Reason: "no workers are known", RetryAfter: minRetryAfter}
 	}
 	if j.units == nil {
-		j.makeUnits()
+		j.openOne()
 	}
 	for _, u := range j.units {
 		if !s.fitsEmptyPool(u) {
 			return &Refusal{Reason: "no set of workers could hold a step"}
 		}
 	}
+	if refusal := s.refuseForMemory(j); refusal != nil {
+		return refusal
+	}
 	if !j.units[0].isDue(now) {
 		// The load at that time can't be predicted.
 		return nil
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -311,6 +311,7 @@
 
 // placeJob places the waiting units of a job.
 func (s *State) placeJob(j *Job, now time.Time) {
+	s.openDue(j, now)
 	for _, st := range j.stages {
 		if st.inPhase[waiting] == 0 || !st.dependenciesDone() {
 			continue
--- a/internal/process/pool/fairqueue.go
+++ b/internal/process/pool/fairqueue.go
@@ -62,11 +62,18 @@
 // serviceTime returns the time that the guarantee of a job's account alone would take for the job.
 func (s *State) serviceTime(j *Job) time.Duration {
 	guaranteedShare := float64(max(1, s.accounts[j.Account].Guaranteed)) / float64(max(1, s.total.Accelerators))
-	sum := time.Duration(0)
+	open := make([]int, len(j.Steps))
+	for i, step := range j.Steps {
+		open[i] = step.units() * (j.Schedule.count() - j.opened)
+	}
 	for _, st := range j.stages {
-		if open := len(st.units) - st.inPhase[done]; open > 0 {
-			share := dominantShare(st.step().Each.Times(st.units[0].count), s.total)
-			sum += time.Duration(float64(open) * share / guaranteedShare * float64(s.stepRunTime(j, st.stepKey.step)))
+		open[st.stepKey.step] += len(st.units) - st.inPhase[done]
+	}
+	sum := time.Duration(0)
+	for i, step := range j.Steps {
+		if open[i] > 0 {
+			share := dominantShare(step.Each.Times(step.Tasks/step.units()), s.total)
+			sum += time.Duration(float64(open[i]) * share / guaranteedShare * float64(s.stepRunTime(j, i)))
 		}
 	}
 	return sum
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -59,9 +59,13 @@
 		ordered, begun bool
 		// recovered is set if the job was accepted under an earlier owner.
 		recovered bool
-		units     []*unit
+		// closed is the number of leading occurrences that are done, and opened that of those that are done or open. Only open ones have units.
+		closed, opened int
+		units          []*unit
 		// stages holds the units by step and occurrence, in the order of units.
 		stages []*stage
+		// accounted is the part of State.used that the job takes.
+		accounted Bytes
 		// learned holds the run times of the job's queue; nil until it is first needed.
 		learned *RunTimes
 		// runTimes caches the expected run times of the steps; it is valid while runTimesSamples equals learned.samples.
@@ -250,25 +254,6 @@
 // Begun reports whether a worker is known to have begun any task of the job. An order alone may be refused or lost.
 func (j *Job) Begun() bool { return j.begun }
 
-// makeUnits splits the steps of each occurrence into units.
-func (j *Job) makeUnits() {
-	for occurrence := range j.Schedule.count() {
-		for i, s := range j.Steps {
-			st := &stage{stepKey: stepKey{occurrence, i}, job: j}
-			if s.Gang {
-				st.units = []*unit{{job: j, stage: st, occurrence: occurrence, step: i, count: s.Tasks}}
-			} else {
-				for k := range s.Tasks {
-					st.units = append(st.units, &unit{job: j, stage: st, occurrence: occurrence, step: i, first: k, count: 1})
-				}
-			}
-			st.inPhase[waiting] = len(st.units)
-			j.stages = append(j.stages, st)
-			j.units = append(j.units, st.units...)
-		}
-	}
-}
-
 // setPhase changes the unit's phase.
 func (u *unit) setPhase(phase unitPhase) {
 	u.stage.inPhase[u.phase]--
@@ -284,7 +269,7 @@
 // dependenciesDone reports whether the steps that the stage depends on are done.
 func (st *stage) dependenciesDone() bool {
 	for _, earlier := range st.step().After {
-		if !st.job.stages[st.occurrence*len(st.job.Steps)+earlier].done() {
+		if !st.job.stage(stepKey{st.occurrence, earlier}).done() {
 			return false
 		}
 	}
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -77,19 +77,23 @@
 		Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule, Elapsed: j.elapsed(), Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target,
 		State: j.State, Begun: j.begun, Finished: j.Finished, Writer: writer,
 	}
+	first := j.closed * j.unitsPerOccurrence()
+	if j.ended() {
+		// Nothing of an ended job is started again.
+		r.Payload = ""
+	}
 	for i, u := range j.units {
 		started, checkpoint := u.crashes.started, u.checkpoint
 		if short {
 			started, checkpoint = nil, ""
 		}
-		// Nothing of an ended job is started again.
 		if j.ended() || u.occurrence < r.Elapsed || (u.phase != done && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && len(started) == 0 && checkpoint == "") {
 			continue
 		}
 		if r.Units == nil {
 			r.Units = make(map[int]UnitRecord)
 		}
-		r.Units[i] = UnitRecord{
+		r.Units[first+i] = UnitRecord{
 			Done: u.phase == done, Failed: u.failedRuns, Checkpoint: checkpoint,
 			Crashes: u.crashes.list, Survived: u.crashes.survived, Started: started,
 		}
@@ -135,12 +139,24 @@
 		Submitted: r.Submitted, MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target, State: r.State, Finished: r.Finished,
 		begun: r.Begun,
 	}
-	j.makeUnits()
-	for i, u := range j.units {
+	perOccurrence := j.unitsPerOccurrence()
+	// The last occurrence of a live job always has units.
+	j.closed = max(0, min(r.Elapsed, j.Schedule.count()-1))
+	j.opened = j.closed
+	if j.ended() {
+		j.Payload = ""
+		return j, nil
+	}
+	j.openOne()
+	for i := range r.Units {
+		j.openThrough(min(i/perOccurrence, j.Schedule.count()-1))
+	}
+	for k, u := range j.units {
+		i := j.closed*perOccurrence + k
 		if u.occurrence < r.Elapsed {
 			u.setPhase(done)
-			j.ordered, j.begun = true, true
 		}
+		j.ordered, j.begun = j.ordered || r.Elapsed > 0, j.begun || r.Elapsed > 0
 		if stored, found := r.Units[i]; found {
 			u.failedRuns, u.checkpoint = stored.Failed, stored.Checkpoint
 			u.crashes = crashRecord{list: stored.Crashes, survived: min(max(0, stored.Survived), len(stored.Crashes)), started: stored.Started}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -101,7 +101,7 @@
 // handleEnd handles the end of a run. The worker may forget the end once its effect is stored.
 func (s *State) handleEnd(n *node, e worker.EndedRun, now time.Time) {
 	j := s.jobs[e.Job]
-	u := j.unitOf(e.Task)
+	u := s.unitOf(j, e.Task)
 	r := n.findRun(e.Run)
 	if r != nil {
 		if e.Reason == worker.EndStopped && !r.stopOrderedAt.IsZero() {
@@ -231,6 +231,10 @@
 	u.setPhase(done)
 	s.requestPass()
 	s.markDirty(u.job)
+	if !u.job.isOpenedFully() {
+		s.openDue(u.job, now)
+		return
+	}
 	for _, st := range u.job.stages {
 		if !st.done() {
 			return
@@ -247,19 +251,6 @@
 	return cause
 }
 
-// unitOf returns the unit of a task, or nil.
-func (j *Job) unitOf(t worker.Task) *unit {
-	if j == nil {
-		return nil
-	}
-	for _, u := range j.units {
-		if u.occurrence == t.Occurrence && u.step == t.Step && t.Index >= u.first && t.Index < u.first+u.count {
-			return u
-		}
-	}
-	return nil
-}
-
 // handleActive handles a run listed by a worker. A run of an earlier owner is adopted; an unexpected one is stopped.
 func (s *State) handleActive(n *node, a worker.ActiveRun, now time.Time) {
 	r := n.findRun(a.Run)
@@ -328,13 +319,14 @@
 // handleUnexpected handles a run that this owner did not start: it is adopted or stopped.
 func (s *State) handleUnexpected(n *node, a worker.ActiveRun, now time.Time) {
 	j := s.jobs[a.Job]
-	u := j.unitOf(a.Task)
+	u := s.unitOf(j, a.Task)
 	s.lastRunSeq++
 	r := &run{seq: s.lastRunSeq, Run: a.Run, node: n, phase: runActive, reported: true, listedIn: n.Incarnation, orderedAt: now, confirmedAt: now, percent: a.Percent}
 	if u != nil {
-		r.resources = u.spec().Each
 		j.ordered, j.begun = true, true
-	} else {
+	}
+	var known bool
+	if r.resources, known = j.resourcesOf(a.Task); !known {
 		// Its size is not known, so nothing else may be started before it has ended.
 		r.resources = n.Total
 	}
--- a/internal/process/pool/schedule.go
+++ b/internal/process/pool/schedule.go
@@ -35,7 +35,7 @@
 
 // elapsed returns the number of leading occurrences that are done.
 func (j *Job) elapsed() int {
-	first := j.Schedule.count()
+	first := j.opened
 	for _, u := range j.units {
 		if u.phase != done {
 			first = min(first, u.occurrence)
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -26,6 +26,8 @@
 		Times Times
 		// Lag is how late events are handled at the moment, which delays each start.
 		Lag time.Duration
+		// MaxMemory limits the memory that jobs may take; zero means no limit. Jobs beyond it are not admitted, and of scheduled jobs only one occurrence is open.
+		MaxMemory Bytes
 
 		accounts map[ids.AccountID]Account
 		nodes    map[ids.InstanceID]*node
@@ -148,6 +150,8 @@
 		// losses holds the losses since the last decision; see loss.go.
 		losses map[lossKey]*Loss
 		dirty  map[ids.JobID]*Job
+		// used is the memory that the jobs take at most.
+		used Bytes
 	}
 
 	// Account holds the settings of a client account.
@@ -231,13 +235,14 @@
 // add inserts a job into the tables.
 func (s *State) add(j *Job) {
 	s.init()
-	if j.units == nil {
-		j.makeUnits()
-	}
 	s.jobs[j.ID] = j
+	defer s.account(j)
 	if j.ended() {
 		return
 	}
+	if j.units == nil {
+		j.openOne()
+	}
 	for _, u := range j.units {
 		for _, c := range u.crashes.list {
 			if c.Unseen && c.Worker != "" {
@@ -283,6 +288,7 @@
 		delete(s.jobs, id)
 		delete(s.dirty, id)
 		s.removeLive(j)
+		s.account(j)
 	}
 }
 
@@ -299,6 +305,12 @@
 		}
 		if j.storedVersion >= j.version {
 			j.pendingEndNodes = nil
+			if j.ended() {
+				// Nothing of it is started again, and its record is not written again.
+				j.Payload = ""
+				j.closeAll()
+				s.account(j)
+			}
 		}
 	}
 }
@@ -388,6 +400,7 @@
 		if j.ended() && s.IsCurrentVersionStored(j) && now.Sub(since) > s.Times.Retention {
 			list = append(list, id)
 			delete(s.jobs, id)
+			s.account(j)
 		}
 	}
 	slices.Sort(list)
@@ -400,13 +413,15 @@
 	// Suspected counts the started units under which workers have crashed, and Isolated the workers that are kept free of other units for them.
 	Suspected, Isolated            int
 	Accelerators, UsedAccelerators ids.Accelerators
+	// Memory is what the jobs take at most.
+	Memory Bytes
 	// Fast, Usual and Slow count the workers of a pool of unequal ones by class, and SpeedUnknown those that are not classified yet.
 	Fast, Usual, Slow, SpeedUnknown int
 }
 
 // Counts returns the pool's metrics.
 func (s *State) Counts(now time.Time) Counts {
-	c := Counts{LiveJobs: len(s.live), Unknown: len(s.unknown), Suspected: len(s.suspected)}
+	c := Counts{Memory: s.used, LiveJobs: len(s.live), Unknown: len(s.unknown), Suspected: len(s.suspected)}
 	for u := range s.isolating {
 		c.Isolated += len(u.isolated)
 	}
@@ -430,6 +445,7 @@
 		for _, st := range j.stages {
 			c.WaitingUnits += st.inPhase[waiting]
 		}
+		c.WaitingUnits += (j.Schedule.count() - j.opened) * j.unitsPerOccurrence()
 	}
 	return c
 }
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -51,6 +51,8 @@
 		Suspended func() time.Duration
 		// MaxValueBytes is the size of the largest value that the store takes; zero means no limit.
 		MaxValueBytes int
+		// JobMemory returns how much memory accepted jobs may take. Nil or a result of zero means no limit.
+		JobMemory func() pool.Bytes
 		// DelayClaims makes this instance delay its claims, so that other instances claim first.
 		DelayClaims bool
 
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -197,6 +197,7 @@
 // serve recovers the state and schedules until the term ends.
 func (t *term) serve() {
 	defer t.endOnPanic("the decisions")
+	t.limitMemory()
 	if t.loadState() {
 		t.run()
 	}
@@ -284,6 +285,7 @@
 
 func (t *term) tick() {
 	now := time.Now()
+	t.limitMemory()
 	t.owner.metrics.setCounts(t.state.Counts(now))
 	select {
 	case t.events <- func() { t.recordLag(time.Since(now)) }:
@@ -304,6 +306,13 @@
 	}
 }
 
+// limitMemory applies the limit of the memory for jobs, which changes with the settings.
+func (t *term) limitMemory() {
+	if t.owner.JobMemory != nil {
+		t.state.MaxMemory = t.owner.JobMemory()
+	}
+}
+
 // recordLag records how long an event waited until it was handled. Jobs that are submitted meanwhile wait as long.
 func (t *term) recordLag(lag time.Duration) {
 	t.owner.metrics.EventDelay.record(lag)
--- a/internal/testrun/frugal.go
+++ b/internal/testrun/frugal.go
@@ -29,7 +29,7 @@
 	time.Sleep(window)
 	for name, pid := range processes {
 		share := (processorTime(t, pid) - before[name]).Seconds() / time.Since(began).Seconds()
-		memory := peakMemory(t, pid)
+		memory := PeakMemory(t, pid)
 		t.Logf("%s: %.1f%% of a core, %d MB at the peak", name, 100*share, memory>>20)
 		require.Less(t, share, maxControlShare, name)
 		require.Less(t, memory, maxControlMemory, name)
@@ -54,7 +54,8 @@
 	return used
 }
 
-func peakMemory(t *testing.T, pid int) int {
+// PeakMemory returns the most memory that a process has had resident, in bytes.
+func PeakMemory(t *testing.T, pid int) int {
 	_, peak, found := strings.Cut(readProcess(t, pid, "status"), "VmHWM:")
 	require.True(t, found)
 	kib, err := strconv.Atoi(strings.Fields(peak)[0])
