Let accepted jobs follow their queue's newest configuration

Cause: the service, priority, attempts and objective of a queue were copied into the job and its record, and a version was not applied to accepted jobs. Jobs were looked up by the name of their queue and the account of the key.

Change: each version is applied to the jobs whose queue it names, also after a takeover. A job is found where it was submitted.

--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -35,15 +35,17 @@
 
 	// Job is an accepted job, or one whose acceptance is being stored.
 	Job struct {
-		ID        ids.JobID
-		Queue     ids.QueueID
-		Service   ids.ServiceID
-		Account   ids.AccountID
-		Priority  int
-		Payload   string
-		Steps     []Step
-		Schedule  Schedule
-		Submitted time.Time
+		ID    ids.JobID
+		Queue ids.QueueID
+		// Host and Prefix are those at which the job was submitted; empty if an earlier version accepted it and no configuration since has named its queue.
+		Host, Prefix string
+		Service      ids.ServiceID
+		Account      ids.AccountID
+		Priority     int
+		Payload      string
+		Steps        []Step
+		Schedule     Schedule
+		Submitted    time.Time
 		// MaxAttempts is the number of failures of one task or gang after which the job fails.
 		MaxAttempts int
 		// Stretch and Target define the job's objective: to end within Stretch times its critical path, plus Target.
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -13,9 +13,12 @@
 	// Record is the stored form of a job.
 	Record struct {
 		// Format is the version of the record's format.
-		Format   int
-		ID       ids.JobID
-		Queue    ids.QueueID
+		Format int
+		ID     ids.JobID
+		Queue  ids.QueueID
+		// Host and Prefix are where the job was submitted. Earlier versions don't know them and drop them.
+		Host     string `json:",omitempty"`
+		Prefix   string `json:",omitempty"`
 		Service  ids.ServiceID
 		Account  ids.AccountID
 		Priority int    `json:",omitempty"`
@@ -73,7 +76,7 @@
 
 func (j *Job) encode(writer string, short bool) ([]byte, error) {
 	r := Record{
-		Format: recordFormat, ID: j.ID, Queue: j.Queue, Service: j.Service, Account: j.Account, Priority: j.Priority,
+		Format: recordFormat, ID: j.ID, Queue: j.Queue, Host: j.Host, Prefix: j.Prefix, Service: j.Service, Account: j.Account, Priority: j.Priority,
 		Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule, Elapsed: j.elapsed(), Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target,
 		State: j.State, Begun: j.begun, Finished: j.Finished, Writer: writer,
 	}
@@ -111,8 +114,8 @@
 		tasks += s.Tasks
 	}
 	value, err := (&Job{
-		ID: j.ID, Queue: j.Queue, Service: j.Service, Account: j.Account, Priority: j.Priority, Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule,
-		Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target, State: Accepted,
+		ID: j.ID, Queue: j.Queue, Host: j.Host, Prefix: j.Prefix, Service: j.Service, Account: j.Account, Priority: j.Priority, Payload: j.Payload,
+		Steps: j.Steps, Schedule: j.Schedule, Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target, State: Accepted,
 	}).encode("", false)
 	return len(value) + tasks*maxTaskRecord, err
 }
@@ -135,8 +138,8 @@
 		return nil, errors.Newf("malformed record: unknown state %q", r.State)
 	}
 	j := &Job{
-		ID: r.ID, Queue: r.Queue, Service: r.Service, Account: r.Account, Priority: r.Priority, Payload: r.Payload, Steps: r.Steps, Schedule: r.Schedule,
-		Submitted: r.Submitted, MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target, State: r.State, Finished: r.Finished,
+		ID: r.ID, Queue: r.Queue, Host: r.Host, Prefix: r.Prefix, Service: r.Service, Account: r.Account, Priority: r.Priority, Payload: r.Payload,
+		Steps: r.Steps, Schedule: r.Schedule, Submitted: r.Submitted, MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target, State: r.State, Finished: r.Finished,
 		begun: r.Begun,
 	}
 	perOccurrence := j.unitsPerOccurrence()
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -132,7 +132,7 @@
 			test.answer(s, actions[0], testStart.Add(100*time.Millisecond))
 			check := func(s *State, j *Job) {
 				require.Equal(t, test.begun, j.Begun())
-				require.Equal(t, !test.begun, s.Pending(j.Queue) == 1)
+				require.Equal(t, !test.begun, s.Pending(func(*Job) bool { return true }) == 1)
 			}
 			check(s, j)
 			record, err := j.Encode("1", 0)
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -221,11 +221,11 @@
 // Job returns the job with the given id, or nil.
 func (s *State) Job(id ids.JobID) *Job { return s.jobs[id] }
 
-// Pending returns the number of a queue's stored jobs of which no task has begun.
-func (s *State) Pending(queue ids.QueueID) int {
+// Pending returns the number of stored jobs of a queue, to which isOf reports that a job belongs, of which no task has begun.
+func (s *State) Pending(isOf func(*Job) bool) int {
 	count := 0
 	for _, j := range s.live {
-		if j.Queue == queue && j.stored && !j.begun {
+		if j.stored && !j.begun && isOf(j) {
 			count++
 		}
 	}
@@ -250,6 +250,11 @@
 			}
 		}
 	}
+	s.insertLive(j)
+}
+
+// insertLive queues a job that has not ended.
+func (s *State) insertLive(j *Job) {
 	s.fairQueue.enqueue(j, s.serviceTime(j))
 	at, _ := slices.BinarySearchFunc(s.live, j, compareJobs)
 	s.live = slices.Insert(s.live, at, j)
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -182,10 +182,10 @@
 		return t.refuse(c, NoKey, "the key is not configured", 0), nil, nil
 	}
 	if c.Kind == Read && rest == "" {
-		return Answer{Result: OK, Pending: t.state.Pending(q.ID)}, nil, nil
+		return Answer{Result: OK, Pending: t.state.Pending(func(j *pool.Job) bool { return isOf(j, q) })}, nil, nil
 	}
 	j := t.state.Job(ids.JobID(rest))
-	if j != nil && (j.Account != account || j.Queue != q.ID) {
+	if j != nil && !(isOf(j, q) && mayCall(j, q, account)) {
 		j = nil
 	}
 	if j == nil && c.Kind != Submit && !t.isStillOwner() {
@@ -216,6 +216,16 @@
 	return answer, w, nil
 }
 
+// isOf reports whether a call to a queue may name a job: the queue is the job's, or has taken its place at the same host and prefix.
+func isOf(j *pool.Job, q *catalog.Queue) bool {
+	return j.Queue == q.ID || j.Prefix != "" && j.Prefix == q.Prefix && j.Host == q.Host
+}
+
+// mayCall reports whether a caller with an account's key may call for a job. A public queue requires no key, and a job that was submitted without one belongs to no account.
+func mayCall(j *pool.Job, q *catalog.Queue, account ids.AccountID) bool {
+	return q.Public || j.Account == account || j.Account == ""
+}
+
 // jobID returns the job id at the end of a call's path.
 func (c Call) jobID() ids.JobID {
 	return ids.JobID(c.Path[strings.LastIndexByte(c.Path, '/')+1:])
@@ -278,8 +288,8 @@
 		return t.refuse(c, Refused, "the store does not answer", notNowRetryAfter), nil
 	}
 	j = &pool.Job{
-		ID: id, Queue: q.ID, Service: q.Service, Account: account, Priority: q.Priority, Payload: c.Payload, Steps: c.Steps, Schedule: c.Schedule,
-		Submitted: now, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target,
+		ID: id, Queue: q.ID, Host: q.Host, Prefix: q.Prefix, Service: q.Service, Account: account, Priority: q.Priority, Payload: c.Payload, Steps: c.Steps,
+		Schedule: c.Schedule, Submitted: now, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target,
 	}
 	if cause := t.storable(j); cause != "" {
 		return t.refuse(c, Invalid, cause, 0), nil
@@ -363,17 +373,20 @@
 		if j == nil || j.IsStored() || t.inFlight.contains(id) {
 			continue
 		}
-		result := OK
+		answer := Answer{Result: OK}
 		if t.catalog.Queue(j.Queue) == nil {
-			result = NoQueue
+			answer.Result = NoQueue
+			if q, _ := t.catalog.Resolve(j.Host, j.Prefix); q != nil {
+				answer = Answer{Result: Refused, Reason: "its queue was replaced", RetryAfter: notNowRetryAfter}
+			}
 		} else if account, known := t.catalog.Keys[list[0].key]; known && account != j.Account || !known && j.Account != "" {
-			result = NoKey
+			answer.Result = NoKey
 		}
-		if result == OK {
+		if answer.Result == OK {
 			continue
 		}
-		t.log.Info("call: withdrawn", zap.String("job", string(id)), zap.String("result", string(result)), zap.Uint64("version", uint64(t.catalog.Version)))
-		t.withdraw(id, Answer{Result: result})
+		t.log.Info("call: withdrawn", zap.String("job", string(id)), zap.String("result", string(answer.Result)), zap.Uint64("version", uint64(t.catalog.Version)))
+		t.withdraw(id, answer)
 	}
 }
 
--- a/internal/process/poolowner/recovery.go
+++ b/internal/process/poolowner/recovery.go
@@ -93,6 +93,9 @@
 		jobs = append(jobs, j)
 	}
 	t.state.Recover(jobs)
+	if t.catalog != nil {
+		t.applyPolicies()
+	}
 	t.log.Info("owner: records read", zap.Int("jobs", len(jobs)), zap.Int("workers", len(t.listed)), zap.Duration("took", t.owner.since(sent)))
 	t.spawn("the watch of the configuration", func() { t.watchConfig(config, configRev) })
 	t.spawn("the watch of the workers", func() { t.watchWorkers(workers, workersRev) })
--- a/internal/process/poolowner/watch.go
+++ b/internal/process/poolowner/watch.go
@@ -13,6 +13,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
+	"github.com/jujubegrade/jujubegrade/internal/version/catalog"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -226,6 +227,7 @@
 			}
 			t.catalog, t.configRevision = c, e.Revision
 			t.state.SetAccounts(c.Accounts)
+			t.applyPolicies()
 			if t.listEntries != nil {
 				t.applyWorkers(time.Now())
 			}
@@ -239,6 +241,25 @@
 	}
 }
 
+// applyPolicies applies the configuration to the accepted jobs. One whose queue is not configured any more keeps what it has.
+func (t *term) applyPolicies() {
+	queues := make(map[ids.QueueID]*catalog.Queue, len(t.catalog.Queues))
+	for i := range t.catalog.Queues {
+		queues[t.catalog.Queues[i].ID] = &t.catalog.Queues[i]
+	}
+	t.state.SetPolicies(func(j *pool.Job) (pool.Policy, bool) {
+		q := queues[j.Queue]
+		if q == nil {
+			return pool.Policy{}, false
+		}
+		if j.Prefix == "" {
+			// An earlier version accepted the job.
+			j.Host, j.Prefix = q.Host, q.Prefix
+		}
+		return q.Policy(), true
+	}, time.Now())
+}
+
 func (t *term) watchWorkers(entries []store.Entry, revision store.Revision) {
 	w := prefixWatch{
 		prefix: t.owner.WorkerPrefix, wait: min(workersWatchWait, t.owner.Times.MaxListAge/listAgeWaits), batchDelay: workersBatchDelay,
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -59,6 +59,11 @@
 	return q, path[len(q.Prefix):]
 }
 
+// Policy returns what the queue prescribes for its jobs.
+func (q *Queue) Policy() pool.Policy {
+	return pool.Policy{Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target}
+}
+
 // Queue returns the queue with the given id, or nil.
 func (c *Catalog) Queue(id ids.QueueID) *Queue {
 	for i := range c.Queues {
