Let recovered tasks wait only for workers on which they may run

Cause: a start was sent while the record of its place was being written, so that a successor had to assume that any task may run on any lost worker.

Change: a start is sent once the store holds its place or a majority of witnesses keeps it, which the record of the term promises. A successor asks the witnesses, which then keep nothing for earlier owners. The record of a term is stored before its first start, and the record of the claims says so.

--- a/internal/process/pool/action.go
+++ b/internal/process/pool/action.go
@@ -20,6 +20,8 @@
 		Checkpoint string
 		// Once means that a start order without an answer is not repeated: the run may have crashed the worker, and would crash it again.
 		Once bool
+		// Version is the version of the job that holds the place of a start.
+		Version uint64
 	}
 
 	// Notice reports a decision and its cause.
--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -338,17 +338,7 @@
 func (s *State) findCrashes(now time.Time) {
 	for _, j := range slices.Clone(s.live) {
 		for _, u := range j.units {
-			if !j.recovered || u.phase != waiting || u.number != 0 {
-				continue
-			}
-			started := u.crashes.started
-			u.crashes.started = nil
-			for _, on := range started {
-				s.findCrash(u, on, now)
-			}
-			if len(started) > 0 {
-				s.giveUpIfCrashing(u, now)
-			}
+			s.settleStarted(u, now)
 		}
 	}
 }
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -326,6 +326,13 @@
 				}
 				continue
 			}
+			if s.adopting {
+				// Other units wait for workers that do not answer.
+				s.settleStarted(u, now)
+			}
+			if j.ended() {
+				return
+			}
 			if u.awaitsVerdict() {
 				continue
 			}
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -77,6 +77,10 @@
 		stepRacks map[stepKey]*rack
 		// version counts the changes that have to be stored, and storedVersion is the version that is stored.
 		version, storedVersion uint64
+		// placesVersion is the version with the last change of the places of units that earlier owners have started, and placesOmitted is set if the record had no room
+		// for the places.
+		placesVersion uint64
+		placesOmitted bool
 		// crashVersion is the version with the last crash. Units with crashes are not started before it is stored.
 		crashVersion uint64
 		// pendingEndNodes holds the workers with reported ends that can be acknowledged only once the job is stored.
@@ -111,7 +115,11 @@
 		maybeFailedRuns []ids.RunNumber
 		checkpoint      string
 		crashes         crashRecord
-		ending          unitEnding
+		// places are the workers on which runs of earlier owners may be active; see placesOf.
+		places []ids.InstanceID
+		// isSettled is set once the starts of earlier owners have been checked for crashes.
+		isSettled bool
+		ending    unitEnding
 		// isolated holds the workers that are kept from all other units.
 		isolated []*node
 		// trialPlacement holds the worker of each task for a trial whose start is being stored.
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -35,6 +35,8 @@
 		// Begun is set once a worker has begun a task of the job. Records without it are of jobs that have not, or of earlier versions.
 		Begun    bool      `json:",omitempty"`
 		Finished time.Time `json:",omitzero"`
+		// PlacesOmitted is set if the record has no room for the places of the units.
+		PlacesOmitted bool `json:",omitempty"`
 		// Units holds the units that are done, have been started, have failed, have crashed workers or have a checkpoint, by index.
 		Units map[int]UnitRecord `json:",omitempty"`
 		// Writer identifies this write, so that a write whose answer was lost can be resolved.
@@ -52,6 +54,8 @@
 		Crashes  []Crash     `json:",omitempty"`
 		Survived int         `json:",omitempty"`
 		Started  []StartedOn `json:",omitempty"`
+		// Places are the workers besides those in Started on which runs may be active. Earlier versions don't know them and drop them.
+		Places []ids.InstanceID `json:",omitempty"`
 	}
 )
 
@@ -87,10 +91,15 @@
 	}
 	for i, u := range j.units {
 		started, checkpoint := u.crashes.started, u.checkpoint
+		var places []ids.InstanceID
+		if u.phase != done {
+			places = omitStarted(u.placesOf(), started)
+		}
 		if short {
-			started, checkpoint = nil, ""
+			r.PlacesOmitted = r.PlacesOmitted || len(places)+len(started) > 0
+			started, places, checkpoint = nil, nil, ""
 		}
-		if j.ended() || u.occurrence < r.Elapsed || (u.phase != done && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && len(started) == 0 && checkpoint == "") {
+		if j.ended() || u.occurrence < r.Elapsed || (u.phase != done && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && len(started) == 0 && len(places) == 0 && checkpoint == "") {
 			continue
 		}
 		if r.Units == nil {
@@ -98,7 +107,7 @@
 		}
 		r.Units[first+i] = UnitRecord{
 			Done: u.phase == done, Failed: u.failedRuns, Checkpoint: checkpoint,
-			Crashes: u.crashes.list, Survived: u.crashes.survived, Started: started,
+			Crashes: u.crashes.list, Survived: u.crashes.survived, Started: started, Places: places,
 		}
 	}
 	return json.Marshal(r)
@@ -140,7 +149,7 @@
 	j := &Job{
 		ID: r.ID, Queue: r.Queue, Host: r.Host, Prefix: r.Prefix, Service: r.Service, Account: r.Account, Priority: r.Priority, Payload: r.Payload,
 		Steps: r.Steps, Schedule: r.Schedule, Submitted: r.Submitted, MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target, State: r.State, Finished: r.Finished,
-		begun: r.Begun,
+		begun: r.Begun, placesOmitted: r.PlacesOmitted,
 	}
 	perOccurrence := j.unitsPerOccurrence()
 	// The last occurrence of a live job always has units.
@@ -163,6 +172,10 @@
 		if stored, found := r.Units[i]; found {
 			u.failedRuns, u.checkpoint = stored.Failed, stored.Checkpoint
 			u.crashes = crashRecord{list: stored.Crashes, survived: min(max(0, stored.Survived), len(stored.Crashes)), started: stored.Started}
+			u.places = stored.Places
+			for _, on := range stored.Started {
+				u.places = append(u.places, on.Worker)
+			}
 			if stored.Done {
 				u.setPhase(done)
 			}
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -92,8 +92,9 @@
 	}
 	s.orderDueStops(n, now)
 	s.markChanged(n)
-	if n.reported {
+	if _, unknown := s.unknown[id]; unknown && n.reported {
 		delete(s.unknown, id)
+		s.settleGangs(now)
 	}
 	s.resolveUnseen(n, now)
 }
@@ -340,6 +341,10 @@
 	if u != nil {
 		r.staleOf = u
 		u.staleRuns++
+		if !slices.Contains(u.places, n.ID) {
+			u.places = append(u.places, n.ID)
+			s.recordPlaces(j)
+		}
 	}
 	cause, own := s.unexpectedCause(u, a.Number, now)
 	s.notice(Notice{Kind: "UnknownRunStopped", Job: a.Job, Step: a.Step, Task: a.Index, Tasks: 1, Number: a.Number, Worker: n.ID, OwnRun: own, Cause: cause})
@@ -365,6 +370,9 @@
 	}
 	u.runs = append(u.runs, r)
 	r.unit = u
+	if !slices.Contains(u.places, r.node.ID) {
+		s.recordPlaces(u.job)
+	}
 	r.pin()
 	u.job.recordRack(u.stepKey(), r.node.rack)
 	if len(u.runs) < u.count {
@@ -405,6 +413,7 @@
 	}
 	s.adopting = true
 	s.endAdoption(now)
+	s.settleGangs(now)
 }
 
 // LeasesEndBy records that the leases of earlier owners on a worker that has not reported end by a time.
@@ -420,22 +429,11 @@
 	if !s.adopting || len(s.unknown) > 0 {
 		return
 	}
+	s.settleGangs(now)
 	s.adopting = false
-	for _, j := range slices.Clone(s.live) {
-		for _, u := range j.units {
-			if u.phase == starting && u.adopted && len(u.runs) < u.count {
-				s.stopUnit(u, "only a part of the gang was found running", now)
-			}
-		}
-	}
 	s.findCrashes(now)
 }
 
-// blocked reports whether a unit of a recovered job may still be running on a worker that has not reported.
-func (s *State) blocked(u *unit) bool {
-	return u.job.recovered && len(s.unknown) > 0
-}
-
 // HasUnknown reports whether workers may still have runs of an earlier owner.
 func (s *State) HasUnknown() bool { return len(s.unknown) > 0 }
 
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -59,12 +59,19 @@
 		s.countRefill(r)
 		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint, Once: u.isSuspected()})
 	}
+	version := u.job.storedVersion
+	if !u.isStartStored(placement) {
+		version = u.job.version + 1
+	}
+	u.crashes.started, u.places = u.startedOn(placement), nil
+	s.markDirty(u.job)
+	for i := range placement {
+		s.actions[len(s.actions)-1-i].Version = version
+	}
 	u.preemptionPlanned, u.idleSince, u.crashes.waitsSince = false, time.Time{}, time.Time{}
 	if u.isSuspected() {
 		s.suspected[u] = true
 	}
-	u.crashes.started = u.startedOn(placement)
-	s.markDirty(u.job)
 	s.fairQueue.advance(u.job)
 	first := !u.job.ordered
 	u.job.ordered = true
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -135,8 +135,10 @@
 		crashingRacksAt time.Time
 		trialVisits     int
 		// unknown maps the workers that may still run jobs of an earlier owner to the time until which that is possible.
-		unknown   map[ids.InstanceID]time.Time
-		estimates map[ids.QueueID]*RunTimes
+		unknown map[ids.InstanceID]time.Time
+		// placesKnown is set if the records, with what else is known, hold the places of all starts that earlier owners have ordered.
+		placesKnown bool
+		estimates   map[ids.QueueID]*RunTimes
 		// samples counts the run time samples taken by this owner.
 		samples int
 		// stopTimes averages how long stopped runs took to end, in nanoseconds.
--- a/internal/process/poolowner/calls.go
+++ b/internal/process/poolowner/calls.go
@@ -29,6 +29,8 @@
 		Schedule pool.Schedule `json:",omitzero"`
 		// Unsupported names a feature that the job requires and this version doesn't support; empty means none.
 		Unsupported string `json:",omitempty"`
+		// Witness is the process that offers to be a witness.
+		Witness *Witness `json:",omitempty"`
 		// Validity limits when a call that another instance forwards is carried out. Nil means no limit: the instance's version states none.
 		Validity *Validity `json:",omitempty"`
 
@@ -72,6 +74,8 @@
 	Cancel CallKind = "Cancel"
 	// readClock requests only the owner's reading of its clock. Versions that don't know it answer that there is no such queue.
 	readClock CallKind = "ReadClock"
+	// join offers a process to the owner as a witness. Versions that don't know it answer that there is no such queue.
+	join CallKind = "Join"
 )
 
 // The outcomes of calls.
@@ -116,6 +120,10 @@
 	if c.Kind == readClock {
 		return Answer{Result: OK, Clock: t.reading(arrived)}, nil
 	}
+	if c.Kind == join && c.Witness != nil {
+		err := t.do(ctx, func() { t.join(*c.Witness) })
+		return Answer{Result: OK, Clock: t.reading(arrived)}, err
+	}
 	o.metrics.Calls.Add(1)
 	if !c.receivedAt.at.IsZero() {
 		c.Validity = t.localValidity(ctx, c.receivedAt)
--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -189,6 +189,8 @@
 	// grantedAt is when the grant of the lease was requested, and committedAt when the store had committed the claim. The key was an earlier
 	// owner's before then at the latest.
 	grantedAt, committedAt timestamp
+	// claims tells of the owners before; zero if it is not known.
+	claims claimsRecord
 }
 
 // claim sets the owner key, which must have the expected revision, and increments the epoch.
@@ -211,6 +213,22 @@
 		}
 	}
 	c := &claim{OwnerRecord: OwnerRecord{Instance: o.Instance, Address: o.Address, Epoch: epoch + 1}, lease: lease, grantedAt: sent}
+	claims, err := o.Store.Get(ctx, keyClaims)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return nil, errors.Wrap(err, "reading the claims")
+	}
+	if err == nil && json.Unmarshal(claims.Value, &c.claims) != nil {
+		o.Log.Error("member: the record of the claims can't be decoded")
+		c.claims = claimsRecord{}
+	}
+	next := claimsRecord{Since: c.claims.Since, Epoch: c.Epoch}
+	if c.claims.Epoch != epoch || c.claims.Since == 0 {
+		next.Since = c.Epoch
+	}
+	claimsValue, err := json.Marshal(next)
+	if err != nil {
+		return nil, err
+	}
 	ownerValue, err := json.Marshal(c.OwnerRecord)
 	if err != nil {
 		return nil, err
@@ -220,8 +238,8 @@
 		return nil, err
 	}
 	c.revision, err = o.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Key: keyOwner, Revision: expected}, {Key: keyEpoch, Revision: entry.Revision}},
-		Sets:       []store.Set{{Key: keyOwner, Value: ownerValue, Lease: lease}, {Key: keyEpoch, Value: epochValue}},
+		Conditions: []store.Condition{{Key: keyOwner, Revision: expected}, {Key: keyEpoch, Revision: entry.Revision}, {Key: keyClaims, Revision: claims.Revision}},
+		Sets:       []store.Set{{Key: keyOwner, Value: ownerValue, Lease: lease}, {Key: keyEpoch, Value: epochValue}, {Key: keyClaims, Value: claimsValue}},
 	})
 	c.committedAt = o.now()
 	if err == nil || !errors.Is(err, store.ErrUnknown) {
--- a/internal/process/poolowner/forward.go
+++ b/internal/process/poolowner/forward.go
@@ -236,6 +236,7 @@
 // Register registers the owner's method with a peer server.
 func (g *Forwarder) Register(s *peer.Server) {
 	peer.Register(s, MethodPool, g.servePeer)
+	peer.Register(s, MethodPlaces, g.servePlaces)
 }
 
 // servePeer answers a call that another instance forwarded.
--- a/internal/process/poolowner/handover.go
+++ b/internal/process/poolowner/handover.go
@@ -20,8 +20,15 @@
 		Grace time.Duration
 		// Lapsing are the workers on which this owner orders no lease and starts nothing as long as the record names them.
 		Lapsing []LapsingWorkers `json:",omitempty"`
+		// ArePlacesKnown means that this owner sends no start whose place is neither in its job's record nor kept by a majority of the witnesses, and that the records
+		// hold the places of all earlier ones.
+		ArePlacesKnown bool      `json:",omitempty"`
+		Witnesses      []Witness `json:",omitempty"`
 	}
 
+	// claimsRecord tells which owners have sent no start before the record of their term was stored: those of the epochs Since to Epoch.
+	claimsRecord struct{ Since, Epoch ids.Epoch }
+
 	// LapsingWorkers are workers that earlier owners used and that have not answered since.
 	LapsingWorkers struct {
 		// Remaining is how long leases of earlier owners may last from the writing of the record.
@@ -59,7 +66,12 @@
 		t.log.Error("owner: the record of the term before can't be decoded", zap.Error(err))
 		return
 	}
-	if r.Epoch+1 == t.claim.Epoch {
+	switch {
+	case r.Epoch+1 == t.claim.Epoch:
+		t.predecessor = &r
+	case r.Epoch < t.claim.Epoch && r.Epoch+1 >= t.claim.claims.Since && t.claim.claims.Epoch+1 == t.claim.Epoch:
+		// The owners since were lost before they stored a record, so that they have started nothing. They may have ordered leases, also on lapsing workers.
+		r.Grace, r.Lapsing = max(r.Grace, orderGrace), nil
 		t.predecessor = &r
 	}
 }
@@ -129,7 +141,10 @@
 
 // isPromiseDue reports whether the record of this term must be stored: for the first time, since a lapsing worker has answered, or with newer times.
 func (t *term) isPromiseDue(now time.Time) bool {
-	if !t.termStored || t.termOutdated {
+	if t.places.isCollecting {
+		return false
+	}
+	if !t.termStored || t.termOutdated || t.arePlacesDue() {
 		return true
 	}
 	lapsing := t.lapsing.Load()
@@ -160,6 +175,7 @@
 // addPromise adds the record of this term to a batch.
 func (t *term) addPromise(b *batch, now time.Time) {
 	r := &TermRecord{Epoch: t.claim.Epoch, Grace: orderGrace, Lapsing: t.lapsingWorkers(now)}
+	r.Witnesses, r.ArePlacesKnown = t.promisePlaces(now)
 	b.promise = r
 	t.termOutdated, t.termSavedAt = false, now
 	var stored map[ids.InstanceID]bool
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -39,6 +39,8 @@
 		// WatchesUnanswered counts the watches without an answer, and WatchesFailed those that failed otherwise.
 		WatchesUnanswered, WatchesFailed expvar.Int
 		WriteTime                        Latency
+		// WitnessCalls counts the calls that told witnesses of starts whose places the store did not hold in time, and WitnessCallsFailed those without a majority.
+		WitnessCalls, WitnessCallsFailed expvar.Int
 		// StartHolds counts how often starts were held since the list of workers was outdated.
 		StartHolds expvar.Int
 		// EvacuationHolds counts how often starts were held since the view of the evacuations was outdated.
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -19,13 +19,22 @@
 type heldStart struct {
 	action  pool.Action
 	decided timestamp
+	// number is that of the call that told the witnesses, and isKept is set once they keep the start.
+	number uint64
+	isKept bool
 }
 
 // order carries out the actions of a scheduling pass. A start on a worker waits until a successor will account for it.
 func (t *term) order(actions []pool.Action, decided timestamp, now time.Time) {
+	waits := false
 	for _, a := range actions {
-		if a.Kind == pool.StartRun && !t.isAccountedFor(a.Worker) {
-			t.heldStarts = append(t.heldStarts, heldStart{a, decided})
+		if h := (heldStart{action: a, decided: decided}); a.Kind == pool.StartRun {
+			if t.isAccountedFor(a.Worker) && t.maySend(h) {
+				t.send(h)
+				continue
+			}
+			t.heldStarts = append(t.heldStarts, h)
+			waits = true
 			continue
 		}
 		held := slices.IndexFunc(t.heldStarts, func(h heldStart) bool { return h.action.Worker == a.Worker && h.action.Run == a.Run })
@@ -37,11 +46,22 @@
 		t.heldStarts = slices.Delete(t.heldStarts, held, held+1)
 		t.state.RunRefused(a.Worker, a.Run, errNotSent, false, now)
 	}
+	if waits {
+		time.AfterFunc(witnessDelay, func() { t.post(t.tellWitnesses) })
+	}
 }
 
-// isAccountedFor reports whether a successor will wait for leases that this owner orders on a worker: the stored list of used workers names it, and the record of the
-// term does not name it as lapsing.
-func (t *term) isAccountedFor(id ids.InstanceID) bool { return t.isUsed(id) && !t.isLapsing(id) }
+// send sends a start.
+func (t *term) send(h heldStart) {
+	t.sent(h)
+	t.dispatch(h.action, h.decided)
+}
+
+// isAccountedFor reports whether a successor will wait for leases that this owner orders on a worker: the stored list of used workers names it, the record of this term
+// is stored, and does not name it as lapsing.
+func (t *term) isAccountedFor(id ids.InstanceID) bool {
+	return t.termStored && t.isUsed(id) && !t.isLapsing(id)
+}
 
 // releaseStarts sends the held orders to workers that a successor accounts for now, and drops those of runs that have been abandoned.
 func (t *term) releaseStarts(now time.Time) {
@@ -49,8 +69,8 @@
 		switch {
 		case !t.state.MayStart(h.action.Worker, h.action.Run):
 			t.state.RunRefused(h.action.Worker, h.action.Run, errNotSent, false, now)
-		case t.isAccountedFor(h.action.Worker):
-			t.dispatch(h.action, h.decided)
+		case t.isAccountedFor(h.action.Worker) && t.maySend(h):
+			t.send(h)
 		default:
 			return false
 		}
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -8,12 +8,14 @@
 import (
 	"cmp"
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/jujubegrade/jujubegrade/internal/connection/peer"
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
@@ -56,6 +58,14 @@
 		// DelayClaims makes this instance delay its claims, so that other instances claim first.
 		DelayClaims bool
 
+		// CallWitness calls the instance at an address as a witness; nil calls it over the network.
+		CallWitness func(ctx context.Context, address string, c PlacesCall) (PlacesAnswer, error)
+
+		// kept are the starts that this process keeps as a witness, and witnessClients the connections to its own witnesses.
+		kept           keptStarts
+		witnessLock    sync.Mutex
+		witnessClients map[string]*peer.Client
+
 		term    atomic.Pointer[term]
 		leaving atomic.Bool
 		// recovering is set while this instance holds the owner key and recovers its predecessor's state.
@@ -122,6 +132,7 @@
 	keyEpoch   = "Jujubegrade/Epoch"
 	keyWorkers = "Jujubegrade/Workers"
 	keyTerm    = "Jujubegrade/Term"
+	keyClaims  = "Jujubegrade/Claims"
 	// keyEstimates holds the learned run times.
 	keyEstimates = "Jujubegrade/Estimates"
 	prefixJobs   = "Jujubegrade/Job/"
--- a/internal/process/poolowner/recovery.go
+++ b/internal/process/poolowner/recovery.go
@@ -96,6 +96,10 @@
 	if t.catalog != nil {
 		t.applyPolicies()
 	}
+	if p := t.predecessor; p != nil && p.ArePlacesKnown && !t.isUsedUnreadable() {
+		t.places.isCollecting = true
+		t.spawn("the collection of places", func() { t.collectPlaces(p.Witnesses) })
+	}
 	t.log.Info("owner: records read", zap.Int("jobs", len(jobs)), zap.Int("workers", len(t.listed)), zap.Duration("took", t.owner.since(sent)))
 	t.spawn("the watch of the configuration", func() { t.watchConfig(config, configRev) })
 	t.spawn("the watch of the workers", func() { t.watchWorkers(workers, workersRev) })
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -69,6 +69,7 @@
 		superseded   supersededCalls
 		// heldStarts are the starts on workers that a successor does not account for yet.
 		heldStarts []heldStart
+		places     placeLedger
 		// writeBlocked is set while the next batch has to wait, and inFlight is the batch being committed.
 		writeBlocked bool
 		inFlight     *batch
@@ -184,6 +185,7 @@
 	o.recovering.Store(false)
 	o.term.Store(nil)
 	o.metrics.setRunsLeft(nil)
+	o.closeWitnesses()
 	// In-flight calls end by their timeouts; their results are discarded.
 	cancel(nil)
 	t.log.Info("owner: ownership ended", zap.NamedError("cause", context.Cause(ctx)))
@@ -294,6 +296,7 @@
 	}
 	t.observeEvacuations(now)
 	t.refuseWaiting(now)
+	t.updateWitnesses(now)
 	t.saveSpeeds(now)
 	if now.Sub(t.lastPurge) > purgeInterval {
 		t.lastPurge = now
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -268,12 +268,11 @@
 	}
 	if b.used != nil {
 		t.usedWorkers, t.usedRevision = b.used, revision
-		t.releaseStarts(time.Now())
 	}
 	if b.promise != nil {
 		t.termStored, t.termRevision = true, revision
 		t.setLapsing(b.promise, nil)
-		t.releaseStarts(time.Now())
+		t.confirmPlaces(b.promise)
 	}
 	if b.estimates != nil {
 		t.estimatesRevision, t.savedSamples = revision, b.samples
@@ -283,6 +282,8 @@
 		t.state.MarkStored(r.id, r.version)
 		t.answerWaiters(r.id)
 	}
+	t.forgetStored()
+	t.releaseStarts(time.Now())
 }
 
 // refreshConfig reads the configuration that a write conflicted with, and revalidates the jobs that wait for acceptance.
