Order long leases for less time after the last proof of ownership

Cause: an owner without the store orders leases for 6 s whatever their length, so that a successor has to wait for 6 s and a lease.

Change: the time is what is left of 12 s, so that runs outlast an outage as long with leases of 10 s as with leases of 6 s. The record of the term tells the successor, as before.

TestOrderGrace.

--- a/internal/process/poolowner/cluster_test.go
+++ b/internal/process/poolowner/cluster_test.go
@@ -121,6 +121,8 @@
 	// entryInterval is the time between the writes of a worker's entry, and entryLapse how long after its last write the store removes it.
 	entryInterval = 1500 * time.Millisecond
 	entryLapse    = pool.EntryLifetimes * entryInterval
+	// testGrace is the order grace with the default lease.
+	testGrace = outlastedOutage - defaultWorkerLease
 )
 
 var testTotal = ids.Resources{Accelerators: 8, Cores: 64000, Memory: 262144}
--- a/internal/process/poolowner/departure_test.go
+++ b/internal/process/poolowner/departure_test.go
@@ -144,7 +144,7 @@
 // have runs from its own takeover. A worker that was listed again meanwhile may have a newer lease.
 func TestWaitForUnknownWorkerAcrossTakeovers(t *testing.T) {
 	const (
-		wait = orderGrace + defaultWorkerLease*51/50
+		wait = testGrace + defaultWorkerLease*51/50
 		// takeover covers the loss of an owner, the claim and the age of the record.
 		takeover = 6 * time.Second
 	)
--- a/internal/process/poolowner/handover.go
+++ b/internal/process/poolowner/handover.go
@@ -38,8 +38,12 @@
 )
 
 const (
-	// orderGrace is how long an owner that can't renew its ownership orders leases. With them, runs outlast the store's usual outages.
-	orderGrace = 6 * time.Second
+	// outlastedOutage is how long runs last from the last renewal of the ownership on: longer than the store's usual outages. A successor waits as long for the workers
+	// that don't answer.
+	outlastedOutage = 12 * time.Second
+	// maxOrderGrace limits the wait of a successor where leases are short, and minOrderGrace covers the age of the last proof of the ownership while the store answers: two returns of the watch of the owner's key.
+	minOrderGrace = 2 * time.Second
+	maxOrderGrace = 6 * time.Second
 	// unpromisedGrace is that of owners without a record of their term. They ordered leases until they gave up: leaseGrace after the end of their ownership, and a
 	// renewal and its delay later.
 	unpromisedGrace = leaseGrace + 2*DefaultLease
@@ -49,10 +53,15 @@
 	lapsingBytes = 64
 )
 
-// workerLease returns the lease that workers may be ordered to grant now; none if it is not positive. It ends at the latest orderGrace and a worker's lease after the
+// orderGrace returns how long an owner that can't renew its ownership orders leases, given how long these last.
+func (t Times) orderGrace() time.Duration {
+	return min(maxOrderGrace, max(minOrderGrace, outlastedOutage-t.WorkerLease))
+}
+
+// workerLease returns the lease that workers may be ordered to grant now; none if it is not positive. It ends at the latest the order grace and a worker's lease after the
 // owner's key was last seen to be this term's, so that a successor knows how long to wait, even one that took this owner for dead before its ownership had expired.
 func (t *term) workerLease() time.Duration {
-	return min(t.owner.Times.WorkerLease, orderGrace+t.owner.Times.WorkerLease-t.owner.since(*t.ownedAt.Load()))
+	return min(t.owner.Times.WorkerLease, t.owner.Times.orderGrace()+t.owner.Times.WorkerLease-t.owner.since(*t.ownedAt.Load()))
 }
 
 // loadPromise reads the record of the term before this one.
@@ -71,7 +80,7 @@
 		t.predecessor = &r
 	case r.Epoch < t.claim.Epoch && r.Epoch+1 >= t.claim.claims.Since && t.claim.claims.Epoch+1 == t.claim.Epoch:
 		// The owners since were lost before they stored a record, so that they have started nothing. They may have ordered leases, also on lapsing workers.
-		r.Grace, r.Lapsing = max(r.Grace, orderGrace), nil
+		r.Grace, r.Lapsing = max(r.Grace, t.owner.Times.orderGrace()), nil
 		t.predecessor = &r
 	}
 }
@@ -174,7 +183,7 @@
 
 // addPromise adds the record of this term to a batch.
 func (t *term) addPromise(b *batch, now time.Time) {
-	r := &TermRecord{Epoch: t.claim.Epoch, Grace: orderGrace, Lapsing: t.lapsingWorkers(now)}
+	r := &TermRecord{Epoch: t.claim.Epoch, Grace: t.owner.Times.orderGrace(), Lapsing: t.lapsingWorkers(now)}
 	r.Witnesses, r.ArePlacesKnown = t.promisePlaces(now)
 	b.promise = r
 	t.termOutdated, t.termSavedAt = false, now
--- a/internal/process/poolowner/places_test.go
+++ b/internal/process/poolowner/places_test.go
@@ -225,11 +225,11 @@
 		Grace   time.Duration
 		Lapsing []LapsingWorkers
 	}
-	value, err := json.Marshal(TermRecord{Epoch: 3, Grace: orderGrace, ArePlacesKnown: true, Witnesses: []Witness{{Instance: "i", Address: "a", Process: 1}}})
+	value, err := json.Marshal(TermRecord{Epoch: 3, Grace: testGrace, ArePlacesKnown: true, Witnesses: []Witness{{Instance: "i", Address: "a", Process: 1}}})
 	require.NoError(t, err)
 	var earlier earlierTerm
 	require.NoError(t, json.Unmarshal(value, &earlier))
-	require.Equal(t, earlierTerm{Epoch: 3, Grace: orderGrace}, earlier)
+	require.Equal(t, earlierTerm{Epoch: 3, Grace: testGrace}, earlier)
 	var r TermRecord
 	require.NoError(t, json.Unmarshal([]byte(`{"Epoch":3,"Grace":6000000000}`), &r))
 	require.False(t, r.ArePlacesKnown)
--- a/internal/process/poolowner/takeover_test.go
+++ b/internal/process/poolowner/takeover_test.go
@@ -120,7 +120,7 @@
 				w.awaitSuccessor(first)
 				require.Less(t, time.Since(began), DefaultLease, "the owner's lease has expired before it was replaced")
 				// The checker verifies that the task never runs twice at a time.
-				time.Sleep(orderGrace + 2*defaultWorkerLease)
+				time.Sleep(testGrace + 2*defaultWorkerLease)
 				require.Equal(t, 2, w.checker.StartCount("a"), w.checker.EventLog())
 			})
 		})
@@ -139,8 +139,8 @@
 		// earlier means that the predecessor is of a version that leaves no record of its claim.
 		earlier bool
 	}{
-		"this version":                    {grace: orderGrace},
-		"lost before it stored a promise": {record: []byte(`{"Epoch":0,"Grace":4000000000,"Lapsing":[{"Remaining":1,"Workers":["worker0"]}]}`), grace: orderGrace},
+		"this version":                    {grace: testGrace},
+		"lost before it stored a promise": {record: []byte(`{"Epoch":0,"Grace":4000000000,"Lapsing":[{"Remaining":1,"Workers":["worker0"]}]}`), grace: testGrace},
 		"another promise":                 {record: []byte(`{"Epoch":1,"Grace":4000000000}`), grace: 4 * time.Second},
 		"lapsing workers of another term": {record: []byte(`{"Epoch":0,"Grace":4000000000,"Lapsing":[{"Remaining":1,"Workers":["worker0"]}]}`), grace: leaseGrace + 2*DefaultLease, earlier: true},
 		"malformed lapsing workers":       {record: []byte(`{"Epoch":1,"Grace":4000000000,"Lapsing":{"Remaining":"1"}}`), grace: leaseGrace + 2*DefaultLease},
@@ -273,3 +273,15 @@
 		w.awaitState(1, "a", pool.Completed)
 	})
 }
+
+// Guards against a successor that waits longer the longer leases are: an owner orders long leases for less time after it last proved its ownership.
+func TestOrderGrace(t *testing.T) {
+	for name, test := range map[string]struct{ lease, grace time.Duration }{
+		"short leases":   {lease: 3 * time.Second, grace: maxOrderGrace},
+		"usual leases":   {lease: 6 * time.Second, grace: 6 * time.Second},
+		"long leases":    {lease: 10 * time.Second, grace: 2 * time.Second},
+		"longest leases": {lease: 20 * time.Second, grace: minOrderGrace},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, test.grace, Times{WorkerLease: test.lease}.orderGrace()) })
+	}
+}
