Tell witnesses again after a change of them is given up

By reading: starts that were held while a change of the witnesses was prepared were not told to the witnesses when the store failed meanwhile, and waited for it. A claim read its two keys one after the other while its lease ran.

Change: the witnesses are told with each tick as well, and both keys are read at the same time.

--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
@@ -202,22 +203,18 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "granting the lease")
 	}
-	var epoch ids.Epoch
-	entry, err := o.Store.Get(ctx, keyEpoch)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return nil, errors.Wrap(err, "reading the epoch")
+	entry, claims, err := o.readClaims(ctx)
+	if err != nil {
+		return nil, err
 	}
-	if err == nil {
+	var epoch ids.Epoch
+	if entry.Revision != store.Absent {
 		if err := json.Unmarshal(entry.Value, &epoch); err != nil {
 			return nil, errors.Wrap(err, "malformed epoch")
 		}
 	}
 	c := &claim{OwnerRecord: OwnerRecord{Instance: o.Instance, Address: o.Address, Epoch: epoch + 1}, lease: lease, grantedAt: sent}
-	claims, err := o.Store.Get(ctx, keyClaims)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return nil, errors.Wrap(err, "reading the claims")
-	}
-	if err == nil && json.Unmarshal(claims.Value, &c.claims) != nil {
+	if claims.Revision != store.Absent && json.Unmarshal(claims.Value, &c.claims) != nil {
 		o.Log.Error("member: the record of the claims can't be decoded")
 		c.claims = claimsRecord{}
 	}
@@ -253,5 +250,23 @@
 	return nil, errors.Wrap(err, "committing the claim")
 }
 
+// readClaims reads the epoch and the record of the claims at the same time, since the lease of the claim already runs. Keys that don't exist have revision Absent.
+func (o *Owner) readClaims(ctx context.Context) (epoch, claims store.Entry, err error) {
+	g, ctx := errgroup.WithContext(ctx)
+	read := func(key string, entry *store.Entry) {
+		g.Go(func() error {
+			found, err := o.Store.Get(ctx, key)
+			if errors.Is(err, store.ErrNotFound) {
+				return nil
+			}
+			*entry = found
+			return errors.Wrapf(err, "reading %s", key)
+		})
+	}
+	read(keyEpoch, &epoch)
+	read(keyClaims, &claims)
+	return epoch, claims, g.Wait()
+}
+
 // jitter returns a random duration between 75% and 125% of d.
 func jitter(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2+1) }
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -53,7 +53,7 @@
 
 // send sends a start.
 func (t *term) send(h heldStart) {
-	t.sent(h)
+	t.rememberUnstored(h)
 	t.dispatch(h.action, h.decided)
 }
 
--- a/internal/process/poolowner/places.go
+++ b/internal/process/poolowner/places.go
@@ -135,8 +135,8 @@
 	return !t.places.isPromised && !t.places.preparing
 }
 
-// sent records that a start is being sent.
-func (t *term) sent(h heldStart) {
+// rememberUnstored remembers a start that is being sent until its place is stored.
+func (t *term) rememberUnstored(h heldStart) {
 	if !t.state.IsPlaceStored(h.action) {
 		t.places.unstored = append(t.places.unstored, unstoredStart{h.action, h.number})
 	}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -297,6 +297,7 @@
 	t.observeEvacuations(now)
 	t.refuseWaiting(now)
 	t.updateWitnesses(now)
+	t.tellWitnesses()
 	t.saveSpeeds(now)
 	if now.Sub(t.lastPurge) > purgeInterval {
 		t.lastPurge = now
