Let a successor wait for workers on which a run may have failed unreported

A successor waited for all silent workers until it waited for places alone; then it could start the gang once more than its queue allows.

Change: such workers are recorded as places.

Result: TestPlacesOfBrokenGang and a case of TestBlockedByPlaces fail without it.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -124,6 +124,8 @@
 			continue
 		}
 		r.unit.maybeFailedRuns = append(r.unit.maybeFailedRuns, r.Number)
+		r.unit.unreportedOn = append(r.unit.unreportedOn, n.ID)
+		s.markDirty(r.unit.job)
 		s.recordLoss(r, "its gang is broken, and the worker is silent", now)
 		s.recordUnseen(n, []lostRun{r.lost()}, now)
 		s.removeRun(r)
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -113,8 +113,10 @@
 		// maybeFailedRuns holds the numbers, possibly repeated, of runs that may have failed on workers that never reported
 		// how they ended.
 		maybeFailedRuns []ids.RunNumber
-		checkpoint      string
-		crashes         crashRecord
+		// unreportedOn are the workers of these runs. A successor must not start the unit before they have reported how the runs ended, or have lapsed.
+		unreportedOn []ids.InstanceID
+		checkpoint   string
+		crashes      crashRecord
 		// places are the workers on which runs of earlier owners may be active; see placesOf.
 		places []ids.InstanceID
 		// isSettled is set once the starts of earlier owners have been checked for crashes.
--- a/internal/process/pool/places.go
+++ b/internal/process/pool/places.go
@@ -52,9 +52,10 @@
 	s.requestPass()
 }
 
-// placesOf returns the workers on which runs of a unit may be active: those of its runs, and those that an earlier owner recorded.
+// placesOf returns the workers that a successor must have heard of before it starts a unit: those of its runs, those that an earlier owner recorded, and those on which a
+// run may have failed unreported.
 func (u *unit) placesOf() []ids.InstanceID {
-	list := slices.Clone(u.places)
+	list := slices.Concat(u.places, u.unreportedOn)
 	for _, r := range u.runs {
 		if r.phase != runGone {
 			list = append(list, r.node.ID)
