Let the reader of TestStalledReader stall before its buffers are filled

Cause, by the trace: the test took for granted that the sink's goroutine holds its first line before the buffers are full. It had not run yet, and took a line from the second buffer later, so that one more line found room there.

Change: the test waits until the sink is stalled; its expectations are the same.

The product is unchanged.

--- a/internal/process/logsink/logsink_test.go
+++ b/internal/process/logsink/logsink_test.go
@@ -34,6 +34,8 @@
 			n, err := s.Write([]byte("line\n"))
 			require.NoError(t, err)
 			require.Equal(t, 5, n)
+			// The sink holds the first line, and takes no other one.
+			synctest.Wait()
 		}
 		dropped := s.Dropped()
 		require.Positive(t, dropped)
