Order jobs over owners by the number of their acceptance

Cause: the table of live jobs was sorted and searched by the time of submission. Two jobs of one owner were compared by the monotonic clock, others by the time of day. After a step that is no order, the search misses jobs that end, and they stay in the table.

Change: a record holds the owner's epoch and a number; the table is sorted by copies of what orders a job. Earlier versions ignore the field.

--- a/internal/process/pool/bench_test.go
+++ b/internal/process/pool/bench_test.go
@@ -82,7 +82,7 @@
 				}
 				b.StartTimer()
 				for range 200 {
-					for _, j := range s.Dirty(workers) {
+					for _, j := range s.Dirty(workers, now) {
 						s.MarkStored(j.ID, j.Version())
 					}
 					began := time.Now()
--- a/internal/process/pool/crash_test.go
+++ b/internal/process/pool/crash_test.go
@@ -61,7 +61,7 @@
 
 // storeAll lets the store answer the writes of all changed jobs.
 func (s *sim) storeAll() {
-	for _, j := range s.Dirty(1 << 20) {
+	for _, j := range s.Dirty(1<<20, s.now) {
 		version := j.Version()
 		s.at(simStoreTime, func() { s.MarkStored(j.ID, version) })
 	}
--- a/internal/process/pool/evacuate_test.go
+++ b/internal/process/pool/evacuate_test.go
@@ -98,7 +98,7 @@
 	s := testState(2, 2)
 	s.Epoch = 2
 	s.drainFirst(time.Second, testStart)
-	s.Recover([]*Job{restored})
+	s.Recover([]*Job{restored}, testStart)
 	run := runOf(j, 0, 1001)
 	s.Reported("w0000", worker.RunReport{Incarnation: 1, Active: []worker.ActiveRun{{Run: run, Percent: 5}}}, testStart, testStart)
 	s.EndRecovery(nil, testStart, testStart)
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/process/tenure"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -45,7 +46,8 @@
 		Payload      string
 		Steps        []Step
 		Schedule     Schedule
-		Submitted    time.Time
+		// Submitted is when the job was submitted. It is a time of day for a job that an earlier owner accepted; see acceptedAt.
+		Submitted time.Time
 		// MaxAttempts is the number of failures of one task or gang after which the job fails.
 		MaxAttempts int
 		// Stretch and Target define the job's objective: to end within Stretch times its critical path, plus Target.
@@ -85,6 +87,13 @@
 		crashVersion uint64
 		// pendingEndNodes holds the workers with reported ends that can be acknowledged only once the job is stored.
 		pendingEndNodes []*node
+		// stamp orders and times the job over owners.
+		stamp tenure.Stamp
+		// acceptedBefore is when a recovered job was accepted, on the clock of this process.
+		acceptedBefore time.Time
+		// order is the job's place in State.live, valid while isLive is set.
+		order  liveOrder
+		isLive bool
 		// startTag orders the jobs of one priority; see fairQueue.
 		startTag time.Duration
 		// charge is the time that the job added to its account's finish tag.
--- a/internal/process/pool/occurrence_test.go
+++ b/internal/process/pool/occurrence_test.go
@@ -83,7 +83,7 @@
 					require.NoError(t, err)
 					s = testState(10, 2)
 					s.Epoch = 2
-					s.Recover([]*Job{j})
+					s.Recover([]*Job{j}, now)
 					s.EndRecovery(nil, now, now)
 					ends = pendingEnds{state: s}
 				}
@@ -139,7 +139,7 @@
 	require.NoError(t, err)
 	s := testState(4, 2)
 	s.Epoch = 2
-	s.Recover([]*Job{j})
+	s.Recover([]*Job{j}, testStart)
 	now := testStart.Add(7 * time.Second)
 	s.Reported("w0000", worker.RunReport{
 		Incarnation: 1, Active: []worker.ActiveRun{{Run: worker.Run{Task: worker.Task{Job: "a", Occurrence: 6, Index: 1}, Number: 1001}}},
--- a/internal/process/pool/places_test.go
+++ b/internal/process/pool/places_test.go
@@ -44,7 +44,7 @@
 			next := testState(2, 1)
 			next.nodes[test.unknown].reported = false
 			next.Epoch = 2
-			next.Recover([]*Job{j})
+			next.Recover([]*Job{j}, testStart)
 			next.EndRecovery([]ids.InstanceID{"w0000", "w0001"}, testStart.Add(time.Hour), testStart)
 			require.True(t, next.blocked(j.units[0]), "not all places are known yet")
 			next.TrustPlaces(test.kept, testStart)
--- a/internal/process/pool/policy_test.go
+++ b/internal/process/pool/policy_test.go
@@ -25,7 +25,7 @@
 			}
 		}},
 		"priority": {change: func(p *Policy) { p.Priority = 0 }, check: func(t *testing.T, s *State, j, other *Job) {
-			require.Equal(t, []*Job{j, other}, s.live)
+			require.Equal(t, []*Job{j, other}, []*Job(s.live))
 			require.Equal(t, 0, j.Priority)
 		}},
 		"objective": {change: func(p *Policy) { p.Stretch, p.Target = 9, time.Hour }, check: func(t *testing.T, s *State, j, other *Job) {
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubegrade/jujubegrade/internal/process/tenure"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -26,8 +28,10 @@
 		Steps    []Step
 		Schedule Schedule `json:",omitzero"`
 		// Elapsed is the number of leading occurrences that are done; Units omits their units.
-		Elapsed     int `json:",omitempty"`
-		Submitted   time.Time
+		Elapsed   int `json:",omitempty"`
+		Submitted time.Time
+		// Stamp orders and times the job over owners. Earlier versions don't know it and drop it.
+		Stamp       tenure.Stamp `json:",omitzero"`
 		MaxAttempts int
 		Stretch     float64       `json:",omitempty"`
 		Target      time.Duration `json:",omitempty"`
@@ -81,7 +85,7 @@
 func (j *Job) encode(writer string, short bool) ([]byte, error) {
 	r := Record{
 		Format: recordFormat, ID: j.ID, Queue: j.Queue, Host: j.Host, Prefix: j.Prefix, Service: j.Service, Account: j.Account, Priority: j.Priority,
-		Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule, Elapsed: j.elapsed(), Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target,
+		Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule, Elapsed: j.elapsed(), Submitted: j.Submitted, Stamp: j.stamp, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target,
 		State: j.State, Begun: j.begun, Finished: j.Finished, Writer: writer,
 	}
 	first := j.closed * j.unitsPerOccurrence()
@@ -113,6 +117,9 @@
 	return json.Marshal(r)
 }
 
+// largestStamp is the stamp that takes most in a record.
+var largestStamp = tenure.Stamp{Acceptance: tenure.Acceptance{Epoch: math.MaxUint64, Number: math.MaxUint64}, Accepted: math.MaxInt64, Ended: math.MaxInt64, Written: math.MaxInt64}
+
 // maxTaskRecord is the size of a task's part of a record that omits what can be omitted. Few tasks fail or crash their workers.
 const maxTaskRecord = 32
 
@@ -124,7 +131,7 @@
 	}
 	value, err := (&Job{
 		ID: j.ID, Queue: j.Queue, Host: j.Host, Prefix: j.Prefix, Service: j.Service, Account: j.Account, Priority: j.Priority, Payload: j.Payload,
-		Steps: j.Steps, Schedule: j.Schedule, Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target, State: Accepted,
+		Steps: j.Steps, Schedule: j.Schedule, Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target, State: Accepted, stamp: largestStamp,
 	}).encode("", false)
 	return len(value) + tasks*maxTaskRecord, err
 }
@@ -148,7 +155,7 @@
 	}
 	j := &Job{
 		ID: r.ID, Queue: r.Queue, Host: r.Host, Prefix: r.Prefix, Service: r.Service, Account: r.Account, Priority: r.Priority, Payload: r.Payload,
-		Steps: r.Steps, Schedule: r.Schedule, Submitted: r.Submitted, MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target, State: r.State, Finished: r.Finished,
+		Steps: r.Steps, Schedule: r.Schedule, Submitted: r.Submitted, MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Target: r.Target, State: r.State, Finished: r.Finished, stamp: r.Stamp,
 		begun: r.Begun, placesOmitted: r.PlacesOmitted,
 	}
 	perOccurrence := j.unitsPerOccurrence()
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -385,12 +385,14 @@
 }
 
 // Recover loads the jobs of earlier owners. Nothing is started until EndRecovery.
-func (s *State) Recover(jobs []*Job) {
+func (s *State) Recover(jobs []*Job, now time.Time) {
 	s.init()
 	s.recovering = true
-	for _, j := range slices.SortedFunc(slices.Values(jobs), func(a, b *Job) int { return a.Submitted.Compare(b.Submitted) }) {
+	s.resumeClock(jobs, now)
+	for _, j := range slices.SortedFunc(slices.Values(jobs), compareRecovered) {
 		j.recovered = true
 		j.stored = true
+		s.restoreStamp(j, now)
 		s.add(j)
 	}
 }
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -17,7 +17,7 @@
 	s.Epoch = 2
 	j.State = Accepted
 	j.openOne()
-	s.Recover([]*Job{j})
+	s.Recover([]*Job{j}, testStart)
 	return s
 }
 
@@ -141,7 +141,7 @@
 			require.NoError(t, err)
 			next := testState(1, 1)
 			next.Epoch = 2
-			next.Recover([]*Job{stored})
+			next.Recover([]*Job{stored}, testStart)
 			check(next, stored)
 		})
 	}
@@ -167,7 +167,7 @@
 	require.NoError(t, err)
 	next := testState(2, 2)
 	next.Epoch = 2
-	next.Recover([]*Job{found})
+	next.Recover([]*Job{found}, testStart)
 	next.EndRecovery(nil, testStart, testStart)
 	actions, _ = next.Decide(testStart.Add(time.Minute))
 	require.Empty(t, actions)
@@ -325,7 +325,7 @@
 			s.nodes["w0000"].reported = false
 			j := gangJob("a", 1, 1, 8, 10*time.Second)
 			j.State, j.Submitted = Accepted, testStart
-			s.Recover([]*Job{j})
+			s.Recover([]*Job{j}, testStart)
 			until := testStart.Add(12 * time.Second)
 			s.EndRecovery([]ids.InstanceID{"w0000"}, until, testStart.Add(time.Second))
 			now := testStart.Add(2 * time.Second)
@@ -351,7 +351,7 @@
 			}
 			j := gangJob("a", 1, 2, 8, 10*time.Second)
 			j.State, j.Submitted = Accepted, testStart
-			s.Recover([]*Job{j})
+			s.Recover([]*Job{j}, testStart)
 			report := func(id ids.InstanceID, index int, running bool, now time.Time) {
 				r := worker.RunReport{Incarnation: 1}
 				if running {
--- a/internal/process/pool/simulator_test.go
+++ b/internal/process/pool/simulator_test.go
@@ -343,12 +343,12 @@
 	s.SetAccounts(old.accounts)
 	s.SetEstimates(learned)
 	s.SetSpeeds(speeds)
-	s.Recover(jobs)
+	s.Recover(jobs, s.now)
 	for _, n := range s.sortedNodes() {
 		s.report(n.ID, nil)
 	}
 	s.EndRecovery(nil, s.now, s.now)
-	for _, j := range s.Dirty(len(jobs)) {
+	for _, j := range s.Dirty(len(jobs), s.now) {
 		s.MarkStored(j.ID, j.Version())
 	}
 }
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/internal/process/evacuation"
+	"github.com/jujubegrade/jujubegrade/internal/process/tenure"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -65,8 +66,10 @@
 		// projections counts the projections of workers' free resources; see node.projection.
 		projections uint64
 		jobs        map[ids.JobID]*Job
-		// live holds the jobs that have not ended, ordered by priority, start tag and submission time.
-		live []*Job
+		live        liveJobs
+		// clock continues that of earlier owners. acceptances counts the jobs that this owner has accepted, and unnumbered those that earlier versions have.
+		clock                   tenure.Clock
+		acceptances, unnumbered uint64
 		// fairQueue assigns the jobs' start tags.
 		fairQueue fairQueue
 		// recoveredAt is when recovery ended.
@@ -255,35 +258,13 @@
 	s.insertLive(j)
 }
 
-// insertLive queues a job that has not ended.
-func (s *State) insertLive(j *Job) {
-	s.fairQueue.enqueue(j, s.serviceTime(j))
-	at, _ := slices.BinarySearchFunc(s.live, j, compareJobs)
-	s.live = slices.Insert(s.live, at, j)
-	s.guaranteedChanged = s.guaranteedChanged || j.Priority == 0
-	s.requestPass()
-}
-
 func (s *State) requestPass() { s.passRequests++ }
 
-func compareJobs(a, b *Job) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.startTag, b.startTag), a.Submitted.Compare(b.Submitted), cmp.Compare(a.ID, b.ID))
-}
-
-func (s *State) removeLive(j *Job) {
-	if at, found := slices.BinarySearchFunc(s.live, j, compareJobs); found {
-		s.live = slices.Delete(s.live, at, at+1)
-	}
-	if !j.ordered {
-		s.fairQueue.refund(j)
-	}
-	s.guaranteedChanged = s.guaranteedChanged || j.Priority == 0
-	s.requestPass()
-}
-
 // Offer adds an admitted job whose acceptance is being stored. The job doesn't start before MarkStored is called.
 func (s *State) Offer(j *Job) {
 	j.State = Accepted
+	s.acceptances++
+	j.stamp = tenure.Stamp{Acceptance: tenure.Acceptance{Epoch: s.Epoch, Number: s.acceptances}, Accepted: s.clock.Moment(j.Submitted)}
 	s.add(j)
 	s.observeUrgent(j)
 	s.markDirty(j)
@@ -331,8 +312,8 @@
 	s.dirty[j.ID] = j
 }
 
-// Dirty returns at most limit jobs that have changed since they were last returned, jobs never stored first.
-func (s *State) Dirty(limit int) []*Job {
+// Dirty returns at most limit jobs that have changed since they were last returned, jobs never stored first. Their records are to be written now.
+func (s *State) Dirty(limit int, now time.Time) []*Job {
 	if len(s.dirty) == 0 {
 		return nil
 	}
@@ -351,6 +332,7 @@
 	})
 	list = list[:min(limit, len(list))]
 	for _, j := range list {
+		j.stamp.Written = s.clock.Moment(now)
 		delete(s.dirty, j.ID)
 	}
 	return list
@@ -387,6 +369,7 @@
 func (s *State) end(j *Job, state JobState, cause string, now time.Time) {
 	j.State = state
 	j.Finished = now
+	j.stamp.Ended = s.clock.Moment(now)
 	s.markDirty(j)
 	s.removeLive(j)
 	s.notice(Notice{Kind: "JobEnded", Job: j.ID, Priority: j.Priority, Outcome: state, Cause: string(state) + ": " + cause, After: now.Sub(j.Submitted)})
--- a/internal/process/poolowner/recovery.go
+++ b/internal/process/poolowner/recovery.go
@@ -92,7 +92,7 @@
 		t.jobRevisions[j.ID] = e.Revision
 		jobs = append(jobs, j)
 	}
-	t.state.Recover(jobs)
+	t.state.Recover(jobs, time.Now())
 	if t.catalog != nil {
 		t.applyPolicies()
 	}
--- a/internal/process/poolowner/write.go
+++ b/internal/process/poolowner/write.go
@@ -76,7 +76,7 @@
 	if promises {
 		records--
 	}
-	for _, j := range t.state.Dirty(records) {
+	for _, j := range t.state.Dirty(records, now) {
 		value, err := j.Encode(strconv.FormatUint(uint64(t.claim.Epoch), 10)+"."+strconv.FormatUint(j.Version(), 10), t.owner.MaxValueBytes)
 		if err != nil {
 			t.rejectRecord(j, err.Error())
