Take the charge of a job back once

An account whose jobs were cancelled before the store had confirmed them, and withdrawn afterwards, ran ahead of others: the end and the withdrawal each took the job's charge back, so that its finish tag became negative.

Cause: a job was taken out of the table without a check that it was there.

Change: the table says whether it held the job, and only then the charge is taken back.

Result: the row "cancelled, then withdrawn" of TestStartTagsOfWithdrawnJobs failed with -80 s for 20 jobs, and passes.

--- a/internal/process/pool/fairqueue_test.go
+++ b/internal/process/pool/fairqueue_test.go
@@ -16,6 +16,8 @@
 	for name, drop := range map[string]func(s *State, id ids.JobID){
 		"cancelled": func(s *State, id ids.JobID) { s.Cancel(id, testStart) },
 		"withdrawn": func(s *State, id ids.JobID) { s.Withdraw(id) },
+		// Guards against a charge that is taken back twice.
+		"cancelled, then withdrawn": func(s *State, id ids.JobID) { s.Cancel(id, testStart); s.Withdraw(id) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := testState(4, 4)
@@ -25,6 +27,7 @@
 				s.Offer(j)
 				drop(s, j.ID)
 			}
+			require.Equal(t, map[accountPriority]time.Duration{{"account", 1}: 0}, s.fairQueue.finishTags)
 			j := gangJob("last", 1, 2, 8, 5*time.Second)
 			s.accept(j, testStart)
 			require.Zero(t, j.startTag)
--- a/internal/process/pool/live.go
+++ b/internal/process/pool/live.go
@@ -36,14 +36,15 @@
 	*l = slices.Insert(*l, at, j)
 }
 
-// remove removes a job, if it is there.
-func (l *liveJobs) remove(j *Job) {
+// remove removes a job, and reports whether it was there.
+func (l *liveJobs) remove(j *Job) bool {
 	if !j.isLive {
-		return
+		return false
 	}
 	j.isLive = false
 	at, _ := slices.BinarySearchFunc(*l, j, compareJobs)
 	*l = slices.Delete(*l, at, at+1)
+	return true
 }
 
 // insertLive queues a job that has not ended.
@@ -54,9 +55,11 @@
 	s.requestPass()
 }
 
-// removeLive removes a job from the queue.
+// removeLive removes a job from the queue, once.
 func (s *State) removeLive(j *Job) {
-	s.live.remove(j)
+	if !s.live.remove(j) {
+		return
+	}
 	if !j.ordered {
 		s.fairQueue.refund(j)
 	}
--- a/internal/process/pool/live_test.go
+++ b/internal/process/pool/live_test.go
@@ -33,9 +33,10 @@
 func TestLiveJobsWhenTheTimeOfDayJumps(t *testing.T) {
 	const jobs = 30
 	for name, end := range map[string]func(s *State, j *Job){
-		"cancelled":    func(s *State, j *Job) { s.Cancel(j.ID, j.Submitted) },
-		"failed":       func(s *State, j *Job) { s.Fail(j.ID, "cause", j.Submitted) },
-		"never stored": func(s *State, j *Job) { j.stored = false; s.Withdraw(j.ID) },
+		"cancelled":       func(s *State, j *Job) { s.Cancel(j.ID, j.Submitted) },
+		"failed":          func(s *State, j *Job) { s.Fail(j.ID, "cause", j.Submitted) },
+		"never stored":    func(s *State, j *Job) { j.stored = false; s.Withdraw(j.ID) },
+		"given back late": func(s *State, j *Job) { s.Cancel(j.ID, j.Submitted); j.stored = false; s.Withdraw(j.ID) },
 		"other priority": func(s *State, j *Job) {
 			s.SetPolicies(func(other *Job) (Policy, bool) {
 				p := other.policy()
@@ -72,6 +73,9 @@
 					requireLiveJobs(t, s)
 				}
 				require.Empty(t, s.live)
+				for key, tag := range s.fairQueue.finishTags {
+					require.GreaterOrEqual(t, tag, time.Duration(0), "a charge of %v was taken back twice", key)
+				}
 			}
 		})
 	}
