Forget units with unseen crashes once their job has ended

An owner kept each job under which a worker had fallen silent for as long as the worker did not answer again, also after the job's end.

Cause: the list of units whose crashes were not seen was emptied only by the next report of their worker.

Change: the end of a job takes its units out.

Result: TestEndOfJobWithUnseenCrash fails before and passes now.

--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -333,6 +333,20 @@
 	delete(s.unseen, n.ID)
 }
 
+// forgetUnseen removes the units of a job that has ended from those whose crashes were not seen. Their workers may never answer again.
+func (s *State) forgetUnseen(j *Job) {
+	for _, u := range j.units {
+		for _, c := range u.crashes.list {
+			if !c.Unseen || s.unseen[c.Worker] == nil {
+				continue
+			}
+			if s.unseen[c.Worker] = slices.DeleteFunc(s.unseen[c.Worker], func(other *unit) bool { return other.job == j }); len(s.unseen[c.Worker]) == 0 {
+				delete(s.unseen, c.Worker)
+			}
+		}
+	}
+}
+
 // findCrashes counts the crashes of workers on which an earlier owner has started units that no worker runs now. It is called once all workers that may run
 // them have reported or are lost.
 func (s *State) findCrashes(now time.Time) {
--- a/internal/process/pool/live_test.go
+++ b/internal/process/pool/live_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -24,11 +25,29 @@
 	}
 	require.Len(t, s.live, live)
 	require.True(t, slices.IsSortedFunc(s.live, compareJobs))
-	for _, u := range s.preempting {
+	waiting := slices.Concat(append(slices.Collect(maps.Values(s.unseen)), s.preempting)...)
+	for _, u := range waiting {
 		require.False(t, u.job.ended(), u.job.ID)
 	}
 }
 
+// Guards against jobs that are kept in memory after their end, since a worker that fell silent under them never answers again.
+func TestEndOfJobWithUnseenCrash(t *testing.T) {
+	s := testState(2, 2)
+	for _, id := range []string{"a", "b"} {
+		s.accept(gangJob(id, 1, 1, 4, 10*time.Second), testStart)
+	}
+	for _, a := range s.startAll(testStart) {
+		s.recordUnseen(s.nodes[a.Worker], []lostRun{s.findRun(a.Worker, a.Run).lost()}, testStart)
+	}
+	require.NotEmpty(t, s.unseen)
+	for _, id := range []ids.JobID{"a", "b"} {
+		s.Cancel(id, testStart)
+		requireLiveJobs(t, s)
+	}
+	require.Empty(t, s.unseen)
+}
+
 // Guards against ended jobs that stay in the table of live jobs, and start again, after a takeover while the time of day jumps.
 func TestLiveJobsWhenTheTimeOfDayJumps(t *testing.T) {
 	const jobs = 30
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -376,6 +376,7 @@
 	for _, u := range j.units {
 		s.stopUnit(u, cause, now)
 	}
+	s.forgetUnseen(j)
 }
 
 // RemoveRetired removes the stored jobs that ended longer ago than Times.Retention and returns their ids.
