Time jobs over owners by a clock that each owner takes over

After a takeover with a step of the time of day jobs that could still end in time waited behind others, and ended ones were kept for the length of the step longer; with owners that change more often than the retention, for good.

Change: records carry moments on a clock that an owner continues from the latest one that it reads. It counts by the monotonic clock and loses the time without an owner, so that nothing expires too early.

--- a/internal/process/pool/acceptance.go
+++ b/internal/process/pool/acceptance.go
@@ -7,6 +7,17 @@
 	"github.com/jujubegrade/jujubegrade/internal/process/tenure"
 )
 
+// acceptedAt returns when the job was accepted, on the clock of this process.
+func (j *Job) acceptedAt() time.Time {
+	if j.recovered {
+		return j.acceptedBefore
+	}
+	return j.Submitted
+}
+
+// age returns the time since the job's acceptance.
+func (j *Job) age(now time.Time) time.Duration { return now.Sub(j.acceptedAt()) }
+
 // compareRecovered orders jobs by acceptance. Those that an earlier version accepted come first; their records hold nothing but the time of day.
 func compareRecovered(a, b *Job) int {
 	if a.stamp.Epoch == 0 && b.stamp.Epoch == 0 {
--- a/internal/process/pool/crash.go
+++ b/internal/process/pool/crash.go
@@ -270,7 +270,7 @@
 	}
 	s.notice(Notice{
 		Kind: "TaskCrashed", Job: u.job.ID, Step: u.step, Task: c.Tasks[0], Tasks: len(c.Tasks), Number: c.Run, Worker: n.ID,
-		Cause: fmt.Sprintf("%s; %d in a row, %d in all", c.describe(), u.crashesInRow(), u.crashCount()), After: now.Sub(u.job.Submitted),
+		Cause: fmt.Sprintf("%s; %d in a row, %d in all", c.describe(), u.crashesInRow(), u.crashCount()), After: u.job.age(now),
 	})
 }
 
@@ -375,6 +375,6 @@
 	s.notice(Notice{
 		Kind: "TaskCrashed", Job: u.job.ID, Step: u.step, Task: on.Tasks[0], Tasks: len(on.Tasks), Worker: on.Worker,
 		Cause: fmt.Sprintf("an earlier owner started it there, and the worker was restarted or is gone; %d in a row, %d in all", u.crashesInRow(), u.crashCount()),
-		After: now.Sub(u.job.Submitted),
+		After: u.job.age(now),
 	})
 }
--- a/internal/process/pool/giveup.go
+++ b/internal/process/pool/giveup.go
@@ -158,6 +158,6 @@
 		workers = append(workers, c.String())
 	}
 	cause := fmt.Sprintf("workers crash under it: %d in a row, %d in all: %s", u.crashesInRow(), u.crashCount(), strings.Join(workers, " "))
-	s.notice(Notice{Kind: "GivenUp", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Cause: cause, After: now.Sub(u.job.Submitted)})
+	s.notice(Notice{Kind: "GivenUp", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Cause: cause, After: u.job.age(now)})
 	s.end(u.job, Failed, cause, now)
 }
--- a/internal/process/pool/helpers_test.go
+++ b/internal/process/pool/helpers_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"slices"
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -51,6 +54,19 @@
 	s.MarkStored(j.ID, j.Version())
 }
 
+// storedJobs returns the changed jobs as the next owner reads them.
+func storedJobs(t *testing.T, s *State, now time.Time) []*Job {
+	var jobs []*Job
+	for _, j := range s.Dirty(1<<20, now) {
+		value, err := j.Encode("writer", 0)
+		require.NoError(t, err)
+		j, err = Decode(value)
+		require.NoError(t, err)
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
 // startAll calls Decide, confirms all starts and returns them.
 func (s *State) startAll(now time.Time) []Action {
 	actions, _ := s.Decide(now)
--- a/internal/process/pool/policy.go
+++ b/internal/process/pool/policy.go
@@ -51,7 +51,7 @@
 		if !named || p == j.policy() {
 			continue
 		}
-		s.notice(Notice{Kind: "PolicyChanged", Job: j.ID, Priority: p.Priority, Cause: j.policy().difference(p), After: now.Sub(j.Submitted)})
+		s.notice(Notice{Kind: "PolicyChanged", Job: j.ID, Priority: p.Priority, Cause: j.policy().difference(p), After: j.age(now)})
 		moved = moved || p.Service != j.Service
 		s.setPolicy(j, p)
 		if j.stored && !s.recovering {
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -121,7 +121,7 @@
 	case e.Reason == worker.EndDone && e.Run.Number < u.number && u.phase != done:
 		// The worker was silent until its lease was assumed to have expired, and the unit was started elsewhere.
 		cause, _ := s.unexpectedCause(u, e.Run.Number, now)
-		s.notice(Notice{Kind: "Done", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: e.Run.Number, Worker: n.ID, After: now.Sub(u.job.Submitted), Cause: "an earlier run; " + cause})
+		s.notice(Notice{Kind: "Done", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: e.Run.Number, Worker: n.ID, After: u.job.age(now), Cause: "an earlier run; " + cause})
 		s.stopUnit(u, "an earlier run completed", now)
 		s.completeUnit(u, n, now)
 	case e.Reason == worker.EndFailed && e.Run.Number < u.number:
@@ -218,7 +218,7 @@
 		s.learnRunTime(u, now)
 		s.observeGang(u, 0)
 		s.notice(Notice{
-			Kind: "Done", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: n.ID, After: now.Sub(u.job.Submitted),
+			Kind: "Done", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: n.ID, After: u.job.age(now),
 			Cause: u.doneCause(now),
 		})
 		for _, r := range u.runs {
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -77,7 +77,7 @@
 	u.job.ordered = true
 	n := Notice{
 		Kind: "Placed", Job: u.job.ID, Priority: u.job.Priority, First: first, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: placement[0].ID, Workers: workers,
-		Previous: previous, Cause: placedCause(u, placement), After: now.Sub(u.job.Submitted),
+		Previous: previous, Cause: placedCause(u, placement), After: u.job.age(now),
 	}
 	if wait, isKnown := u.job.ExpectedWait(); first && isKnown {
 		n.Queue, n.Forecast = u.job.Queue, &wait
@@ -235,7 +235,7 @@
 		u.setPhase(stopping)
 		u.ending = unitEnding{number: u.number, cause: cause, at: now}
 		s.notice(Notice{
-			Kind: "Stopped", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Cause: cause, After: now.Sub(u.job.Submitted),
+			Kind: "Stopped", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Cause: cause, After: u.job.age(now),
 			Lost: s.lostWork(u, now).Seconds() * s.weightedCores(u),
 		})
 		for _, r := range slices.Clone(u.runs) {
--- a/internal/process/pool/schedule.go
+++ b/internal/process/pool/schedule.go
@@ -22,10 +22,10 @@
 	return s.First.Add(time.Duration(occurrence) * s.Interval)
 }
 
-// releaseTime returns the time from which a unit's objective is measured: its job's submission, or its occurrence's due time.
+// releaseTime returns the time from which a unit's objective is measured: its job's acceptance, or its occurrence's due time.
 func (u *unit) releaseTime() time.Time {
 	if u.job.Schedule.Occurrences == 0 {
-		return u.job.Submitted
+		return u.job.acceptedAt()
 	}
 	return u.job.Schedule.due(u.occurrence)
 }
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -372,7 +372,7 @@
 	j.stamp.Ended = s.clock.Moment(now)
 	s.markDirty(j)
 	s.removeLive(j)
-	s.notice(Notice{Kind: "JobEnded", Job: j.ID, Priority: j.Priority, Outcome: state, Cause: string(state) + ": " + cause, After: now.Sub(j.Submitted)})
+	s.notice(Notice{Kind: "JobEnded", Job: j.ID, Priority: j.Priority, Outcome: state, Cause: string(state) + ": " + cause, After: j.age(now)})
 	for _, u := range j.units {
 		s.stopUnit(u, cause, now)
 	}
@@ -383,12 +383,7 @@
 func (s *State) RemoveRetired(now time.Time) []ids.JobID {
 	var list []ids.JobID
 	for id, j := range s.jobs {
-		since := j.Finished
-		if j.recovered && since.Before(s.recoveredAt) {
-			// Finished is a time of day, which may have jumped since or differ on this machine.
-			since = s.recoveredAt
-		}
-		if j.ended() && s.IsCurrentVersionStored(j) && now.Sub(since) > s.Times.Retention {
+		if j.ended() && s.IsCurrentVersionStored(j) && time.Duration(s.clock.Moment(now)-j.stamp.Ended) > s.Times.Retention {
 			list = append(list, id)
 			delete(s.jobs, id)
 			s.account(j)
--- a/internal/process/pool/trial.go
+++ b/internal/process/pool/trial.go
@@ -258,7 +258,7 @@
 	s.isolate(u, placement)
 	s.notice(Notice{
 		Kind: "KeptFree", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Worker: placement[0].ID, Cause: "workers crashed under it; it is tried alone next",
-		After: now.Sub(u.job.Submitted),
+		After: u.job.age(now),
 	})
 }
 
@@ -356,7 +356,7 @@
 		s.markDirty(u.job)
 		s.notice(Notice{
 			Kind: "TrialPassed", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Worker: u.runs[0].node.ID,
-			Cause: "it outlived " + length.String(), After: now.Sub(u.job.Submitted),
+			Cause: "it outlived " + length.String(), After: u.job.age(now),
 		})
 	}
 }
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
@@ -37,8 +38,12 @@
 	}
 )
 
-// origin is the first moment, since the zero one means unknown.
-const origin = Moment(time.Millisecond)
+const (
+	// origin is the first moment, since the zero one means unknown.
+	origin = Moment(time.Millisecond)
+	// last is the latest moment that an owner starts from; a malformed record may hold a later one.
+	last = Moment(math.MaxInt64 / 2)
+)
 
 // Compare orders acceptances.
 func (a Acceptance) Compare(b Acceptance) int {
@@ -49,7 +54,7 @@
 func (s Stamp) Latest() Moment { return max(s.Accepted, s.Ended, s.Written) }
 
 // Resume continues the clock of earlier owners from the latest moment that they have recorded.
-func (c *Clock) Resume(latest Moment, now time.Time) { c.base, c.since = max(latest, origin), now }
+func (c *Clock) Resume(latest Moment, now time.Time) { c.base, c.since = min(max(latest, origin), last), now }
 
 // Moment returns the moment of a time of this process.
 func (c *Clock) Moment(at time.Time) Moment {
