Compare a backoff and a due time by their distances from now

An occurrence of a scheduled job started up to a step of the time of day before it was due, or at once after a failure.

That of the backoff is as old as the failure, so that a step since then hides one behind the other.

Change: the delay of a start is the larger of the two distances from now.

Result: TestBackoffWhenTheTimeOfDayJumps fails in both cases before and passes now.

--- a/internal/process/pool/clock_test.go
+++ b/internal/process/pool/clock_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
+	"github.com/jujubegrade/jujubegrade/internal/testrun"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
@@ -110,3 +111,22 @@
 		}
 	}
 }
+
+// Guards against an occurrence that starts before it is due, or does not wait after a failure, since the time of day was stepped in between.
+func TestBackoffWhenTheTimeOfDayJumps(t *testing.T) {
+	for name, test := range map[string]struct{ step, due, delay time.Duration }{
+		"ahead, and back before it is due": {step: 30 * time.Second, due: 10 * time.Second, delay: 10 * time.Second},
+		"back, and ahead after a failure":  {step: -30 * time.Second, due: -time.Second, delay: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			j := gangJob("a", 1, 1, 8, time.Second)
+			j.Schedule = Schedule{Occurrences: 1, First: now.Add(test.due).Round(0)}
+			s := testState(1, 1)
+			s.accept(j, now)
+			j.units[0].notBefore = testrun.StepTimeOfDay(t, now.Add(2*time.Second), test.step)
+			require.Empty(t, s.startAll(now.Add(test.delay-time.Millisecond)))
+			require.Len(t, s.startAll(now.Add(test.delay)), 1)
+		})
+	}
+}
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -322,9 +322,9 @@
 			if u.phase != waiting || u.staleRuns > 0 || s.blocked(u) {
 				continue
 			}
-			if at := laterOf(u.notBefore, j.Schedule.due(u.occurrence)); now.Before(at) {
+			if delay := u.startDelay(now); delay > 0 {
 				if !s.retryOnProven(u, now) {
-					s.retryBy(at)
+					s.retryBy(now.Add(delay))
 				}
 				continue
 			}
--- a/internal/process/pool/schedule.go
+++ b/internal/process/pool/schedule.go
@@ -33,6 +33,12 @@
 // isDue reports whether a unit's occurrence may start.
 func (u *unit) isDue(now time.Time) bool { return !now.Before(u.job.Schedule.due(u.occurrence)) }
 
+// startDelay returns how long a unit must not start yet. The end of its backoff is on the monotonic clock and its due time is a time of day, so that only their distances from
+// now can be compared.
+func (u *unit) startDelay(now time.Time) time.Duration {
+	return max(u.notBefore.Sub(now), u.job.Schedule.due(u.occurrence).Sub(now))
+}
+
 // elapsed returns the number of leading occurrences that are done.
 func (j *Job) elapsed() int {
 	first := j.opened
