Take no entry of a worker's earlier process for a later one

A worker that restarts after its time of day was set back could run a task twice: the next change of the instance list counted the tasks of its present process as lost.

The entry of the earlier process is listed until the present one writes its own.

Change: the incarnations that a worker had before are remembered; an entry that names one proves nothing. Of two reports of different processes that overlap the one that arrives second is left to the next report.

Result: TestRestartAtEarlierTimeOfDay fails before and passes now.

--- a/internal/process/pool/departure.go
+++ b/internal/process/pool/departure.go
@@ -88,10 +88,28 @@
 	s.markIfEnded(n, len(n.runs) == 0, now)
 }
 
+// maxEarlier limits the earlier incarnations that are remembered. An entry is rewritten before a worker has restarted as often.
+const maxEarlier = 4
+
+// setIncarnation records that a worker reports another incarnation than the one known.
+func (n *node) setIncarnation(incarnation uint64) {
+	if n.Incarnation != 0 {
+		n.earlier = append(n.earlier, n.Incarnation)
+		n.earlier = n.earlier[max(0, len(n.earlier)-maxEarlier):]
+	}
+	n.Incarnation = incarnation
+}
+
+// isNewer reports whether an entry's incarnation is certainly newer than the one known. The entry of an earlier process may be listed until the present one writes its
+// own, and names a later time if the worker's time of day was set back in between.
+func (n *node) isNewer(incarnation uint64) bool {
+	return incarnation > n.Incarnation && !slices.Contains(n.earlier, incarnation)
+}
+
 // EntryReplaced records that a worker's entry names an incarnation. If it is newer than the one known, the process that the worker had has ended.
 func (s *State) EntryReplaced(id ids.InstanceID, incarnation uint64, now time.Time) {
 	n := s.nodes[id]
-	if n == nil || n.Incarnation == 0 || incarnation <= n.Incarnation {
+	if n == nil || n.Incarnation == 0 || !n.isNewer(incarnation) {
 		return
 	}
 	n.replaced, n.evidenceAt = true, now
--- a/internal/process/pool/departure_test.go
+++ b/internal/process/pool/departure_test.go
@@ -204,3 +204,29 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice, since the entry of a worker's earlier process was taken for that of a later one: the worker's time of day was set back before it
+// restarted, and its new process had not written its entry yet.
+func TestRestartAtEarlierTimeOfDay(t *testing.T) {
+	at := func(seconds float64) time.Time { return testStart.Add(time.Duration(seconds * float64(time.Second))) }
+	s := testState(1, 1)
+	n := s.nodes["w0000"]
+	n.Incarnation = 1000
+	s.Reported("w0000", worker.RunReport{Incarnation: 900}, at(1), at(1))
+	s.accept(gangJob("a", 1, 1, 8, 10*time.Second), at(2))
+	started := s.startAll(at(2))
+	require.Len(t, started, 1)
+	s.Reported("w0000", worker.RunReport{Incarnation: 900, Active: []worker.ActiveRun{{Run: started[0].Run}}}, at(3), at(3))
+	listed := n.Worker
+	listed.Incarnation = 1000
+	s.EntryReplaced("w0000", 1000, at(3.1))
+	s.SetWorkers([]Worker{listed})
+	require.True(t, s.HasRun("w0000", started[0].Run), "its process goes on")
+	require.True(t, n.schedulable())
+	// A report of the earlier process was overtaken.
+	s.Reported("w0000", worker.RunReport{Incarnation: 1000}, at(2.9), at(3.2))
+	require.True(t, s.HasRun("w0000", started[0].Run))
+	// A later process is known by its entry, even if the owner has not heard of it.
+	s.EntryReplaced("w0000", 2000, at(4))
+	require.False(t, s.HasRun("w0000", started[0].Run))
+}
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -45,6 +45,8 @@
 		failingSince time.Time
 		// otherProcess, replaced and left are evidence that the worker's process has ended; see departure.go.
 		otherProcess, replaced, left bool
+		// earlier holds the latest incarnations before the present one. Incarnations are times of day, which may jump between two starts of a worker.
+		earlier []uint64
 		// processEnded is set once the worker's process is known to have ended, until it reports again; endedAt is when that became known.
 		processEnded bool
 		endedAt      time.Time
@@ -187,7 +189,7 @@
 			s.nodes[w.ID] = n
 		}
 		if n.Incarnation != 0 {
-			if w.Incarnation > n.Incarnation {
+			if n.isNewer(w.Incarnation) {
 				// A worker that had announced that it leaves has not crashed.
 				n.processEnded = n.processEnded || n.Draining
 				// The next report lists the runs of the new incarnation.
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -20,8 +20,8 @@
 	case n.processEnded && !sent.After(n.endedAt) && report.Incarnation == n.Incarnation:
 		// The process that answered has ended since.
 		return
-	case report.Incarnation != 0 && report.Incarnation < n.Incarnation && !sent.After(n.reportedAt):
-		// A report of a later process, on another connection, has overtaken this one.
+	case report.Incarnation != 0 && n.Incarnation != 0 && report.Incarnation != n.Incarnation && !sent.After(n.reportedAt):
+		// Which of the two processes is the later one is not known: one report has overtaken the other, on another connection. The next report shows it.
 		return
 	}
 	if !n.reported || !n.silentSince.IsZero() {
@@ -42,7 +42,7 @@
 			s.notice(Notice{Kind: "WorkerRestarted", Worker: id, Cause: "it reports a new incarnation"})
 			n.speed = Speed{}
 		}
-		n.Incarnation = report.Incarnation
+		n.setIncarnation(report.Incarnation)
 		n.handledEnd, n.acknowledgedEnd, n.pendingEnds = 0, 0, nil
 	}
 	n.silentSince, n.failingSince, n.processEnded, n.reportedAt = time.Time{}, time.Time{}, false, now
