Time jobs of the own interface by the clock of the owners

Cause: as in the pool: a queue was kept sorted by time of submission, which compares the monotonic clock for some jobs and the time of day for others.

Change: records carry moments as those of the pool do, and all times that are compared are on the clock of the process. Records of jobs that ended under earlier owners are deleted within a term, and not only at the next takeover. Earlier versions ignore both fields.

--- a/internal/process/owner/record.go
+++ b/internal/process/owner/record.go
@@ -9,6 +9,7 @@
 
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/process/placement"
+	"github.com/jujubegrade/jujubegrade/internal/process/tenure"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
@@ -36,6 +37,9 @@
 	Submitted time.Time
 	Started   time.Time `json:",omitzero"`
 	Finished  time.Time `json:",omitzero"`
+	// Stamp times the job over owners, and Began is when its attempt began. Earlier versions don't know them and drop them.
+	Stamp tenure.Stamp  `json:",omitzero"`
+	Began tenure.Moment `json:",omitempty"`
 	// Epoch is the epoch of the owner that wrote the record.
 	Epoch ids.Epoch
 	// Writer identifies the write, so that a lost response can be resolved by reading the record back.
@@ -100,6 +104,7 @@
 		Submitted: j.Submitted, Started: j.Started, Finished: j.Finished,
 	}
 	r.Guarantee, r.Number, r.Shape = j.Guarantee()
+	t.stamp(r, j)
 	return r
 }
 
--- a/internal/process/owner/recover.go
+++ b/internal/process/owner/recover.go
@@ -13,6 +13,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/placement"
+	"github.com/jujubegrade/jujubegrade/internal/process/tenure"
 	"github.com/jujubegrade/jujubegrade/pkg/caller"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 	"github.com/jujubegrade/jujubegrade/pkg/operator"
@@ -86,6 +87,7 @@
 
 func (t *term) decodeRecords(entries []store.Entry) []*Record {
 	var records []*Record
+	latest := tenure.Moment(0)
 	for _, e := range entries {
 		r, err := DecodeRecord(e.Value)
 		if err != nil {
@@ -95,28 +97,22 @@
 		if r.DataCentre != t.owner.DataCentre {
 			continue
 		}
+		latest = max(latest, r.Stamp.Latest(), r.Began)
 		t.execution(r.ID).revision = e.Revision
 		if r.State == caller.Unknown {
 			t.unknownJobs = append(t.unknownJobs, unknownJobOf(r))
 		}
 		if r.State.IsTerminal() {
-			t.deleteIfExpired(r, e.Revision)
+			delete(t.executions, r.ID)
+			t.retired = append(t.retired, retiredJob{id: r.ID, revision: e.Revision, ended: r.Stamp.Ended})
 			continue
 		}
 		records = append(records, r)
 	}
+	t.resumeClock(latest, records, time.Now())
 	return records
 }
 
-// deleteIfExpired deletes a record whose retention is over.
-func (t *term) deleteIfExpired(r *Record, revision store.Revision) {
-	delete(t.executions, r.ID)
-	if t.config == nil || time.Since(r.Finished) < t.config.Policy.Retention {
-		return
-	}
-	t.deleteRecord(r.ID, revision)
-}
-
 // collectReports renews each worker's lease under the new epoch, which fences older owners, and collects its tasks.
 func (t *term) collectReports(nodes []placement.Node) *workerReports {
 	reports := &workerReports{tasks: make(map[ids.JobID][]reportedTask)}
@@ -167,7 +163,7 @@
 
 // restoreJob restores one job. The workers' reports take precedence over the record, which may be older.
 func (t *term) restoreJob(r *Record, reports *workerReports, now time.Time) {
-	j := &placement.Job{Job: r.Job, ID: r.ID, Account: r.Account, Submitted: r.Submitted, Attempt: r.Attempt, Progress: r.Progress, Losses: r.Losses, Reason: r.Reason}
+	j := &placement.Job{Job: r.Job, ID: r.ID, Account: r.Account, Submitted: r.Submitted, AcceptedAt: t.acceptedAt(r, now), Attempt: r.Attempt, Progress: r.Progress, Losses: r.Losses, Reason: r.Reason}
 	// An idempotent job may have been started by an owner that failed before recording the start.
 	j.MaybeRan = r.Attempt > 0 || (r.Job.Idempotent && !t.owner.disabled.assumeStarted)
 	attempt, tasks := latestAttempt(reports.tasks[r.ID])
@@ -181,7 +177,7 @@
 		}
 		return
 	}
-	a := placement.Adoption{Attempt: max(attempt, r.Attempt), Started: r.Started, Each: r.Each, Place: r.Place}
+	a := placement.Adoption{Attempt: max(attempt, r.Attempt), Started: t.startedAt(r, now), Each: r.Each, Place: r.Place}
 	if recorded && r.Attempt >= attempt {
 		a.Guarantee, a.Number, a.ReservedNodes = r.Guarantee, r.Number, r.Shape
 	} else {
@@ -191,9 +187,6 @@
 	if a.Each == (ids.Resources{}) {
 		a.Each = r.Job.Shape.Each
 	}
-	if a.Started.IsZero() {
-		a.Started = now
-	}
 	a.IncompleteReason = incompleteReason(r, attempt, tasks, reports.unanswered)
 	for _, f := range tasks {
 		if f.State == worker.Ended {
--- a/internal/process/owner/retention.go
+++ b/internal/process/owner/retention.go
@@ -22,6 +22,7 @@
 		return
 	}
 	t.lastPurge = now
+	t.purgeRetired(now)
 	for i, id := range t.state.FinishedBefore(now.Add(-t.config.Policy.Retention)) {
 		x := t.executions[id]
 		if i >= maxPurgedPerRound || x == nil || !x.isFinalSaved() {
--- a/internal/process/owner/submit.go
+++ b/internal/process/owner/submit.go
@@ -1,8 +1,9 @@
 package owner
 
 import (
+	"cmp"
 	"context"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -181,7 +182,7 @@
 	return o.Status(ctx, id)
 }
 
-// List returns the jobs in memory of an account, or of all accounts if account is empty, by submission time.
+// List returns the jobs in memory of an account, or of all accounts if account is empty, in the order of their acceptance.
 func (o *Owner) List(ctx context.Context, account ids.AccountID) ([]caller.JobStatus, error) {
 	t := o.term.Load()
 	if t == nil {
@@ -189,20 +190,21 @@
 	}
 	var list []caller.JobStatus
 	if err := t.doSync(ctx, func() {
+		var jobs []*placement.Job
 		t.state.Jobs(func(j *placement.Job) {
 			if account == "" || j.Account == account {
-				list = append(list, t.status(j))
+				jobs = append(jobs, j)
 			}
 		})
+		slices.SortFunc(jobs, func(a, b *placement.Job) int {
+			return cmp.Or(a.AcceptanceTime().Compare(b.AcceptanceTime()), cmp.Compare(a.ID, b.ID))
+		})
+		for _, j := range jobs {
+			list = append(list, t.status(j))
+		}
 	}); err != nil {
 		return nil, errors.Mark(err, ErrNotOwner)
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if !list[i].Submitted.Equal(list[j].Submitted) {
-			return list[i].Submitted.Before(list[j].Submitted)
-		}
-		return list[i].ID < list[j].ID
-	})
 	return list, nil
 }
 
--- a/internal/process/owner/term.go
+++ b/internal/process/owner/term.go
@@ -13,6 +13,7 @@
 	"github.com/jujubegrade/jujubegrade/internal/connection/store"
 	"github.com/jujubegrade/jujubegrade/internal/process/pause"
 	"github.com/jujubegrade/jujubegrade/internal/process/placement"
+	"github.com/jujubegrade/jujubegrade/internal/process/tenure"
 	"github.com/jujubegrade/jujubegrade/internal/version/config"
 	"github.com/jujubegrade/jujubegrade/pkg/ids"
 	"github.com/jujubegrade/jujubegrade/pkg/operator"
@@ -36,6 +37,9 @@
 		executions    map[ids.JobID]*execution
 		unknownJobs   []operator.UnknownJob
 		recovered     bool
+		// clock continues that of earlier owners, and retired are the jobs that ended under them.
+		clock   tenure.Clock
+		retired []retiredJob
 		// lastPurge is when ended jobs were last checked for removal.
 		lastPurge time.Time
 
--- a/internal/process/placement/attempt.go
+++ b/internal/process/placement/attempt.go
@@ -21,7 +21,7 @@
 	j.phase = running
 	j.Started = now
 	j.consecutiveFailures = 0
-	s.waits.add(j.UnderGuarantee(), now.Sub(j.Submitted))
+	s.waits.add(j.UnderGuarantee(), now.Sub(j.AcceptanceTime()))
 	if j.cancelled {
 		s.stop(j, caller.Cancelled, "cancelled by the caller", 0, now)
 	}
--- a/internal/process/placement/decide.go
+++ b/internal/process/placement/decide.go
@@ -125,7 +125,7 @@
 		}
 		rank := borrowed[q.account] / s.account(q.account).Weight
 		if s.Policy.ArrivalOrder {
-			rank = float64(q.sortedClasses()[0].jobs[0].Submitted.UnixNano())
+			rank = -now.Sub(q.sortedClasses()[0].jobs[0].AcceptanceTime()).Seconds()
 		} else if age := now.Sub(q.oldestOrderTime()); age > s.ageingAfter() {
 			rank = -age.Seconds()
 		}
--- a/internal/process/placement/forecast.go
+++ b/internal/process/placement/forecast.go
@@ -32,7 +32,7 @@
 }
 
 func (s *State) queueingDelay(j *Job, q float64, now time.Time) time.Duration {
-	waited := now.Sub(j.Submitted)
+	waited := now.Sub(j.AcceptanceTime())
 	if r := s.reservation; r != nil && r.job == j && r.expectedStart.After(now) {
 		return r.expectedStart.Sub(now)
 	}
--- a/internal/process/placement/job.go
+++ b/internal/process/placement/job.go
@@ -29,6 +29,8 @@
 		ID        ids.JobID
 		Account   ids.AccountID
 		Submitted time.Time
+		// AcceptedAt is when an earlier owner accepted the job, on the clock of this process; zero if this owner did. The times of day of owners can't be compared.
+		AcceptedAt time.Time
 		// Attempt is the number of starts so far.
 		Attempt ids.Attempt
 		// Started is when the current attempt began.
@@ -97,6 +99,14 @@
 // UnderGuarantee reports whether the job is placed under its account's guarantee.
 func (j *Job) UnderGuarantee() bool { return j.entitlement != nil }
 
+// AcceptanceTime returns when the job was accepted, on the clock of this process.
+func (j *Job) AcceptanceTime() time.Time {
+	if j.AcceptedAt.IsZero() {
+		return j.Submitted
+	}
+	return j.AcceptedAt
+}
+
 // preemptible reports whether the job may be stopped to reclaim its resources.
 func (j *Job) preemptible() bool {
 	return j.Idempotent && j.entitlement == nil && (j.phase == running || j.phase == starting)
--- a/internal/process/placement/queue.go
+++ b/internal/process/placement/queue.go
@@ -112,16 +112,16 @@
 	}
 }
 
-// orderTime returns the time that orders a job within its account: its submission plus a penalty in proportion to its
+// orderTime returns the time that orders a job within its account: its acceptance plus a penalty in proportion to its
 // run time. The penalty is bounded, so a later job can overtake an earlier one only within that bound, and no job starves.
 func (s *State) orderTime(j *Job) time.Time {
 	if s.Policy.ArrivalOrder {
-		return j.Submitted
+		return j.AcceptanceTime()
 	}
 	estimate := s.estimates.runTime(j, medianQuantile)
 	const maxPenalty = 2 * time.Hour
 	penalty := min(time.Duration(float64(estimate)*s.config.Policy.CompletionWeight), maxPenalty)
-	return j.Submitted.Add(penalty)
+	return j.AcceptanceTime().Add(penalty)
 }
 
 // ordersBefore reports whether a comes before b in queue order.
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -54,7 +54,9 @@
 func (s Stamp) Latest() Moment { return max(s.Accepted, s.Ended, s.Written) }
 
 // Resume continues the clock of earlier owners from the latest moment that they have recorded.
-func (c *Clock) Resume(latest Moment, now time.Time) { c.base, c.since = min(max(latest, origin), last), now }
+func (c *Clock) Resume(latest Moment, now time.Time) {
+	c.base, c.since = min(max(latest, origin), last), now
+}
 
 // Moment returns the moment of a time of this process.
 func (c *Clock) Moment(at time.Time) Moment {
