Measure the backoff of runners by the monotonic clock

Requests went to a runner that was leaving or failing, or avoided a sound one, for the length of a step of the instance's time of day.

Change: both count from the start of the process.

--- a/internal/connection/runner/runner.go
+++ b/internal/connection/runner/runner.go
@@ -27,10 +27,9 @@
 
 		// InFlight counts the requests in flight from this instance.
 		InFlight atomic.Int64
-		// reportedLoad is the last load that the runner reported, in slots used by all clients; reportedAt is when, in
-		// Unix nanoseconds.
+		// reportedLoad is the last load that the runner reported, in slots used by all clients; reportedAt is when, in terms of uptime.
 		reportedLoad, reportedAt atomic.Int64
-		// backoffUntil is when a runner that is leaving, refused a request or failed may be used again, in Unix nanoseconds.
+		// backoffUntil is when a runner that is leaving, refused a request or failed may be used again, in terms of uptime.
 		backoffUntil atomic.Int64
 		// generation is incremented when a reused connection fails; idle connections of earlier generations are discarded.
 		generation atomic.Int64
@@ -85,6 +84,9 @@
 	maxFailureMultiple = 50
 )
 
+// processStart has a reading of the monotonic clock.
+var processStart = time.Now()
+
 var (
 	// ErrNotSent means that no byte of the request was written.
 	ErrNotSent = errors.New("the request was not sent")
@@ -179,7 +181,7 @@
 	if load, err := strconv.ParseInt(string(resp.Header.Peek(HeaderLoad)), 10, 64); err == nil {
 		// The slot of this request is free by now.
 		r.reportedLoad.Store(load - 1)
-		r.reportedAt.Store(time.Now().UnixNano())
+		r.reportedAt.Store(uptime(time.Now()))
 	}
 	if len(resp.Header.Peek(HeaderLeaving)) > 0 {
 		r.backOff(leavingBackoff)
@@ -192,13 +194,16 @@
 	r.push(c)
 }
 
+// uptime returns a time as nanoseconds since the start of the process. Unlike the time of day it doesn't jump.
+func uptime(at time.Time) int64 { return int64(at.Sub(processStart)) }
+
 func (r *Runner) recordFailure() {
 	n := min(r.failures.Add(1), maxFailureMultiple)
 	r.backOff(time.Duration(n) * failureBackoff)
 }
 
 func (r *Runner) backOff(d time.Duration) {
-	until := time.Now().Add(d).UnixNano()
+	until := uptime(time.Now().Add(d))
 	if r.backoffUntil.Load() < until {
 		r.backoffUntil.Store(until)
 	}
@@ -206,7 +211,7 @@
 
 // BackedOff reports whether the runner should get no new requests now.
 func (r *Runner) BackedOff(now time.Time) bool {
-	return r.backoffUntil.Load() > now.UnixNano()
+	return r.backoffUntil.Load() > uptime(now)
 }
 
 // Load returns the load that the runner reported recently, but at least the requests in flight from this instance.
@@ -216,7 +221,7 @@
 
 // recentLoad returns the load that the runner reported, or zero if the report is older than reportedLoadTTL.
 func (r *Runner) recentLoad() int64 {
-	if time.Now().UnixNano()-r.reportedAt.Load() > int64(reportedLoadTTL) {
+	if uptime(time.Now())-r.reportedAt.Load() > int64(reportedLoadTTL) {
 		return 0
 	}
 	return r.reportedLoad.Load()
