Step the time of day of single processes in the soaks

The soaks could not meet faults of the order of times: all processes had one time of day.

Change: the program under test is built with a time.Now that adds a step from a file of the process; the monotonic clock is as it was. After each run no queue may have pending jobs. Earlier versions are given as source trees.

--- a/Makefile
+++ b/Makefile
@@ -25,19 +25,19 @@
 
 soak: ## tests decisions and owners under random faults; SEED and CHECKS set the seed and the number of runs
 	go test ./internal/process/placement ./internal/process/owner ./internal/process/poolowner -count=1 -run 'TestSoak$$' -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
-	go test ./platform -count=1 -run 'TestProcessSoak$$' -process.seed $(SEED)
+	go test ./platform -count=1 -run 'TestProcessSoak$$|TestProcessSoakOfTimeOfDay' -process.seed $(SEED)
 
 soak-large: ## tests 16 processes with 24 workers under random faults
 	go test ./platform -count=1 -run 'TestProcessSoak$$' -process.seed $(SEED) -process.instances 16 -process.workers 24
 
 soak-upgrade soak-earlier: FLAG = $(if $(filter soak-earlier,$@),program,earlier)
+soak-upgrade soak-earlier: TESTS = TestProcessSoak$$$(if $(filter soak-earlier,$@),|TestProcessSoakOfTimeOfDay)
 soak-earlier: ## tests processes of the commit FROM alone, to show whether the soak finds a fault that it has
 soak-upgrade: ## tests processes of this version beside those of the commit FROM, which take turns in each instance
 soak-upgrade soak-earlier:
 	test -n "$(FROM)"
 	rm -rf target/earlier && git worktree prune && git worktree add --detach target/earlier $(FROM)
-	cd target/earlier && go build -o bin/ ./cmd/...
-	go test ./platform -count=1 -run 'TestProcessSoak$$' -process.seed $(SEED) -process.$(FLAG) $(CURDIR)/target/earlier/bin/jujubegrade; \
+	go test ./platform -count=1 -run '$(TESTS)' -process.seed $(SEED) -process.$(FLAG) $(CURDIR)/target/earlier; \
 		status=$$?; git worktree remove --force target/earlier; exit $$status
 
 measure: ## compares the decisions with two baselines, one figure per line
