Take a task that is slow on several workers for a long one

Cause: what a task showed on a worker was forgotten when it left it, and all of it counted against workers, without a limit.

Change: a unit that was slow on two workers is expected to take what it has shown; the time without progress after which it is stopped doubles, and ends after four stops. Records keep what units have shown; earlier versions ignore it. A quarantine that the task's next worker disproves ends at once.

--- a/internal/process/pool/estimate.go
+++ b/internal/process/pool/estimate.go
@@ -41,6 +41,10 @@
 	// stallFraction is the fraction of the declared run time without progress after which a run counts as stalled: progress
 	// is reported in whole percent, and a slow worker takes up to eight times as long.
 	stallFraction = 0.08
+	// shownPercents is the number of percents, at the pace that the unit has shown on another worker, without one of which it counts as stalled.
+	shownPercents = 2
+	// maxStalls is the number of stops for want of progress after which a unit is not stopped for that any more.
+	maxStalls = 4
 	// minStallTimeout is the shortest time without progress that counts as a stall: two report intervals of a worker.
 	minStallTimeout = 1500 * time.Millisecond
 )
@@ -99,6 +103,9 @@
 
 // runTime returns the expected run time of a unit near its data, on fast workers, or in a pool of unequal workers on the usual one.
 func (s *State) runTime(u *unit) time.Duration {
+	if u.isProvenLong() {
+		return max(s.stepRunTime(u.job, u.step), u.shownTime)
+	}
 	return s.stepRunTime(u.job, u.step)
 }
 
@@ -180,10 +187,11 @@
 	return max(runTime-elapsed, runTime/10)
 }
 
-// stallTimeout returns how long a unit may show no progress. Without checkpoints it is at least the work that a stop would
-// lose, up to maxStallTimeout, since the unit may still make progress.
+// stallTimeout returns how long a unit may show no progress. It doubles with each stall, since a unit that stalls on several workers is longer than declared. Without
+// checkpoints it is at least the work that a stop would lose, up to maxStallTimeout, since the unit may still make progress.
 func (s *State) stallTimeout(u *unit) time.Duration {
-	limit := max(minStallTimeout, time.Duration(stallFraction*s.Times.RemoteSlowdown*float64(u.spec().Estimate)))
+	percent := u.shownTime / 100
+	limit := max(minStallTimeout, time.Duration(stallFraction*s.Times.RemoteSlowdown*float64(u.spec().Estimate)), shownPercents*percent) << u.stalls
 	if u.spec().Checkpoints {
 		return limit
 	}
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -163,8 +163,11 @@
 		anyRack   bool
 		// preemptionPlanned is set once a preemption plan was made for the unit: the next one relies on no run that ends by itself.
 		preemptionPlanned bool
-		// stragglerStops counts the stops of the unit to leave a slow worker.
-		stragglerStops int
+		// stragglerStops counts the stops of the unit to leave a slow worker, and stalls those for want of progress.
+		stragglerStops, stalls int
+		// shownTime is the shortest run time that the unit has shown on the workers that it left, as on a fast one; zero if it left none. slowOn are these workers.
+		shownTime time.Duration
+		slowOn    []ids.InstanceID
 		// nextPlanAt is the earliest time at which a further preemption plan is made after one that failed.
 		nextPlanAt time.Time
 		// costAt is the time of the cached preemptionCost, and endAt that of the cached expected end.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -79,6 +79,8 @@
 		lastFailedJob      ids.JobID
 		quarantinedUntil   time.Time
 		quarantineTime     time.Duration
+		// quarantinedFor names those whose tasks have quarantined the worker; zero if it has stated its failures itself.
+		quarantinedFor blame
 		// measuredSlowdown is how many times as long tasks take here as on the fast workers, and logSlowdown is its
 		// logarithm; zero if unknown.
 		logSlowdown, measuredSlowdown float64
--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -41,7 +41,7 @@
 		Finished time.Time `json:",omitzero"`
 		// PlacesOmitted is set if the record has no room for the places of the units.
 		PlacesOmitted bool `json:",omitempty"`
-		// Units holds the units that are done, have been started, have failed, have crashed workers or have a checkpoint, by index.
+		// Units holds the units that are done, have been started, have failed, have crashed workers have a checkpoint or were slow, by index.
 		Units map[int]UnitRecord `json:",omitempty"`
 		// Writer identifies this write, so that a write whose answer was lost can be resolved.
 		Writer string
@@ -58,6 +58,10 @@
 		Crashes  []Crash     `json:",omitempty"`
 		Survived int         `json:",omitempty"`
 		Started  []StartedOn `json:",omitempty"`
+		// SlowOn are the workers that the unit left since it was slow there, and Shown is the shortest run time that it has shown on them. Earlier versions don't know
+		// both and drop them.
+		SlowOn []ids.InstanceID `json:",omitempty"`
+		Shown  time.Duration    `json:",omitempty"`
 		// Places are the workers besides those in Started on which runs may be active. Earlier versions don't know them and drop them.
 		Places []ids.InstanceID `json:",omitempty"`
 	}
@@ -103,7 +107,11 @@
 			r.PlacesOmitted = r.PlacesOmitted || len(places)+len(started) > 0
 			started, places, checkpoint = nil, nil, ""
 		}
-		if j.ended() || u.occurrence < r.Elapsed || (u.phase != done && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && len(started) == 0 && len(places) == 0 && checkpoint == "") {
+		slowOn, shown := u.slowOn, u.shownTime
+		if short || u.phase == done {
+			slowOn, shown = nil, 0
+		}
+		if j.ended() || u.occurrence < r.Elapsed || (u.phase != done && len(slowOn) == 0 && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && len(started) == 0 && len(places) == 0 && checkpoint == "") {
 			continue
 		}
 		if r.Units == nil {
@@ -111,7 +119,7 @@
 		}
 		r.Units[first+i] = UnitRecord{
 			Done: u.phase == done, Failed: u.failedRuns, Checkpoint: checkpoint,
-			Crashes: u.crashes.list, Survived: u.crashes.survived, Started: started, Places: places,
+			Crashes: u.crashes.list, Survived: u.crashes.survived, Started: started, SlowOn: slowOn, Shown: shown, Places: places,
 		}
 	}
 	return json.Marshal(r)
@@ -179,6 +187,7 @@
 		if stored, found := r.Units[i]; found {
 			u.failedRuns, u.checkpoint = stored.Failed, stored.Checkpoint
 			u.crashes = crashRecord{list: stored.Crashes, survived: min(max(0, stored.Survived), len(stored.Crashes)), started: stored.Started}
+			u.slowOn, u.shownTime = stored.SlowOn, max(0, stored.Shown)
 			u.places = stored.Places
 			for _, on := range stored.Started {
 				u.places = append(u.places, on.Worker)
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -159,7 +159,7 @@
 	case worker.EndDone:
 		s.completeUnit(u, n, now)
 	case worker.EndFailed:
-		s.recordFailure(n, u.job.ID, now)
+		s.recordTaskFailure(n, u.job, now)
 		s.recordFailedRun(u, e.Run.Number)
 		u.avoidNode(n.ID, now)
 		s.observeGang(u, 1)
@@ -297,7 +297,7 @@
 		u.progressedAt = now
 		return
 	}
-	if u.phase != running || now.Sub(u.progressedAt) < s.stallTimeout(u) {
+	if u.phase != running || u.stalls >= maxStalls || now.Sub(u.progressedAt) < s.stallTimeout(u) {
 		return
 	}
 	var slowest []*node
@@ -311,9 +311,13 @@
 		}
 	}
 	for _, n := range slowest {
-		s.recordFailure(n, u.job.ID, now)
+		if u.stalls == 0 {
+			// Further stalls show more of the task than of its workers.
+			s.recordTaskFailure(n, u.job, now)
+		}
 		u.avoidNode(n.ID, now)
 	}
+	u.stalls++
 	s.stopUnit(u, "no progress for "+now.Sub(u.progressedAt).Round(time.Millisecond).String()+", first on "+string(slowest[0].ID), now)
 }
 
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -21,11 +21,6 @@
 	// retryDelay is how long a unit then waits after its first failure, so that the failures of others show which workers to
 	// avoid; it doubles with each further one.
 	retryDelay = 800 * time.Millisecond
-	// failuresToQuarantine is the number of consecutive failures of different jobs after which a worker is quarantined.
-	failuresToQuarantine = 2
-	// minQuarantine is the length of the first quarantine; it doubles with each consecutive one.
-	minQuarantine = 3 * time.Second
-	maxQuarantine = time.Minute
 )
 
 // startUnit orders the start of a unit, one task on each entry of the placement. After a crash the start is stored first, since the next owner must know of it.
@@ -341,48 +336,3 @@
 	tries := int(u.number % runsPerEpoch)
 	u.notBefore = now.Add(initialBackoff << min(max(tries-1, 0), maxBackoffDoublings))
 }
-
-// recordFailure counts a failure of a worker and quarantines it after consecutive failures of different jobs.
-func (s *State) recordFailure(n *node, job ids.JobID, now time.Time) {
-	s.observeFailure(n, now)
-	if n.failures > 0 && n.lastFailedJob == job {
-		return
-	}
-	n.failures++
-	n.lastFailedJob = job
-	s.capacityChanged(n)
-	if n.failures >= failuresToQuarantine {
-		s.quarantine(n, job, "different jobs failed there in a row", now)
-	}
-}
-
-// quarantine excludes a worker from new placements for a while.
-func (s *State) quarantine(n *node, job ids.JobID, cause string, now time.Time) {
-	if now.Before(n.quarantinedUntil) {
-		return
-	}
-	n.quarantineTime = min(maxQuarantine, max(minQuarantine, 2*n.quarantineTime))
-	n.quarantinedUntil = now.Add(n.quarantineTime)
-	s.suspects[n] = true
-	s.capacityChanged(n)
-	s.invalidateRackFits()
-	// One more failure after the quarantine starts the next one.
-	n.failures = failuresToQuarantine - 1
-	n.lastFailedJob = ""
-	s.notice(Notice{Kind: "WorkerQuarantined", Worker: n.ID, Job: job, Cause: cause + "; quarantined for " + n.quarantineTime.String()})
-}
-
-// clearFailures records that a task has succeeded on a worker that was started at the given time, and resets the count of failures unless the last one is newer.
-func (s *State) clearFailures(n *node, started time.Time) {
-	if !started.After(n.failedAt) {
-		return
-	}
-	n.provenAt = laterOf(n.provenAt, started)
-	if n.quarantineTime > minQuarantine {
-		s.invalidateRackFits()
-	}
-	if n.failures > 0 {
-		s.capacityChanged(n)
-	}
-	n.failures, n.lastFailedJob, n.quarantineTime = 0, "", 0
-}
--- a/internal/process/pool/slowdown.go
+++ b/internal/process/pool/slowdown.go
@@ -28,6 +28,8 @@
 	// stragglerThreshold is the slowdown from which a worker is quarantined: a job there would miss its objective with the
 	// smallest usual stretch, 1.5.
 	stragglerThreshold = 2.0
+	// provingWorkers is the number of workers on which a unit must have been slow before its expected run time is taken to be wrong. Few workers are slow at a time.
+	provingWorkers = 2
 )
 
 // The logarithms of the thresholds.
@@ -75,9 +77,13 @@
 	r.rate = progress / elapsed.Seconds()
 	s.observeGangSpeeds(u)
 	reference := s.referenceRate(r)
+	isCompared := reference > 0
+	if !isCompared {
+		s.clearBlamed(u, r, elapsed)
+	}
 	wasSlower := r.node.slower()
 	bound := logStragglerThreshold
-	if reference > 0 {
+	if isCompared {
 		// The truncation error reduces the weight of the comparison.
 		uncertainty := 1 / progress / slowdownSpread
 		r.node.setLogSlowdown(r.node.logSlowdown + (math.Log(reference/r.rate)-s.logSpeed(r.node)-r.node.logSlowdown)/(1+uncertainty*uncertainty))
@@ -111,7 +117,7 @@
 		r.rateFrom, r.rateFromPercent = now, r.percent
 	}
 	if r.node.slowdown() >= stragglerThreshold && s.isFault(r.node) {
-		s.leaveStraggler(u, r, now)
+		s.leaveStraggler(u, r, isCompared, now)
 	}
 }
 
@@ -124,6 +130,43 @@
 	return n.slowJob != "" && n.slowJob != job
 }
 
+// shownTime returns the run time that a unit shows by a rate of its run in percent per second, as on a fast worker near its data.
+func (s *State) shownTime(r *run, rate float64) time.Duration {
+	factor := math.Exp(s.logSpeed(r.node))
+	if r.unit.remote {
+		factor *= s.Times.RemoteSlowdown
+	}
+	return time.Duration(100 / rate / factor * float64(time.Second))
+}
+
+// isProvenLong reports whether the unit has taken longer than expected on so many workers that its expected run time is wrong, and not their speed.
+func (u *unit) isProvenLong() bool { return len(u.slowOn) >= provingWorkers }
+
+// clearBlamed takes back what a unit has shown of the workers that it left, once it is certain to be about as slow on yet another one.
+func (s *State) clearBlamed(u *unit, r *run, elapsed time.Duration) {
+	if !u.isProvenLong() || slices.Contains(u.slowOn, r.node.ID) {
+		return
+	}
+	// Progress is truncated to whole percent.
+	highestRate := float64(r.percent-r.rateFromPercent+1) / elapsed.Seconds()
+	if s.shownTime(r, highestRate) < time.Duration(float64(u.shownTime)/stragglerThreshold) {
+		return
+	}
+	for _, id := range u.slowOn {
+		n := s.nodes[id]
+		if n == nil || n.slowJob != u.job.ID {
+			continue
+		}
+		n.slowJob = ""
+		n.setLogSlowdown(0)
+		s.capacityChanged(n)
+		if !n.quarantinedUntil.IsZero() && n.quarantinedFor == (blame{u.job.Account, u.job.Queue}) {
+			s.endQuarantine(n)
+		}
+		s.notice(Notice{Kind: "WorkerPace", Worker: n.ID, Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Cause: "the task takes as long on " + string(r.node.ID)})
+	}
+}
+
 // isFault reports whether a slowdown is a fault rather than a speed that isn't known yet: the worker was faster before, or no
 // worker of the pool is as slow.
 func (s *State) isFault(n *node) bool {
@@ -157,10 +200,11 @@
 	return rates[len(rates)/2]
 }
 
-// leaveStraggler quarantines a slow worker, and stops the unit if it would end sooner elsewhere.
-func (s *State) leaveStraggler(u *unit, r *run, now time.Time) {
+// leaveStraggler quarantines a slow worker, and stops the unit if it would end sooner elsewhere. isCompared is set if the unit's other members are faster. Otherwise the unit
+// may take longer than expected on any worker; see isProvenLong.
+func (s *State) leaveStraggler(u *unit, r *run, isCompared bool, now time.Time) {
 	if !s.speeds.unequal || s.isFaulty(r.node, u.job.ID) {
-		s.quarantine(r.node, u.job.ID, "tasks take far longer than on other workers", now)
+		s.quarantineFor(r.node, u.job, "tasks take far longer than on other workers", now)
 	}
 	r.node.slowJob = u.job.ID
 	remaining := time.Duration(float64(100-r.percent) / r.rate * float64(time.Second))
@@ -179,6 +223,17 @@
 	// A unit that was stopped for this before must gain more, since the next workers may turn out to be no faster.
 	if remaining > time.Duration(1+u.stragglerStops)*(restartTime+restartDelay) {
 		u.stragglerStops++
+		if !isCompared {
+			shown := s.shownTime(r, r.rate)
+			if u.shownTime > 0 {
+				shown = min(shown, u.shownTime)
+			}
+			u.shownTime = shown
+			if !slices.Contains(u.slowOn, r.node.ID) {
+				u.slowOn = append(u.slowOn, r.node.ID)
+			}
+			s.markDirty(u.job)
+		}
 		u.avoidNode(r.node.ID, now)
 		s.stopUnit(u, "it would end sooner elsewhere than on the slow worker "+string(r.node.ID), now)
 	}
--- a/internal/process/poolowner/places_test.go
+++ b/internal/process/poolowner/places_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"regexp"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,6 +136,9 @@
 	}
 }
 
+// firstOwnersStart is a start of the task of job a by the owner of the first epoch.
+var firstOwnersStart = regexp.MustCompile(`Started a/0/0 run 1\d{3}\b`)
+
 // Guards against a task that runs twice since its start was sent while the store did not answer, so that its successor does not know where it runs: the witnesses do.
 // Without them it is not sent.
 func TestStartsThatTheStoreLacks(t *testing.T) {
@@ -168,7 +172,8 @@
 					first.mu.Unlock()
 				}
 				time.Sleep(1100 * time.Millisecond)
-				require.Equal(t, test.starts, w.checker.StartCount("a"), w.checker.EventLog())
+				// The successor may have started it as well by now, under numbers of its own epoch.
+				require.Len(t, firstOwnersStart.FindAllString(w.checker.EventLog(), -1), test.starts, w.checker.EventLog())
 				if test.starts > 0 {
 					w.loseWorkers(w.checker.ActiveWorkers("a")...)
 				}
