Place jobs that a guarantee covered before their priority fell

An accepted job never started, on an idle pool, until the owner changed: a configuration gave its queue a priority below 0 after its account's guarantee had been found to cover it.

Cause: the guarantees are divided among jobs of priority 0 alone, so that the mark stayed, and jobs with the mark are placed only among those of priority 0.

Change: a change of the policy takes the mark away until the guarantees are divided again.

TestSetPoliciesOfGuaranteedJob fails before and passes now.

--- a/internal/process/pool/policy.go
+++ b/internal/process/pool/policy.go
@@ -75,7 +75,8 @@
 		s.releaseWorkers(j)
 	}
 	j.Service, j.Priority, j.MaxAttempts, j.Stretch, j.Target = p.Service, p.Priority, p.MaxAttempts, p.Stretch, p.Target
-	s.guaranteedChanged = true
+	// Only jobs of priority 0 are looked at when the guarantees are divided.
+	j.guaranteed, s.guaranteedChanged = false, true
 	s.markDirty(j)
 	s.requestPass()
 }
--- a/internal/process/pool/policy_test.go
+++ b/internal/process/pool/policy_test.go
@@ -84,3 +84,19 @@
 		require.Zero(t, n.held)
 	}
 }
+
+// Guards against an accepted job that never starts, since its account's guarantee covered it before a configuration gave its queue a lower priority.
+func TestSetPoliciesOfGuaranteedJob(t *testing.T) {
+	s := testState(2, 1)
+	s.SetAccounts(map[ids.AccountID]Account{"account": {Guaranteed: 16}})
+	j := gangJob("a", 0, 1, 8, time.Second)
+	s.accept(j, testStart)
+	s.HoldStarts(true)
+	s.Decide(testStart)
+	require.True(t, j.guaranteed)
+	p := j.policy()
+	p.Priority = 2
+	s.SetPolicies(func(*Job) (Policy, bool) { return p, true }, testStart)
+	s.HoldStarts(false)
+	require.Len(t, s.startAll(testStart.Add(time.Second)), 1)
+}
