Keep due times beyond the longest duration

An occurrence of a scheduled job started at once instead of centuries later: with intervals of up to a year, which the platform's interface admits, the sum of the intervals up to it exceeded 292 years and became negative.

Cause: the sum was a duration, which counts nanoseconds in 63 bits.

Change: the sum is one of seconds. Records and calls with a negative interval are malformed.

Result: TestScheduleBeyondTheLongestDuration fails before and passes now.

--- a/internal/process/pool/clock_test.go
+++ b/internal/process/pool/clock_test.go
@@ -130,3 +130,21 @@
 		})
 	}
 }
+
+// Guards against occurrences that start at once, since the sum of the intervals up to them exceeds the longest duration.
+func TestScheduleBeyondTheLongestDuration(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	s := Schedule{Occurrences: 40000, First: testStart, Interval: year + time.Millisecond}
+	require.Equal(t, testStart.Add(2*s.Interval).UnixNano(), s.due(2).UnixNano())
+	for last := range s.Occurrences - 1 {
+		require.True(t, s.due(last).Before(s.due(last+1)), last)
+	}
+	j := gangJob("a", 1, 1, 1, time.Second)
+	j.Schedule = Schedule{Occurrences: 400, First: testStart.Add(-200 * year), Interval: year}
+	state := testState(1, 1)
+	state.accept(j, testStart)
+	j.openThrough(399)
+	require.Positive(t, j.units[399].startDelay(testStart))
+	require.Negative(t, j.units[0].startDelay(testStart))
+	require.Error(t, Validate(gangJob("a", 1, 1, 1, 0).Steps, Schedule{Occurrences: 2, Interval: -1}))
+}
--- a/internal/process/pool/schedule.go
+++ b/internal/process/pool/schedule.go
@@ -19,7 +19,10 @@
 	if s.Occurrences == 0 {
 		return time.Time{}
 	}
-	return s.First.Add(time.Duration(occurrence) * s.Interval)
+	// The sum of the intervals may exceed the longest duration, which is 292 years.
+	seconds, rest := int64(s.Interval/time.Second), s.Interval%time.Second
+	n := int64(occurrence)
+	return time.Unix(s.First.Unix()+n*seconds, int64(s.First.Nanosecond())).Add(time.Duration(n) * rest)
 }
 
 // releaseTime returns the time from which a unit's objective is measured: its job's acceptance, or its occurrence's due time.
--- a/internal/process/pool/validate.go
+++ b/internal/process/pool/validate.go
@@ -19,6 +19,9 @@
 	if schedule.Occurrences < 0 || schedule.Occurrences > MaxTasks {
 		return errors.Newf("a job must have 0 to %d occurrences", MaxTasks)
 	}
+	if schedule.Interval < 0 {
+		return errors.New("the interval between occurrences must not be negative")
+	}
 	tasks := 0
 	for i, s := range steps {
 		if s.Tasks < 1 || s.Tasks > MaxTasks {
