--- a/internal/process/pool/record_test.go
+++ b/internal/process/pool/record_test.go
@@ -5,8 +5,12 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jujubegrade/jujubegrade/internal/process/tenure"
+	"github.com/jujubegrade/jujubegrade/pkg/ids"
 )
 
 // Guards against instances of two versions that can't read each other's records during an upgrade. The files were written by the versions that they name, which ignore
@@ -20,6 +24,7 @@
 		"tasks have ended":   {file: "record-c63ef0c5-begun.json", begun: true},
 		"scheduled, begun":   {file: "record-a926d486-scheduled.json", begun: true},
 		"workers crashed":    {file: "record-f1964db2-crashed.json", begun: true},
+		"places":             {file: "record-6155caa1-places.json", begun: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			earlier, err := os.ReadFile(filepath.Join("testdata", test.file))
@@ -88,3 +93,42 @@
 		})
 	}
 }
+
+// Guards against a record that earlier versions can't read, and against one that they have written again without what they don't know.
+func TestRecordThroughEarlierVersion(t *testing.T) {
+	s := testState(3, 1)
+	j := gangJob("4c1d", 1, 1, 8, time.Second)
+	s.accept(j, testStart)
+	require.Len(t, s.startAll(testStart), 1)
+	j.units[0].slowOn, j.units[0].shownTime = []ids.InstanceID{"w0001", "w0002"}, time.Minute
+	s.Dirty(1, testStart)
+	value, err := j.Encode("writer", 0)
+	require.NoError(t, err)
+	same, err := Decode(value)
+	require.NoError(t, err)
+	require.Equal(t, j.stamp, same.stamp)
+	require.True(t, same.units[0].isProvenLong())
+	var r Record
+	require.NoError(t, json.Unmarshal(value, &r))
+	// Versions up to 6155caa1 drop these fields.
+	r.Stamp = tenure.Stamp{}
+	unit := r.Units[0]
+	unit.SlowOn, unit.Shown = nil, 0
+	r.Units[0] = unit
+	value, err = json.Marshal(r)
+	require.NoError(t, err)
+	for _, field := range []string{"Stamp", "SlowOn", "Shown"} {
+		require.NotContains(t, string(value), field)
+	}
+	earlier, err := Decode(value)
+	require.NoError(t, err)
+	next := testState(3, 1)
+	next.Epoch = 2
+	now := testStart.Add(time.Minute)
+	next.Recover([]*Job{earlier}, now)
+	next.EndRecovery(nil, now, now)
+	require.Zero(t, earlier.age(now), "it counts from the takeover")
+	require.False(t, earlier.units[0].isProvenLong())
+	require.NoError(t, next.Verify())
+	require.Equal(t, j.units[0].placesOf(), earlier.units[0].placesOf())
+}
