--- a/internal/process/poolowner/soak_test.go
+++ b/internal/process/poolowner/soak_test.go
@@ -56,7 +56,7 @@
 
 // actions are the things that may happen, by name.
 var actions = map[string]func(s *soak){
-	"Submit": (*soak).submitJob, "Cancel": (*soak).cancelJob, "Read": (*soak).readJob,
+	"Submit": (*soak).submitJob, "SubmitAndCancel": (*soak).submitAndCancel, "Cancel": (*soak).cancelJob, "Read": (*soak).readJob,
 	"Kill": (*soak).killInstance, "Pause": (*soak).pauseInstance, "CutInstance": (*soak).cutInstance, "CutLink": (*soak).cutLink,
 	"HoldCalls": (*soak).holdCalls, "StoreOutage": (*soak).storeOutage, "StoreFault": (*soak).storeFault, "Compact": func(s *soak) { s.store.Compact() },
 	"CrashWorker": (*soak).crashWorker, "DisconnectWorker": (*soak).disconnectWorker, "BreakWorker": (*soak).breakWorker, "DelayOrders": (*soak).delayOrders,
@@ -194,18 +194,28 @@
 	return step
 }
 
+// submitAndCancel submits a job whose caller gives up soon.
+func (s *soak) submitAndCancel() {
+	delay, i := s.milliseconds(1500), s.instance()
+	s.submitJob()
+	id := s.jobs[len(s.jobs)-1]
+	priority := s.priorities[id]
+	time.AfterFunc(delay, func() { s.cancel(i, priority, id) })
+}
+
 func (s *soak) cancelJob() {
-	if len(s.jobs) == 0 {
-		return
+	if len(s.jobs) > 0 {
+		id := s.jobs[s.pick(len(s.jobs))]
+		go s.cancel(s.instance(), s.priorities[id], id)
+	}
+}
+
+// cancel cancels a job at an instance.
+func (s *soak) cancel(i *instance, priority int, id ids.JobID) {
+	answer, err := s.call(i, Cancel, priority, id, jobSpec{})
+	if err == nil && answer.Result == OK {
+		s.checker.RecordCancellation(id)
 	}
-	id := s.jobs[s.pick(len(s.jobs))]
-	i, priority := s.instance(), s.priorities[id]
-	go func() {
-		answer, err := s.call(i, Cancel, priority, id, jobSpec{})
-		if err == nil && answer.Result == OK {
-			s.checker.RecordCancellation(id)
-		}
-	}()
 }
 
 func (s *soak) readJob() {
