Review: the owner sees the new life before the late order arrives (cases 11 and 12)

The stand-in records the first report that a life is asked for. Seen in both cases: it comes within 10 ms, 1.5 s and 3.5 s before the late order.

--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -32,7 +32,9 @@
 
 	instance struct {
 		name, frontend, readiness string
-		cmd                       *exec.Cmd
+		// settings is the path of its settings file.
+		settings string
+		cmd      *exec.Cmd
 	}
 )
 
@@ -181,19 +183,26 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
-	output, err := os.Create(filepath.Join(d.folder, name+".log"))
+	i := &instance{name: name, frontend: others[0], readiness: others[1], settings: path}
+	if err := d.startProcess(i); err != nil {
+		return err
+	}
+	d.instances = append(d.instances, i)
+	return nil
+}
+
+// startProcess starts the process of an instance, for the first time or again.
+func (d *deployment) startProcess(i *instance) error {
+	output, err := os.OpenFile(filepath.Join(d.folder, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	i := &instance{name: name, frontend: others[0], readiness: others[1], cmd: exec.Command(os.Getenv("PROGRAM"), "platform")}
+	defer func() { _ = output.Close() }() // the process has it open
+	i.cmd = exec.Command(os.Getenv("PROGRAM"), "platform")
 	i.cmd.Dir = os.Getenv("ROOT")
-	i.cmd.Env = append(os.Environ(), "JUJUBEGRADE_SETTINGS="+path)
+	i.cmd.Env = append(os.Environ(), "JUJUBEGRADE_SETTINGS="+i.settings)
 	i.cmd.Stdout, i.cmd.Stderr = output, output
-	if err := i.cmd.Start(); err != nil {
-		return err
-	}
-	d.instances = append(d.instances, i)
-	return nil
+	return i.cmd.Start()
 }
 
 // call makes a client's call at an instance and returns the status, zero without an answer.
--- a/review/rig4/runner.go
+++ b/review/rig4/runner.go
@@ -35,7 +35,8 @@
 		count   uint64
 		until   int64
 		changed chan struct{}
-		over    bool
+		// held is set once a hold has come, and over once the life has ended.
+		held, over bool
 	}
 
 	taskRun struct {
@@ -264,6 +265,10 @@
 
 func (r *runner) hold(w http.ResponseWriter, q *http.Request, l *life, in order) {
 	r.mu.Lock()
+	if !l.held {
+		l.held = true
+		r.log.add("runner %s: life %d: first hold, fencing token %d", r.id, l.number, in.Fence)
+	}
 	if in.Until > 0 {
 		l.extend(in.Until)
 	}
