Review: the orders of a few large jobs exceed the memory of each owner in turn (case 13)

Five accepted jobs of 10,000 small tasks. Seen: the owner exceeds 284 MB and is killed, and so is each of its successors, every two to five seconds; in longer trials 30 kills in 85 s and no job done. A dump of an owner had 17,500 goroutines that wait to send an order.

--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,8 @@
 		// settings is the path of its settings file.
 		settings string
 		cmd      *exec.Cmd
+		// ends counts how often it has ended by itself.
+		ends atomic.Int64
 	}
 )
 
@@ -67,7 +70,7 @@
 	d := &deployment{log: log, store: newStore()}
 	d.ctx, d.end = context.WithCancel(context.Background())
 	defer d.close()
-	c, found := map[string]func(d *deployment, trouble bool) int{"late-order": lateOrder, "late-copy": lateCopy}[name]
+	c, found := map[string]func(d *deployment, trouble bool) int{"late-order": lateOrder, "late-copy": lateCopy, "large-jobs": largeJobs}[name]
 	if !found {
 		fmt.Fprintln(os.Stderr, "no such case")
 		return couldNotRun
