--- a/review/rig4/store.go
+++ b/review/rig4/store.go
@@ -71,15 +71,6 @@
 	s.wake()
 }
 
-// remove deletes a key.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.drop(key)
-	s.wake()
-}
-
 func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
