--- a/review/rig4/lateorder.go
+++ b/review/rig4/lateorder.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -167,6 +168,58 @@
 	return d.judge(background, short, tested)
 }
 
+// The bounds of the settings for cancelled jobs.
+const (
+	stabilityWindow = 3 * time.Second
+	stopBound       = 400 * time.Millisecond
+)
+
+// lateCancelled is lateOrder with a job that its client cancels before the runner crashes: a task that a runner starts late must be stopped as well.
+func lateCancelled(d *deployment, trouble bool) int {
+	late := &lateOrders{delay: 7 * time.Second, most: 3}
+	if err := d.beginBehindProxies(late, trouble, tested); err != nil {
+		return d.fail("%v", err)
+	}
+	if !d.submit(background, 24, 1, "20s") || !d.submit(tested, 1, 8, "9s") {
+		return d.fail("a job was not accepted")
+	}
+	time.Sleep(1500 * time.Millisecond)
+	status, answer := d.call(http.MethodDelete, tested, nil, 1)
+	d.log.add("client: DELETE %s: %d %s", tested, status, answer)
+	if status != http.StatusOK {
+		return d.fail("the job was not cancelled")
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		r := late.end()
+		if r == nil {
+			return d.fail("no order was late")
+		}
+		if err := r.restart(1500 * time.Millisecond); err != nil {
+			return d.fail("%v", err)
+		}
+	}
+	cancelled := time.Since(d.log.began)
+	time.Sleep(14 * time.Second)
+	// A task that was started late has to be gone by then; the bound for others has passed before.
+	d.log.mu.Lock()
+	defer d.log.mu.Unlock()
+	for _, p := range d.log.runs {
+		if !strings.HasPrefix(p.task, tested) || p.from < cancelled {
+			continue
+		}
+		to := p.to
+		if to == 0 {
+			to = time.Since(d.log.began)
+		}
+		if to > p.from+stabilityWindow+stopBound {
+			d.log.write("UNASKED is broken: %s run %d began on %s at %.3f s and ran on until %.3f s (%s)", p.task, p.run, p.runner, p.from.Seconds(), to.Seconds(), p.how)
+			return broken
+		}
+	}
+	return held
+}
+
 // judge waits for jobs and returns whether the rule TWICE was kept.
 func (d *deployment) judge(ids ...string) int {
 	for _, id := range ids {
--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -70,7 +70,7 @@
 	d := &deployment{log: log, store: newStore()}
 	d.ctx, d.end = context.WithCancel(context.Background())
 	defer d.close()
-	c, found := map[string]func(d *deployment, trouble bool) int{"late-order": lateOrder, "late-copy": lateCopy, "large-jobs": largeJobs}[name]
+	c, found := map[string]func(d *deployment, trouble bool) int{"late-order": lateOrder, "late-copy": lateCopy, "late-cancelled": lateCancelled, "large-jobs": largeJobs}[name]
 	if !found {
 		fmt.Fprintln(os.Stderr, "no such case")
 		return couldNotRun
