--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -70,6 +71,13 @@
 	d := &deployment{log: log, store: newStore()}
 	d.ctx, d.end = context.WithCancel(context.Background())
 	defer d.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		d.close()
+		os.Exit(couldNotRun)
+	}()
 	c, found := map[string]func(d *deployment, trouble bool) int{"late-order": lateOrder, "late-copy": lateCopy, "late-cancelled": lateCancelled, "large-jobs": largeJobs}[name]
 	if !found {
 		fmt.Fprintln(os.Stderr, "no such case")
