Deliver late orders to the next process of a worker in the stand-ins

Cause: the stand-in of the workers dropped a call that got no answer when the worker had restarted meanwhile, although the platform says that such a call may be executed seconds later, and that a process under the same id knows nothing of before. The soaks delayed orders by 3 s at most; the platform's troubles name 2 to 12 s.

Change: a late call is delivered to whatever process is up. The lease that it carries ends on the clock of the process before, so that it lasts as long as a lease can. A worker's clock starts with its process in the soak of processes, too. The search delays orders by 2 to 12 s, each call by another time, and has an action that restarts a worker while orders to it are on their way.

--- a/internal/process/poolowner/soak_test.go
+++ b/internal/process/poolowner/soak_test.go
@@ -58,6 +58,10 @@
 	soakWorkers   = 6
 	// endTimeout is how long after all faults the jobs may take to end, besides the time that their tasks take.
 	endTimeout = 10 * time.Minute
+	// minOrderDelay and maxOrderDelay are how late an order may be that got no answer.
+	minOrderDelay, maxOrderDelay = 2 * time.Second, 12 * time.Second
+	// orderDelayStep is by how much the delays of two calls in a row differ.
+	orderDelayStep = 1700 * time.Millisecond
 )
 
 // actions are the things that may happen, by name.
@@ -65,7 +69,7 @@
 	"Submit": (*soak).submitJob, "SubmitAndCancel": (*soak).submitAndCancel, "Cancel": (*soak).cancelJob, "Read": (*soak).readJob,
 	"Kill": (*soak).killInstance, "Pause": (*soak).pauseInstance, "CutInstance": (*soak).cutInstance, "CutLink": (*soak).cutLink,
 	"HoldCalls": (*soak).holdCalls, "StoreOutage": (*soak).storeOutage, "StoreFault": (*soak).storeFault, "Compact": func(s *soak) { s.store.Compact() },
-	"CrashWorker": (*soak).crashWorker, "DisconnectWorker": (*soak).disconnectWorker, "BreakWorker": (*soak).breakWorker, "DelayOrders": (*soak).delayOrders,
+	"CrashWorker": (*soak).crashWorker, "DisconnectWorker": (*soak).disconnectWorker, "BreakWorker": (*soak).breakWorker, "DelayOrders": (*soak).delayOrders, "RestartAmidOrders": (*soak).restartAmidOrders,
 	"ExpireEntry": (*soak).expireEntry, "MoveWorker": (*soak).moveWorker, "ReduceCapacity": (*soak).reduceCapacity,
 	"ChangeConfig": (*soak).changeConfig, "ReplaceQueue": (*soak).replaceQueue, "ChangePriority": (*soak).changePriority, "RevokeKey": (*soak).revokeKey, "Evacuate": (*soak).evacuateAny,
 }
@@ -221,10 +225,10 @@
 }
 
 // cancel cancels a job at an instance.
-func (s *soak) cancel(i *instance, priority int, id ids.JobID) {
-	answer, err := s.call(i, Cancel, priority, id, jobSpec{})
+func (w *cluster) cancel(i *instance, priority int, id ids.JobID) {
+	answer, err := w.call(i, Cancel, priority, id, jobSpec{})
 	if err == nil && answer.Result == OK {
-		s.checker.RecordCancellation(id)
+		w.checker.RecordCancellation(id)
 	}
 }
 
@@ -288,13 +292,17 @@
 // crashWorker kills a worker's process, which restarts under the same id.
 func (s *soak) crashWorker() {
 	n := s.pick(soakWorkers)
-	id := ids.InstanceID(fmt.Sprintf("worker%02d", n))
-	w := s.fleet.Worker(id)
-	w.Crash()
 	// A process takes longer to start than ackWindow.
-	time.AfterFunc(ackWindow+time.Duration(s.pick(10000))*time.Millisecond, func() {
+	s.restartWorker(n, ackWindow+s.milliseconds(10000))
+}
+
+// restartWorker kills a worker's process and starts the next one later.
+func (s *soak) restartWorker(n int, down time.Duration) {
+	w := s.fleet.Worker(workerID(n))
+	w.Crash()
+	time.AfterFunc(down, func() {
 		w.Restart()
-		s.listWorker(id)
+		s.listWorker(workerID(n))
 	})
 }
 
@@ -326,14 +334,26 @@
 }
 
 // delayOrders makes some orders get no answer and take effect seconds later.
-func (s *soak) delayOrders() {
-	w := s.worker()
+func (s *soak) delayOrders() { s.delayOrdersTo(s.worker()) }
+
+// restartAmidOrders is delayOrders with a worker that restarts under its id while orders to it are on their way.
+func (s *soak) restartAmidOrders() {
+	n := s.pick(soakWorkers)
+	crash, down := s.milliseconds(6000), ackWindow+s.milliseconds(4000)
+	s.delayOrdersTo(s.fleet.Worker(workerID(n)))
+	time.AfterFunc(crash, func() { s.restartWorker(n, down) })
+}
+
+func (s *soak) delayOrdersTo(w *runservice.Worker) {
+	duration, first := s.milliseconds(8000), s.milliseconds(int((maxOrderDelay-minOrderDelay)/time.Millisecond))
 	calls := 0
 	w.SetFault(func(string) runservice.Fault {
 		calls++
-		return [...]runservice.Fault{{}, {ExecuteAfter: 3 * time.Second}, {LoseAnswer: true}, {}}[calls%4]
+		// The delays are spread over all that may be: small values are drawn far more often than large ones.
+		late := minOrderDelay + (first+time.Duration(calls)*orderDelayStep)%(maxOrderDelay-minOrderDelay)
+		return [...]runservice.Fault{{}, {ExecuteAfter: late}, {LoseAnswer: true}, {}}[calls%4]
 	})
-	time.AfterFunc(time.Duration(s.pick(8000))*time.Millisecond, func() { w.SetFault(nil) })
+	time.AfterFunc(duration, func() { w.SetFault(nil) })
 }
 
 // expireEntry removes a live worker from the instance list for a while, once it has not been able to write its entry for long enough.
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -68,7 +68,9 @@
 		id    ids.InstanceID
 
 		incarnation uint64
-		down        bool
+		// bornAt is when the incarnation began, and with it its clock.
+		bornAt time.Time
+		down   bool
 		// left means that the worker has closed its connections and its machine is off.
 		left bool
 		// partitioned means that the worker is unreachable; its runs continue.
@@ -91,8 +93,8 @@
 
 	// Fault is the fault to inject into one call. Its zero value injects none.
 	Fault struct {
-		// ExecuteAfter executes the call after a delay and never answers it. With Refusal, the call fails at once and is executed nevertheless, also by the
-		// worker's next incarnation: a device on the path has closed the caller's connection and delivers the call later.
+		// ExecuteAfter delivers the call after a delay to the incarnation of the worker that is up then, and never answers it. With Refusal, the call fails at
+		// once and is delivered nevertheless: a device on the path has closed the caller's connection.
 		ExecuteAfter time.Duration
 		// LoseAnswer executes the call and never answers it.
 		LoseAnswer bool
@@ -179,6 +181,7 @@
 // startIncarnation starts a new incarnation of the worker, without runs or tombstones.
 func (w *Worker) startIncarnation() {
 	w.incarnation++
+	w.bornAt = time.Now()
 	w.down, w.epoch, w.endCount, w.pendingEnds = false, 0, 0, nil
 	w.leaseExpiry = time.Time{}
 	w.runs = make(map[worker.Run]*run)
@@ -193,6 +196,13 @@
 	return w.incarnation
 }
 
+// Clock returns the reading of the worker's clock, which starts with each incarnation.
+func (w *Worker) Clock() time.Duration {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return time.Since(w.bornAt)
+}
+
 // IsDown reports whether the worker has crashed and not restarted.
 func (w *Worker) IsDown() bool {
 	w.fleet.mu.Lock()
@@ -297,8 +307,8 @@
 func (w *Worker) Client() worker.RunClient {
 	return worker.RunClient{
 		Start: func(ctx context.Context, o worker.StartRunRequest) error {
-			arrived := time.Now()
-			return w.handleCall(ctx, "start", func() error { return w.start(o, arrived) })
+			sent, sentTo := time.Now(), w.Incarnation()
+			return w.handleCall(ctx, "start", func() error { return w.start(o, sent, sentTo) })
 		},
 		Stop: func(ctx context.Context, epoch ids.Epoch, r worker.Run) error {
 			return w.handleCall(ctx, "stop", func() error { return w.stop(epoch, r) })
@@ -323,7 +333,6 @@
 		w.fleet.mu.Unlock()
 		return worker.ErrNotListening
 	}
-	incarnation := w.incarnation
 	isClosedOnPath := f.Refusal != nil && f.ExecuteAfter > 0
 	unanswered := !isClosedOnPath && (w.down || w.partitioned || f.Silent || f.ExecuteAfter > 0)
 	var err error
@@ -340,7 +349,7 @@
 		time.AfterFunc(f.ExecuteAfter, func() {
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
-			if !w.down && (w.incarnation == incarnation || isClosedOnPath) {
+			if !w.down {
 				_ = execute() // the caller never gets the outcome
 			}
 		})
@@ -361,8 +370,17 @@
 	return nil
 }
 
-func (w *Worker) start(o worker.StartRunRequest, arrived time.Time) error {
-	expiry := arrived.Add(o.Lease)
+// leaseEnd returns the end of a lease that was ordered from an incarnation of the worker. Another one reads the end on its own clock, which has started anew, so that
+// the lease lasts as long as a lease can.
+func (w *Worker) leaseEnd(sent time.Time, sentTo uint64, lease time.Duration) time.Time {
+	if sentTo != w.incarnation && lease > 0 {
+		return time.Now().Add(maxLease)
+	}
+	return sent.Add(lease)
+}
+
+func (w *Worker) start(o worker.StartRunRequest, sent time.Time, sentTo uint64) error {
+	expiry := w.leaseEnd(sent, sentTo, o.Lease)
 	if err := w.checkEpoch(o.Epoch); err != nil {
 		return err
 	}
@@ -378,7 +396,7 @@
 	}
 	r := &run{Run: o.Run, spec: w.fleet.Describe(o.Task), started: time.Now()}
 	w.runs[o.Run] = r
-	w.observe(Event{Kind: Started, Run: o.Run, Late: time.Since(arrived) > lateThreshold})
+	w.observe(Event{Kind: Started, Run: o.Run, Late: time.Since(sent) > lateThreshold})
 	if r.spec.CrashAfter > 0 {
 		w.crashAfter(r.spec.CrashAfter, r)
 	}
@@ -528,7 +546,7 @@
 }
 
 func (w *Worker) renew(ctx context.Context, o worker.RenewRunsRequest) (worker.RunReport, error) {
-	expiry := time.Now().Add(o.Lease)
+	sent, sentTo := time.Now(), w.Incarnation()
 	var report worker.RunReport
 	var changed chan struct{}
 	buildReport := func() error {
@@ -551,7 +569,7 @@
 			w.pendingEnds = w.pendingEnds[1:]
 		}
 		if o.Lease > 0 {
-			w.extendLease(expiry)
+			w.extendLease(w.leaseEnd(sent, sentTo, o.Lease))
 		}
 		return buildReport()
 	})
