Give each process of a worker a higher fencing token

Cause: an owner used one token for all processes of a worker, so that a new one could not tell an order to the one before from an order to itself. What the owner noted of the order was forgotten with its run, and an idle worker was asked for one report after its restart and for no other.

A refusal of an earlier token is an order that was not carried out; one of the present token means a newer owner, as before. Nothing is stored; earlier versions read what a claim stores as before, and the other way round.

Tests that name run numbers of the first epoch, or its epoch, name those of epoch 100 now.

--- a/internal/connection/worker/runs.go
+++ b/internal/connection/worker/runs.go
@@ -73,8 +73,10 @@
 	RunReport struct {
 		// Incarnation distinguishes the restarts of a worker with the same ID.
 		Incarnation uint64
-		Active      []ActiveRun
-		Ended       []EndedRun
+		// Token is the fencing token of the request: the worker does nothing for lower ones any more.
+		Token  ids.Epoch
+		Active []ActiveRun
+		Ended  []EndedRun
 		// MoreEnds is set if further runs may have ended that are listed once these ends are acknowledged.
 		MoreEnds bool
 		// Malformed describes the parts of the report that could not be read and were dropped.
--- a/internal/process/pool/crash_test.go
+++ b/internal/process/pool/crash_test.go
@@ -169,7 +169,7 @@
 				s.RunStarted(a.Worker, a.Run, now)
 			}
 			// The stop and a repeated order get no answer either.
-			s.RunStartUnanswered(a.Worker, a.Run)
+			s.RunStartUnanswered(a.Worker, a.Run, now)
 			s.RunStartUnknown(a.Worker, a.Run, now)
 			now = now.Add(100 * time.Millisecond)
 			s.MarkDead(a.Worker, "its process has ended", now)
--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -58,6 +58,7 @@
 
 // expire handles everything whose time limit has passed.
 func (s *State) expire(now time.Time) {
+	s.expireLateOrders(now)
 	for id, until := range s.unknown {
 		if n := s.nodes[id]; n != nil && !n.reportedAt.IsZero() {
 			if n.silentSince.IsZero() {
--- a/internal/process/pool/departure_test.go
+++ b/internal/process/pool/departure_test.go
@@ -167,7 +167,7 @@
 			s.accept(gangJob("b", 0, 1, 8, 10*time.Second), at(3))
 			actions, _ := s.Decide(at(3))
 			require.Len(t, actions, 1)
-			s.RunStartUnanswered(a.Worker, actions[0].Run)
+			s.RunStartUnanswered(a.Worker, actions[0].Run, at(3.1))
 			s.Reported(a.Worker, worker.RunReport{Incarnation: 1, Ended: []worker.EndedRun{{Number: 58, Reason: worker.EndStopped}}}, at(test.sent), at(3.3))
 			require.Equal(t, test.want, s.Incarnation(a.Worker))
 			require.Equal(t, test.want == 1, s.HandledEnd(a.Worker) == 58)
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -398,10 +398,10 @@
 	return list
 }
 
-// Busy reports whether a worker needs lease renewals: it has runs, has not reported, or is silent.
+// Busy reports whether a worker needs lease renewals: it has runs, has not reported, is silent, or may still carry out an order without an answer.
 func (s *State) Busy(id ids.InstanceID) bool {
 	n := s.nodes[id]
-	return n != nil && (len(n.runs) > 0 || !n.reported || !n.silentSince.IsZero())
+	return n != nil && (len(n.runs) > 0 || !n.reported || !n.silentSince.IsZero() || s.lateOrders[id])
 }
 
 // HasReported reports whether a worker has reported to this owner.
--- a/internal/process/pool/report.go
+++ b/internal/process/pool/report.go
@@ -24,8 +24,9 @@
 		// Which of the two processes is the later one is not known: one report has overtaken the other, on another connection. The next report shows it.
 		return
 	}
-	if !n.reported || !n.silentSince.IsZero() {
-		n.reported = n.reported || !report.MoreEnds
+	isFenced := s.followLife(n, report)
+	if !n.reported || !n.silentSince.IsZero() || !isFenced {
+		n.reported = isFenced && (n.reported || !report.MoreEnds)
 		s.requestPass()
 		s.capacityChanged(n)
 		s.invalidateRackFits()
--- a/internal/process/pool/report_test.go
+++ b/internal/process/pool/report_test.go
@@ -412,7 +412,7 @@
 			require.Equal(t, ids.InstanceID("w0000"), actions[0].Worker)
 			run := actions[0].Run
 			s.ExtendLease("w0000", now.Add(simLease))
-			s.RunStartUnanswered("w0000", run)
+			s.RunStartUnanswered("w0000", run, now)
 			if test.endsBefore {
 				ended(s, now)
 			}
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -189,7 +189,8 @@
 }
 
 // RunStartUnanswered records that a start order got no answer; the order may be sent again.
-func (s *State) RunStartUnanswered(id ids.InstanceID, ref worker.Run) {
+func (s *State) RunStartUnanswered(id ids.InstanceID, ref worker.Run, now time.Time) {
+	s.expectLateOrder(id, now)
 	if r := s.findRun(id, ref); r != nil {
 		r.startUnanswered = true
 	}
--- a/internal/process/pool/state.go
+++ b/internal/process/pool/state.go
@@ -24,7 +24,9 @@
 	State struct {
 		// Epoch is the owner's epoch; run numbers restart in each epoch.
 		Epoch ids.Epoch
-		Times Times
+		// Tokens are the fencing tokens that this owner may use.
+		Tokens Tokens
+		Times  Times
 		// Lag is how late events are handled at the moment, which delays each start.
 		Lag time.Duration
 		// MaxMemory limits the memory that jobs may take; zero means no limit. Jobs beyond it are not admitted, and of scheduled jobs only one occurrence is open.
@@ -123,6 +125,9 @@
 		changed map[ids.InstanceID]bool
 		// suspects holds the workers that are quarantined, silent with runs, or not listed. Others that are silent stay until the next call of Decide.
 		suspects map[*node]bool
+		// lives holds the latest process of each worker that has reported, and lateOrders the workers that may still carry out an order without an answer.
+		lives      map[ids.InstanceID]*life
+		lateOrders map[ids.InstanceID]bool
 		// leaving holds the draining workers with runs, and departureDelays maps notices to how workers stayed beyond them.
 		leaving         map[*node]bool
 		departureDelays map[time.Duration]*departureDelays
@@ -197,6 +202,7 @@
 	s.dirty = make(map[ids.JobID]*Job)
 	s.changed = make(map[ids.InstanceID]bool)
 	s.suspects = make(map[*node]bool)
+	s.lives, s.lateOrders = make(map[ids.InstanceID]*life), make(map[ids.InstanceID]bool)
 	s.leaving = make(map[*node]bool)
 	s.coldNodes = make(map[*node]bool)
 	s.urgentDemands = make(map[ids.ServiceID]*urgentDemand)
--- a/internal/process/poolowner/departure_test.go
+++ b/internal/process/poolowner/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -136,8 +137,9 @@
 // had not reported, both when it was lost and with its next start.
 func requireLoss(t *testing.T, lines string, id ids.InstanceID, evidence string) {
 	const ages = `"evidenceAge": "[^"]+", "reportAge": "[^"]+", "leaseLeft": "[^"]+"`
-	require.Regexp(t, `decision: RunsLost\t.*`+ages+`, "runs": \["a/0/0 run 1001"\], "listAge": .*"worker": "`+string(id)+`", "cause": "`+evidence+`"`, lines)
-	require.Regexp(t, `decision: Placed\t.*"previous": {"run": 1001, "cause": "[^"]+", "age": "[^"]+", "lostOn": "`+string(id)+`", "evidence": "`+evidence+`", `+ages+`}, "job": "a".*"run": 1002`, lines)
+	first, second := fmt.Sprint(tokensPerTerm*1000+1), fmt.Sprint(tokensPerTerm*1000+2)
+	require.Regexp(t, `decision: RunsLost\t.*`+ages+`, "runs": \["a/0/0 run `+first+`"\], "listAge": .*"worker": "`+string(id)+`", "cause": "`+evidence+`"`, lines)
+	require.Regexp(t, `decision: Placed\t.*"previous": {"run": `+first+`, "cause": "[^"]+", "age": "[^"]+", "lostOn": "`+string(id)+`", "evidence": "`+evidence+`", `+ages+`}, "job": "a".*"run": `+second, lines)
 }
 
 // Guards against tasks that wait for a worker of an earlier owner anew with each takeover: a new owner counted the time for which a worker that it doesn't know may
--- a/internal/process/poolowner/election.go
+++ b/internal/process/poolowner/election.go
@@ -187,6 +187,8 @@
 type claim struct {
 	OwnerRecord
 	lease store.LeaseID
+	// previous is the epoch of the owner before.
+	previous ids.Epoch
 	// grantedAt is when the grant of the lease was requested, and committedAt when the store had committed the claim. The key was an earlier
 	// owner's before then at the latest.
 	grantedAt, committedAt timestamp
@@ -213,14 +215,14 @@
 			return nil, errors.Wrap(err, "malformed epoch")
 		}
 	}
-	c := &claim{OwnerRecord: OwnerRecord{Instance: o.Instance, Address: o.Address, Epoch: epoch + 1}, lease: lease, grantedAt: sent}
+	c := &claim{OwnerRecord: OwnerRecord{Instance: o.Instance, Address: o.Address, Epoch: epoch + tokensPerTerm}, previous: epoch, lease: lease, grantedAt: sent}
 	if claims.Revision != store.Absent && json.Unmarshal(claims.Value, &c.claims) != nil {
 		o.Log.Error("member: the record of the claims can't be decoded")
 		c.claims = claimsRecord{}
 	}
 	next := claimsRecord{Since: c.claims.Since, Epoch: c.Epoch}
 	if c.claims.Epoch != epoch || c.claims.Since == 0 {
-		next.Since = c.Epoch
+		next.Since = epoch + 1
 	}
 	claimsValue, err := json.Marshal(next)
 	if err != nil {
--- a/internal/process/poolowner/handover.go
+++ b/internal/process/poolowner/handover.go
@@ -76,9 +76,9 @@
 		return
 	}
 	switch {
-	case r.Epoch+1 == t.claim.Epoch:
+	case r.Epoch == t.claim.previous:
 		t.predecessor = &r
-	case r.Epoch < t.claim.Epoch && r.Epoch+1 >= t.claim.claims.Since && t.claim.claims.Epoch+1 == t.claim.Epoch:
+	case r.Epoch < t.claim.Epoch && r.Epoch+1 >= t.claim.claims.Since && t.claim.claims.Epoch == t.claim.previous:
 		// The owners since were lost before they stored a record, so that they have started nothing. They may have ordered leases, also on lapsing workers.
 		r.Grace, r.Lapsing = max(r.Grace, t.owner.Times.orderGrace()), nil
 		t.predecessor = &r
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -48,6 +48,8 @@
 		// acknowledge is the number of the last run end that is stored, and handled that of the last one that was
 		// processed, both in the given incarnation of the worker.
 		acknowledge, handled, incarnation uint64
+		// token is the fencing token of calls to the worker.
+		token ids.Epoch
 	}
 )
 
@@ -93,7 +95,7 @@
 		term: t, id: w.ID, address: w.Address, service: w.Service, runs: t.owner.Dial(w), ctx: ctx, cancel: cancel,
 		heard: t.answered[w.ID] || t.mayHaveRuns(w.ID), wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxConcurrentOrders),
 	}
-	l.desired.Store(&desiredState{renew: true})
+	l.desired.Store(&desiredState{renew: true, token: t.state.Token(w.ID)})
 	t.spawn("a worker's renewals", l.renewLoop)
 	return l
 }
@@ -130,7 +132,12 @@
 		delete(t.answered, id)
 		return
 	}
-	w := desiredState{renew: busy || id == probe, acknowledge: t.state.AcknowledgedEnd(id), handled: t.state.HandledEnd(id), incarnation: t.state.Incarnation(id)}
+	w := desiredState{renew: busy || id == probe, acknowledge: t.state.AcknowledgedEnd(id), handled: t.state.HandledEnd(id), incarnation: t.state.Incarnation(id), token: t.state.Token(id)}
+	l.setDesired(w)
+}
+
+// setDesired changes the desired state.
+func (l *link) setDesired(w desiredState) {
 	if old := l.desired.Load(); *old != w {
 		l.desired.Store(&w)
 		select {
@@ -172,6 +179,8 @@
 func (l *link) renewLoop() {
 	// acknowledged is the last run end that was acknowledged to this incarnation of the worker.
 	acknowledged, incarnation := uint64(0), uint64(0)
+	// token is that of the last renewal which this incarnation has answered.
+	token := ids.Epoch(0)
 	failures := 0
 	// failed is the earliest time at which the worker may have stopped answering since its last answer.
 	var answered, failed time.Time
@@ -186,8 +195,8 @@
 			l.waitForChange(renewPollWait)
 			w = l.desired.Load()
 		}
-		o := worker.RenewRunsRequest{Epoch: l.term.claim.Epoch}
-		if failures == 0 && w.incarnation == incarnation && time.Since(answered) < renewPollWait+workerCallTimeout {
+		o := worker.RenewRunsRequest{Epoch: w.token}
+		if failures == 0 && w.incarnation == incarnation && w.token == token && time.Since(answered) < renewPollWait+workerCallTimeout {
 			switch {
 			case w.acknowledge > acknowledged && (time.Since(answered) < ackWindow || l.confirmIncarnation(incarnation)):
 				o.Acknowledged = w.acknowledge
@@ -228,7 +237,7 @@
 				// Until it followed this owner, an earlier one may have ordered a lease.
 				l.markLeaseOrdered()
 			}
-			acknowledged = max(acknowledged, o.Acknowledged)
+			acknowledged, token = max(acknowledged, o.Acknowledged), o.Epoch
 			if reported := cmp.Or(report.Incarnation, w.incarnation); reported != incarnation {
 				// A restarted worker has seen no epoch and accepts any owner, so its answer confirms nothing.
 				acknowledged, incarnation = 0, reported
@@ -238,6 +247,9 @@
 			l.deliverReport(report, sent.at)
 			continue
 		}
+		if l.isOutdated(o.Epoch, err) {
+			continue
+		}
 		if failures++; failures == 1 {
 			failed = failedAt(sent.at, o.Wait)
 		}
@@ -260,13 +272,15 @@
 	ctx, cancel := context.WithTimeout(l.ctx, o.Wait+workerCallTimeout)
 	defer cancel()
 	l.term.owner.metrics.Renewals.Add(1)
-	return l.runs.Renew(ctx, o)
+	report, err := l.runs.Renew(ctx, o)
+	report.Token = o.Epoch
+	return report, err
 }
 
 // confirmIncarnation reports whether the worker is still in the given incarnation. A restarted worker numbers its run
 // ends from the start again, so an acknowledgement for its earlier incarnation would discard the wrong ends.
 func (l *link) confirmIncarnation(incarnation uint64) bool {
-	report, err := l.sendRenewal(worker.RenewRunsRequest{Epoch: l.term.claim.Epoch})
+	report, err := l.sendRenewal(worker.RenewRunsRequest{Epoch: l.token()})
 	return err == nil && cmp.Or(report.Incarnation, incarnation) == incarnation
 }
 
@@ -299,6 +313,7 @@
 			l.term.markReturned(l.id)
 		}
 		l.term.state.Reported(l.id, report, sent, time.Now())
+		l.followToken()
 	})
 	select {
 	case <-handled:
--- a/internal/process/poolowner/metrics.go
+++ b/internal/process/poolowner/metrics.go
@@ -30,6 +30,8 @@
 		// RecordsRejected counts the jobs that ended since their records can't be stored.
 		RecordsRejected              expvar.Int
 		Starts, StartsUnknown, Stops expvar.Int
+		// TokensRaised counts the new processes of workers that got a higher fencing token, and CallsOutdated the calls to earlier ones that they refused.
+		TokensRaised, CallsOutdated expvar.Int
 		// WorkerCrashes counts the workers whose processes ended unannounced, and RunsCrashed the runs that were lost with them.
 		WorkerCrashes, RunsCrashed expvar.Int
 		// LostRunsFound counts the runs that were found active after this owner had counted them as ended.
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -69,7 +69,7 @@
 		switch {
 		case !t.state.MayStart(h.action.Worker, h.action.Run):
 			t.state.RunRefused(h.action.Worker, h.action.Run, errNotSent, false, now)
-		case t.isAccountedFor(h.action.Worker) && t.maySend(h):
+		case t.isAccountedFor(h.action.Worker) && t.state.HasReported(h.action.Worker) && t.maySend(h):
 			t.send(h)
 		default:
 			return false
@@ -126,7 +126,7 @@
 		return
 	}
 	defer func() { <-l.orderSlots }()
-	o := worker.StartRunRequest{Run: a.Run, Epoch: t.claim.Epoch, Payload: a.Payload, Checkpoint: a.Checkpoint}
+	o := worker.StartRunRequest{Run: a.Run, Payload: a.Payload, Checkpoint: a.Checkpoint}
 	// unknown means that an order may have been executed, or may still be.
 	unknown := false
 	// checked is when the run was last found to be one that may start.
@@ -153,6 +153,7 @@
 			continue
 		}
 		l.markLeaseOrdered()
+		o.Epoch = l.token()
 		err := l.runs.Start(ctx, o)
 		cancel()
 		t.owner.metrics.Starts.Add(1)
@@ -160,18 +161,18 @@
 		case err == nil:
 			t.post(func() { t.state.RunStarted(l.id, a.Run, time.Now()) })
 			return
+		case l.isOutdated(o.Epoch, err), errors.Is(err, worker.ErrLeaseExpired):
+			continue
 		case errors.Is(err, worker.ErrFenced):
 			t.end("worker " + string(l.id) + " follows a newer owner")
 			return
-		case errors.Is(err, worker.ErrLeaseExpired):
-			continue
 		case !unknown && isRefusal(err):
 			t.post(func() { t.state.RunRefused(l.id, a.Run, err, errors.Is(err, worker.ErrUnhealthy), time.Now()) })
 			return
 		}
 		if !unknown {
 			unknown = true
-			t.post(func() { t.state.RunStartUnanswered(l.id, a.Run) })
+			t.post(func() { t.state.RunStartUnanswered(l.id, a.Run, time.Now()) })
 		}
 		t.owner.metrics.StartsUnknown.Add(1)
 		t.log.Warn("orders: no answer to a start order", zap.String("job", string(a.Run.Job)), zap.Int("step", a.Run.Step), zap.Int("task", a.Run.Index),
@@ -196,10 +197,17 @@
 	t := l.term
 	// They are not results: the check may still run after the link is closed.
 	var checked timestamp
-	valid := false
+	valid, reported := false, false
+	if err := t.do(l.ctx, func() { valid, reported = t.state.MayStart(l.id, r), t.state.HasReported(l.id) }); err != nil || !valid {
+		return timestamp{}, false
+	}
+	if !reported {
+		// The runs of a new process are not known before it has answered a call with its own token.
+		l.poll()
+	}
 	if err := t.do(l.ctx, func() {
 		checked = t.owner.now()
-		valid = t.state.MayStart(l.id, r) && !t.currentListState().holdsStarts() && !t.currentEvacuationState().holdsStarts() && t.isStillOwner()
+		valid = t.state.HasReported(l.id) && t.state.MayStart(l.id, r) && !t.currentListState().holdsStarts() && !t.currentEvacuationState().holdsStarts() && t.isStillOwner()
 	}); err != nil {
 		return timestamp{}, false
 	}
@@ -232,7 +240,8 @@
 	for l.ctx.Err() == nil {
 		sent := time.Now()
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
-		err := l.runs.Stop(ctx, t.claim.Epoch, a.Run)
+		token := l.token()
+		err := l.runs.Stop(ctx, token, a.Run)
 		cancel()
 		t.owner.metrics.Stops.Add(1)
 		switch {
@@ -241,6 +250,8 @@
 			t.post(func() { t.state.StopConfirmed(l.id, a.Run, time.Now()) })
 			l.pollAfterStop(a)
 			return true
+		case l.isOutdated(token, err):
+			continue
 		case errors.Is(err, worker.ErrFenced):
 			release()
 			t.end("worker " + string(l.id) + " follows a newer owner")
@@ -295,7 +306,7 @@
 // poll requests a report.
 func (l *link) poll() {
 	sent := time.Now()
-	report, err := l.sendRenewal(worker.RenewRunsRequest{Epoch: l.term.claim.Epoch, Acknowledged: 0})
+	report, err := l.sendRenewal(worker.RenewRunsRequest{Epoch: l.token()})
 	if err == nil {
 		l.deliverReport(report, sent)
 	}
--- a/internal/process/poolowner/places_test.go
+++ b/internal/process/poolowner/places_test.go
@@ -137,7 +137,7 @@
 }
 
 // firstOwnersStart is a start of the task of job a by the owner of the first epoch.
-var firstOwnersStart = regexp.MustCompile(`Started a/0/0 run 1\d{3}\b`)
+var firstOwnersStart = regexp.MustCompile(`Started a/0/0 run 100\d{3}\b`)
 
 // Guards against a task that runs twice since its start was sent while the store did not answer, so that its successor does not know where it runs: the witnesses do.
 // Without them it is not sent.
--- a/internal/process/poolowner/takeover_test.go
+++ b/internal/process/poolowner/takeover_test.go
@@ -138,12 +138,15 @@
 		grace time.Duration
 		// earlier means that the predecessor is of a version that leaves no record of its claim.
 		earlier bool
+		// epoch is the epoch of a predecessor that raised it by one, as earlier versions do; zero means this version's.
+		epoch ids.Epoch
 	}{
+		"an owner of an earlier version":  {record: []byte(`{"Epoch":107,"Grace":4000000000}`), grace: 4 * time.Second, epoch: 107},
 		"this version":                    {grace: testGrace},
 		"lost before it stored a promise": {record: []byte(`{"Epoch":0,"Grace":4000000000,"Lapsing":[{"Remaining":1,"Workers":["worker0"]}]}`), grace: testGrace},
-		"another promise":                 {record: []byte(`{"Epoch":1,"Grace":4000000000}`), grace: 4 * time.Second},
+		"another promise":                 {record: []byte(`{"Epoch":100,"Grace":4000000000}`), grace: 4 * time.Second},
 		"lapsing workers of another term": {record: []byte(`{"Epoch":0,"Grace":4000000000,"Lapsing":[{"Remaining":1,"Workers":["worker0"]}]}`), grace: leaseGrace + 2*DefaultLease, earlier: true},
-		"malformed lapsing workers":       {record: []byte(`{"Epoch":1,"Grace":4000000000,"Lapsing":{"Remaining":"1"}}`), grace: leaseGrace + 2*DefaultLease},
+		"malformed lapsing workers":       {record: []byte(`{"Epoch":100,"Grace":4000000000,"Lapsing":{"Remaining":"1"}}`), grace: leaseGrace + 2*DefaultLease},
 		"a term before the predecessor's": {record: []byte(`{"Epoch":0,"Grace":4000000000}`), grace: leaseGrace + 2*DefaultLease, earlier: true},
 		"unreadable":                      {record: []byte(`{`), grace: leaseGrace + 2*DefaultLease},
 	} {
@@ -153,6 +156,10 @@
 				if test.record != nil {
 					w.store.Set(keyTerm, test.record)
 				}
+				if test.epoch > 0 {
+					w.store.Set(keyEpoch, []byte(fmt.Sprint(test.epoch)))
+					w.store.Set(keyClaims, []byte(fmt.Sprintf(`{"Since":1,"Epoch":%d}`, test.epoch)))
+				}
 				if test.earlier {
 					w.store.Remove(keyClaims)
 				}
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -169,7 +169,7 @@
 		owner: o, claim: c, log: o.Log.With(zap.Uint64("epoch", uint64(c.Epoch))), ctx: ctx,
 		end:    func(cause string) { cancel(errors.New(cause)) },
 		events: make(chan func(), eventQueueSize),
-		state:  &pool.State{Epoch: c.Epoch, Times: o.Pool},
+		state:  &pool.State{Epoch: c.Epoch, Tokens: c.tokens(), Times: o.Pool},
 		listed: make(map[ids.InstanceID]ListedWorker), links: make(map[ids.InstanceID]*link), answered: make(map[ids.InstanceID]bool), returned: make(map[ids.InstanceID]bool),
 		unknownDataCentres: make(map[ids.DataCentreID]bool), firstRenewals: make(chan struct{}, maxFirstRenewals), unheardRenewals: make(chan struct{}, maxFirstRenewals), unheardRetries: newRetryPacer(),
 		jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
