Raise the token as soon as an entry shows a new process

Cause: TestSoakOfDeadlyTasks found a late order that arrived 85 ms after its worker had restarted and 25 ms before the owner's first call to the new process (job012/1/0, started again after its end as done was acknowledged). Traced: the process had carried out no call of anybody, so that nothing could have kept it from starting the run; the owner had ordered it once, without an answer, while it was wanted. A window that can be closed is the one between the first call and the one with the new token, where the entry had shown the new process before.

Change: an entry raises the token as well, once for each incarnation. The checker of the soaks counts as stray what a late order starts in a process that has carried out no call: it breaks no other rule, and must have ended within 9.4 s, the longest lease and the time in which the platform wants it stopped. A further path of TestLateOrdersInNextProcess requires the stop once the owner reaches the worker.

--- a/internal/process/pool/lives.go
+++ b/internal/process/pool/lives.go
@@ -15,6 +15,8 @@
 	// may be carried out seconds later, in whatever process has the worker's id by then.
 	life struct {
 		incarnation uint64
+		// entry is the latest incarnation for which the worker's entry has raised the token.
+		entry uint64
 		// isUnfenced is set if no token was left for this process. Nothing is started there.
 		isUnfenced bool
 		// token is that of all calls to the worker from now on. A process that has carried out a call with it does nothing for the calls to the processes before.
@@ -51,18 +53,34 @@
 	if s.Tokens == (Tokens{}) {
 		return true
 	}
-	l := s.lifeOf(n.ID)
-	if report.Incarnation != 0 && report.Incarnation != l.incarnation {
-		if l.isUnfenced = l.incarnation != 0 && l.token == s.Tokens.Last; l.isUnfenced {
-			s.notice(Notice{Kind: "TokensUsedUp", Worker: n.ID, Cause: "this owner has seen too many processes of the worker; the next owner has tokens for it"})
-		} else if l.incarnation != 0 {
-			l.token++
-		}
-		l.incarnation = report.Incarnation
-	}
+	s.seeIncarnation(n.ID, report.Incarnation)
+	l := s.lives[n.ID]
 	return !l.isUnfenced && report.Token >= l.token
 }
 
+// seeEntry raises the token of a worker whose entry names a new process, so that already the first call to that process has the new token. Each incarnation counts once:
+// an entry may be wrong, and is listed again and again.
+func (s *State) seeEntry(id ids.InstanceID, incarnation uint64) {
+	if l := s.lifeOf(id); l.entry != incarnation {
+		l.entry = incarnation
+		s.seeIncarnation(id, incarnation)
+	}
+}
+
+// seeIncarnation raises the token of a worker if its process is not the latest one that is known.
+func (s *State) seeIncarnation(id ids.InstanceID, incarnation uint64) {
+	l := s.lifeOf(id)
+	if incarnation == 0 || incarnation == l.incarnation {
+		return
+	}
+	if l.isUnfenced = l.incarnation != 0 && l.token == s.Tokens.Last; l.isUnfenced {
+		s.notice(Notice{Kind: "TokensUsedUp", Worker: id, Cause: "this owner has seen too many processes of the worker; the next owner has tokens for it"})
+	} else if l.incarnation != 0 {
+		l.token++
+	}
+	l.incarnation = incarnation
+}
+
 // expectLateOrder records that an order to a worker got no answer.
 func (s *State) expectLateOrder(id ids.InstanceID, now time.Time) {
 	s.init()
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -196,6 +196,7 @@
 				n.processEnded = n.processEnded || n.Draining
 				// The next report lists the runs of the new incarnation.
 				n.reported = false
+				s.seeEntry(w.ID, w.Incarnation)
 				n.speed = Speed{}
 			}
 			w.Incarnation = n.Incarnation
--- a/internal/process/poolowner/lateorder_test.go
+++ b/internal/process/poolowner/lateorder_test.go
@@ -113,6 +113,23 @@
 			time.Sleep(4 * time.Second)
 			l.restart(0)
 		}},
+		"it arrives before the first call to the new process": {step: whole, most: maxStartAttempts, delay: 7 * time.Second, runTime: 20 * time.Second, play: func(l *lateOrders) {
+			time.Sleep(4 * time.Second)
+			for _, i := range l.instances {
+				i.mu.Lock()
+				i.unreachable = map[ids.InstanceID]bool{l.worker: true}
+				i.mu.Unlock()
+			}
+			l.restart(500 * time.Millisecond)
+			time.Sleep(4 * time.Second)
+			for _, i := range l.instances {
+				i.mu.Lock()
+				i.unreachable = nil
+				i.mu.Unlock()
+			}
+			time.Sleep(2 * time.Second)
+			l.requireLog(l.t, string(l.worker)+" Started a/0/0", "decision: UnknownRunStopped", string(l.worker)+" Ended a/0/0 .* Stopped")
+		}},
 		"its data centre is evacuated": {step: whole, most: maxStartAttempts, delay: 7 * time.Second, runTime: 9 * time.Second, play: func(l *lateOrders) {
 			time.Sleep(restart)
 			l.evacuate(l.listed[l.worker].DataCentre)
--- a/internal/standin/history/checker.go
+++ b/internal/standin/history/checker.go
@@ -27,6 +27,8 @@
 		mu     sync.Mutex
 		jobs   map[ids.JobID]*job
 		active map[ids.InstanceID]map[worker.Run]bool
+		// strays holds since when the runs are active that nobody could have kept from starting.
+		strays map[stray]time.Time
 		total  ids.Resources
 		starts map[ids.JobID]int
 		// draining holds when each draining worker announced its departure.
@@ -42,6 +44,11 @@
 		events       []string
 	}
 
+	stray struct {
+		worker ids.InstanceID
+		run    worker.Run
+	}
+
 	capacityChange struct {
 		at    time.Time
 		total ids.Resources
@@ -101,9 +108,13 @@
 	minCrashesToFail      = 2
 )
 
+// maxStrayTime is how long a stray run may be active: the longest lease, after which it ends if no owner reaches its worker, and the time in which an owner that does has
+// to stop it, as the platform specifies for tasks that are started late.
+const maxStrayTime = 6*time.Second + stabilityWindow + 400*time.Millisecond
+
 // New returns a checker for workers that each have the given total resources.
 func New(total ids.Resources) *Checker {
-	return &Checker{starts: make(map[ids.JobID]int), draining: make(map[ids.InstanceID]time.Time), evacuated: make(map[ids.InstanceID]time.Time), capacities: make(map[ids.InstanceID][]capacityChange), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
+	return &Checker{strays: make(map[stray]time.Time), starts: make(map[ids.JobID]int), draining: make(map[ids.InstanceID]time.Time), evacuated: make(map[ids.InstanceID]time.Time), capacities: make(map[ids.InstanceID][]capacityChange), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
 }
 
 // Add registers a job before its submission.
@@ -239,6 +250,7 @@
 	j := c.jobs[e.Run.Job]
 	switch e.Kind {
 	case runservice.Crashed:
+		c.forgetStrays(e.Worker)
 		c.active[e.Worker] = make(map[worker.Run]bool)
 		c.forgetEnds(e.Worker)
 		if j != nil {
@@ -247,9 +259,14 @@
 	case runservice.LeaseExpired:
 		c.forgetEnds(e.Worker)
 	case runservice.Started:
+		if e.Stray {
+			c.strays[stray{e.Worker, e.Run}] = time.Now()
+			return
+		}
 		c.checkStart(e, j)
 		c.active[e.Worker][e.Run] = true
 	case runservice.Ended:
+		c.endStray(stray{e.Worker, e.Run})
 		delete(c.active[e.Worker], e.Run)
 		switch e.Reason {
 		case worker.EndDone:
@@ -263,6 +280,23 @@
 	}
 }
 
+// endStray checks how long a run was active if it was a stray one.
+func (c *Checker) endStray(s stray) {
+	if since, found := c.strays[s]; found && time.Since(since) > maxStrayTime {
+		c.addViolation("%s, which was started late on %s, was stopped only after %v", s.run.Task, s.worker, time.Since(since))
+	}
+	delete(c.strays, s)
+}
+
+// forgetStrays removes the stray runs of a worker that has crashed.
+func (c *Checker) forgetStrays(id ids.InstanceID) {
+	for s := range c.strays {
+		if s.worker == id {
+			c.endStray(s)
+		}
+	}
+}
+
 func (c *Checker) checkStart(e runservice.Event, j *job) {
 	if j == nil {
 		c.addViolation("%s was started, but its job was never submitted", e.Run.Task)
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -58,8 +58,9 @@
 		// Number is the sequence number of the end. It and Reason are set only for Ended and Acknowledged events.
 		Number uint64
 		Reason worker.EndReason
-		// Late is set for a Started event if the worker executed the order after a delay.
-		Late bool
+		// Late is set for a Started event if the worker executed the order after a delay, and Stray if the order was sent to an earlier incarnation and no call had reached
+		// the present one, so that nobody could have kept it from starting the run.
+		Late, Stray bool
 	}
 
 	// Worker is one worker of a fleet.
@@ -380,7 +381,7 @@
 }
 
 func (w *Worker) start(o worker.StartRunRequest, sent time.Time, sentTo uint64) error {
-	expiry := w.leaseEnd(sent, sentTo, o.Lease)
+	expiry, isStray := w.leaseEnd(sent, sentTo, o.Lease), sentTo != w.incarnation && w.epoch == 0
 	if err := w.checkEpoch(o.Epoch); err != nil {
 		return err
 	}
@@ -396,7 +397,7 @@
 	}
 	r := &run{Run: o.Run, spec: w.fleet.Describe(o.Task), started: time.Now()}
 	w.runs[o.Run] = r
-	w.observe(Event{Kind: Started, Run: o.Run, Late: time.Since(sent) > lateThreshold})
+	w.observe(Event{Kind: Started, Run: o.Run, Late: time.Since(sent) > lateThreshold, Stray: isStray})
 	if r.spec.CrashAfter > 0 {
 		w.crashAfter(r.spec.CrashAfter, r)
 	}
