Keep the records of jobs whose workers were lost within a value of the store

Cause: each task on a lapsed worker gets a crash of 120 bytes in its job's record. 10,000 of them outgrow a value of the store, and a job whose record can't be stored is ended as failed. The bound at admission assumes that few tasks crash.

Change: a record that is too large omits the failures and crashes of tasks that are done, and then the single crash of each task under which one worker was lost. A task is suspected from its second crash on.

Result: two new cases of TestRecordWithinLimit fail without the change.

--- a/internal/process/pool/record.go
+++ b/internal/process/pool/record.go
@@ -74,20 +74,31 @@
 // ErrFormat is returned for a record in a format that this version doesn't know.
 var ErrFormat = errors.New("the record has an unknown format")
 
-// Encode returns the job's record of at most limit bytes; zero means no limit. If it would be larger, it omits what a successor can do without: checkpoints, and where
-// tasks were started, by which it counts crashes.
-func (j *Job) Encode(writer string, limit int) ([]byte, error) {
-	value, err := j.encode(writer, false)
-	if err != nil || limit == 0 || len(value) <= limit {
-		return value, err
-	}
-	if value, err = j.encode(writer, true); err == nil && len(value) > limit {
-		err = errors.Newf("the record has %d bytes, and a value of the store at most %d", len(value), limit)
+// recordForm is how much a record holds.
+type recordForm int
+
+const (
+	wholeRecord recordForm = iota
+	// shortRecord omits what a successor can do without: checkpoints, where tasks were started, by which it counts crashes, and the failures and crashes of units that are
+	// done.
+	shortRecord
+	// shortestRecord also omits the crash of each unit under which only one worker has crashed. All tasks on a lost worker have one, and a successor trusts a task until
+	// a second one.
+	shortestRecord
+)
+
+// Encode returns the job's record of at most limit bytes; zero means no limit. If it would be larger, it omits a part.
+func (j *Job) Encode(writer string, limit int) (value []byte, err error) {
+	for form := wholeRecord; form <= shortestRecord; form++ {
+		if value, err = j.encode(writer, form); err != nil || limit == 0 || len(value) <= limit {
+			return value, err
+		}
 	}
-	return value, err
+	return nil, errors.Newf("the record has %d bytes, and a value of the store at most %d", len(value), limit)
 }
 
-func (j *Job) encode(writer string, short bool) ([]byte, error) {
+func (j *Job) encode(writer string, form recordForm) ([]byte, error) {
+	short := form >= shortRecord
 	r := Record{
 		Format: recordFormat, ID: j.ID, Queue: j.Queue, Host: j.Host, Prefix: j.Prefix, Service: j.Service, Account: j.Account, Priority: j.Priority,
 		Payload: j.Payload, Steps: j.Steps, Schedule: j.Schedule, Elapsed: j.elapsed(), Submitted: j.Submitted, Stamp: j.stamp, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target,
@@ -112,15 +123,22 @@
 		if short || u.phase == done {
 			slowOn, shown = nil, 0
 		}
-		if j.ended() || u.occurrence < r.Elapsed || (u.phase != done && len(slowOn) == 0 && len(u.failedRuns) == 0 && len(u.crashes.list) == 0 && len(started) == 0 && len(places) == 0 && checkpoint == "") {
+		failed, crashes := u.failedRuns, u.crashes
+		if short && u.phase == done {
+			failed, crashes = nil, crashRecord{}
+		}
+		if form == shortestRecord && len(crashes.list) == 1 {
+			crashes = crashRecord{}
+		}
+		if j.ended() || u.occurrence < r.Elapsed || (u.phase != done && len(slowOn) == 0 && len(failed) == 0 && len(crashes.list) == 0 && len(started) == 0 && len(places) == 0 && checkpoint == "") {
 			continue
 		}
 		if r.Units == nil {
 			r.Units = make(map[int]UnitRecord)
 		}
 		r.Units[first+i] = UnitRecord{
-			Done: u.phase == done, Failed: u.failedRuns, Checkpoint: checkpoint,
-			Crashes: u.crashes.list, Survived: u.crashes.survived, Started: started, SlowOn: slowOn, Shown: shown, Places: places,
+			Done: u.phase == done, Failed: failed, Checkpoint: checkpoint,
+			Crashes: crashes.list, Survived: crashes.survived, Started: started, SlowOn: slowOn, Shown: shown, Places: places,
 		}
 	}
 	return json.Marshal(r)
@@ -141,7 +159,7 @@
 	value, err := (&Job{
 		ID: j.ID, Queue: j.Queue, Host: j.Host, Prefix: j.Prefix, Service: j.Service, Account: j.Account, Priority: j.Priority, Payload: j.Payload,
 		Steps: j.Steps, Schedule: j.Schedule, Submitted: j.Submitted, MaxAttempts: j.MaxAttempts, Stretch: j.Stretch, Target: j.Target, State: Accepted, stamp: largestStamp,
-	}).encode("", false)
+	}).encode("", wholeRecord)
 	return len(value) + tasks*maxTaskRecord, err
 }
 
--- a/internal/process/pool/record_test.go
+++ b/internal/process/pool/record_test.go
@@ -52,12 +52,16 @@
 		limit          int
 		state          JobState
 		started, fails bool
+		// lost means that each worker of the job was lost once, and crashed that a second one was lost under one of its tasks.
+		lost, crashed bool
 	}{
-		"no limit":             {state: Accepted, started: true},
-		"large enough":         {limit: 10000, state: Accepted, started: true},
-		"without places":       {limit: 2000, state: Accepted},
-		"too small":            {limit: 600, state: Accepted, fails: true},
-		"too small, but ended": {limit: 600, state: Completed},
+		"its workers were lost":       {limit: 2000, state: Accepted, lost: true},
+		"its workers were lost twice": {limit: 2000, state: Accepted, lost: true, crashed: true},
+		"no limit":                    {state: Accepted, started: true},
+		"large enough":                {limit: 10000, state: Accepted, started: true},
+		"without places":              {limit: 2000, state: Accepted},
+		"too small":                   {limit: 600, state: Accepted, fails: true},
+		"too small, but ended":        {limit: 600, state: Completed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := testState(4, 2)
@@ -72,6 +76,15 @@
 				}
 				u.crashes.started = []StartedOn{{Worker: "w0000", Incarnation: 1764892800000, Tasks: []int{i}}}
 			}
+			crash := Crash{Worker: "w0000", Tasks: []int{0}, Age: time.Second, Incarnation: 1764892800000, Unseen: true}
+			for i, u := range j.units {
+				if test.lost {
+					u.crashes.list = []Crash{crash}
+				}
+				if test.crashed && i == 20 {
+					u.crashes.list = []Crash{crash, crash}
+				}
+			}
 			j.State = test.state
 			value, err := j.Encode("writer", test.limit)
 			require.Equal(t, test.fails, err != nil)
@@ -90,6 +103,7 @@
 			require.Len(t, stored.units, 40)
 			require.Equal(t, test.started, len(stored.units[20].crashes.started) > 0)
 			require.Equal(t, done, stored.units[0].phase)
+			require.Equal(t, test.crashed, len(stored.units[20].crashes.list) == 2, "crashes by which a task is suspected are kept")
 		})
 	}
 }
