Let orders to workers wait in queues within a limit, and count tasks at their worst

Cause: each order was a goroutine that waited for one of two slots of its worker, without a limit over all and outside the memory that admission counts; a confirmed stop kept one for a further 0.55 s. Heap and CPU profiles of an owner with the orders queued (trials) showed two more causes: units of 896 bytes with runs of 320, and a search through all runs of a worker for each row of its reports (65% of the processor time).

Change: orders wait as entries of their worker's queue; at most two of one worker and a tenth of the memory limit over all are under way; stops first, then by priority and order of decision; workers take turns. A stop without an answer is ordered again with the report of a silent worker, and one report is requested for all stops within the time of a stop. Runs are found by their ids. Admission counts 2,048 bytes for each task.

Changed checks: TestNoOrderAfterTheTerm has no slot to acquire any more and requires that 100 orders, half of which have waited, start nothing.

--- a/internal/process/pool/action.go
+++ b/internal/process/pool/action.go
@@ -18,6 +18,8 @@
 		Run        worker.Run
 		Payload    string
 		Checkpoint string
+		// Priority is that of the job, for a start.
+		Priority int
 		// Once means that a start order without an answer is not repeated: the run may have crashed the worker, and would crash it again.
 		Once bool
 		// Version is the version of the job that holds the place of a start.
--- a/internal/process/pool/job.go
+++ b/internal/process/pool/job.go
@@ -128,9 +128,8 @@
 		crashes      crashRecord
 		// places are the workers on which runs of earlier owners may be active; see placesOf.
 		places []ids.InstanceID
-		// isSettled is set once the starts of earlier owners have been checked for crashes.
-		isSettled bool
-		ending    unitEnding
+		// ending is how the latest run ended that did not end as done; nil if none has.
+		ending *unitEnding
 		// isolated holds the workers that are kept from all other units.
 		isolated []*node
 		// trialPlacement holds the worker of each task for a trial whose start is being stored.
@@ -143,26 +142,13 @@
 		preemptingSince time.Time
 		startedAt       time.Time
 		notBefore       time.Time
-		// retryDelayed is set if notBefore delays a retry until it is known which workers fail.
-		retryDelayed bool
-		// adopted is set if the run was started under an earlier owner, so that its start time is unknown.
-		adopted bool
-		// broken is set if all reported ends were EndGangMemberLost and no other run was lost: a member ended on a worker that has not reported that
-		// end.
-		broken bool
-		// remote is set if the placement makes the tasks slower.
-		remote bool
 		// staleRuns counts the runs being stopped that don't belong to the unit's latest run. They delay its next start.
 		staleRuns int
-		// fitsRack caches the result of fitsOneRack; it is valid while fitsRackVersion equals State.rackFitsVersion.
-		fitsRack        bool
+		// fitsRackVersion is the value of State.rackFitsVersion for which fitsRack is valid.
 		fitsRackVersion uint64
 		// idleSince is when the pool became idle while the unit waited for a rack; zero if it is not idle. anyRack is set while a
 		// placement outside its rack is sought.
 		idleSince time.Time
-		anyRack   bool
-		// preemptionPlanned is set once a preemption plan was made for the unit: the next one relies on no run that ends by itself.
-		preemptionPlanned bool
 		// stragglerStops counts the stops of the unit to leave a slow worker, and stalls those for want of progress.
 		stragglerStops, stalls int
 		// shownTime is the shortest run time that the unit has shown on the workers that it left, as on a fast one; zero if it left none. slowOn are these workers.
@@ -170,12 +156,8 @@
 		slowOn    []ids.InstanceID
 		// nextPlanAt is the earliest time at which a further preemption plan is made after one that failed.
 		nextPlanAt time.Time
-		// costAt is the time of the cached preemptionCost, and endAt that of the cached expected end.
-		costAt, endAt time.Time
-		cost          float64
-		expectedEnd   time.Time
-		// speedsObserved is set once the current runs have given a sample of their workers' speeds.
-		speedsObserved bool
+		// forecast caches what was last computed of the unit; nil if nothing was.
+		forecast *unitForecast
 		// victimOf is the number of the latest projection that listed the unit as a victim.
 		victimOf uint64
 		// avoidUntil maps the workers on which the unit failed to the time until which it avoids them.
@@ -183,6 +165,31 @@
 		// percent is the progress of the slowest member, and progressedAt is when it last changed.
 		percent      int
 		progressedAt time.Time
+		// isSettled is set once the starts of earlier owners have been checked for crashes.
+		isSettled bool
+		// retryDelayed is set if notBefore delays a retry until it is known which workers fail.
+		retryDelayed bool
+		// adopted is set if the run was started under an earlier owner, so that its start time is unknown.
+		adopted bool
+		// broken is set if all reported ends were EndGangMemberLost and no other run was lost: a member ended on a worker that has not reported that
+		// end.
+		broken bool
+		// remote is set if the placement makes the tasks slower.
+		remote bool
+		// preemptionPlanned is set once a preemption plan was made for the unit: the next one relies on no run that ends by itself.
+		preemptionPlanned bool
+		// speedsObserved is set once the current runs have given a sample of their workers' speeds.
+		speedsObserved bool
+		// fitsRack caches the result of fitsOneRack.
+		fitsRack bool
+		anyRack  bool
+	}
+
+	// unitForecast holds the preemptionCost of a unit at costAt, and its expected end at endAt.
+	unitForecast struct {
+		costAt, endAt time.Time
+		cost          float64
+		expectedEnd   time.Time
 	}
 
 	// stage is a step of one occurrence of a job.
@@ -202,7 +209,7 @@
 	// stepKey identifies a step of one occurrence of a job.
 	stepKey struct{ occurrence, step int }
 
-	unitPhase int
+	unitPhase int8
 
 	// run is a run of one task. It holds resources on its worker until it is known to have ended.
 	run struct {
@@ -214,17 +221,10 @@
 		staleOf   *unit
 		node      *node
 		resources ids.Resources
-		phase     runPhase
 		// orderedAt is when the start was ordered, or when the run of an earlier owner was found.
 		orderedAt time.Time
-		// reported is set once the worker has confirmed or listed the run. Until then the run may still be started.
-		reported bool
 		// listedIn is the incarnation of the worker that last listed the run; zero if none has.
 		listedIn uint64
-		// pinned is set if the run is a single task without checkpoints, which a stop sets back to its start.
-		pinned bool
-		// startUnanswered is set if a start order got no answer. The worker may still carry it out, even after a restart.
-		startUnanswered bool
 		// confirmedAt is when the worker confirmed the start, or in phase runStopping the stop.
 		confirmedAt time.Time
 		percent     int
@@ -232,17 +232,24 @@
 		rate            float64
 		rateFrom        time.Time
 		rateFromPercent int
-		// endReported is set once the worker has reported the run's end.
-		endReported bool
 		// mayHaveCrashedAt is when the worker may have crashed with the run, if it is not known whether the run is in the worker's new incarnation.
 		mayHaveCrashedAt time.Time
 		// stopOrderedAt is when the run's stop was last ordered.
 		stopOrderedAt time.Time
+		phase         runPhase
+		// reported is set once the worker has confirmed or listed the run. Until then the run may still be started.
+		reported bool
+		// pinned is set if the run is a single task without checkpoints, which a stop sets back to its start.
+		pinned bool
+		// startUnanswered is set if a start order got no answer. The worker may still carry it out, even after a restart.
+		startUnanswered bool
+		// endReported is set once the worker has reported the run's end.
+		endReported bool
 		// stopDue is set if the run has to be stopped in the worker's next incarnation.
 		stopDue bool
 	}
 
-	runPhase int
+	runPhase int8
 )
 
 // States of a job.
--- a/internal/process/pool/loss.go
+++ b/internal/process/pool/loss.go
@@ -70,7 +70,7 @@
 		s.notice(Notice{Kind: "RunsLost", Worker: l.Worker, Cause: cause, Loss: l})
 	}
 	l.Runs = append(l.Runs, r.Run)
-	if u := r.unit; u != nil && u.ending.number == r.Number && u.ending.loss == nil {
+	if u := r.unit; u != nil && u.ending != nil && u.ending.number == r.Number && u.ending.loss == nil {
 		u.ending.loss = l
 	}
 }
@@ -88,7 +88,7 @@
 // previousEnding returns how the unit's previous run ended, or nil if it had none under this owner.
 func (u *unit) previousEnding(now time.Time) *Ending {
 	e := u.ending
-	if e.number == 0 {
+	if e == nil {
 		return nil
 	}
 	return &Ending{Number: e.number, Cause: e.cause, Age: now.Sub(e.at), Loss: e.loss}
@@ -100,7 +100,7 @@
 		return "this owner did not start it", false
 	}
 	cause := "this owner counted it as ended"
-	if e := u.ending; e.number == number {
+	if e := u.ending; e != nil && e.number == number {
 		cause += " " + now.Sub(e.at).Round(time.Millisecond).String() + " before: " + e.cause
 	}
 	return cause, true
--- a/internal/process/pool/memory.go
+++ b/internal/process/pool/memory.go
@@ -11,8 +11,9 @@
 	// endedJobBytes is what a job takes whose end is stored, besides its steps.
 	endedJobBytes Bytes = 1024
 	stepBytes     Bytes = 256
-	// unitBytes is what a unit takes with a run.
-	unitBytes Bytes = 1024
+	// unitBytes is what a unit of one task takes at its worst: the unit and its run (950 bytes), an order that waits, and its parts of a report that is read and of a
+	// record that is written or read.
+	unitBytes Bytes = 2048
 	// payloadCopies is how often a new owner holds a job's payload while it reads the records: as received, as decoded, and in the job.
 	payloadCopies = 3
 	// memoryRetryAfter is the retry delay of a job that is refused for want of memory.
--- a/internal/process/pool/node.go
+++ b/internal/process/pool/node.go
@@ -64,7 +64,9 @@
 		used        ids.Resources
 		// held is the sum of the resources reserved here for units in phase preempting.
 		held ids.Resources
-		runs []*run
+		// runs are in the order in which they were added, and runsByID has the same ones.
+		runs     []*run
+		runsByID map[worker.Run]*run
 		// cold is set until ColdUntil, and coldSlowdown is how many times as long tasks take meanwhile; zero if not cold.
 		cold         bool
 		coldSlowdown float64
@@ -447,5 +449,11 @@
 		r.node.Total.Contains(r.node.used)
 }
 
+// AwaitsEnds reports whether a worker has confirmed the stop of a run whose end it has not listed yet.
+func (s *State) AwaitsEnds(id ids.InstanceID) bool {
+	n := s.nodes[id]
+	return n != nil && slices.ContainsFunc(n.runs, func(r *run) bool { return r.phase == runStopping && !r.confirmedAt.IsZero() })
+}
+
 // HasRun reports whether a run holds resources on a worker.
 func (s *State) HasRun(id ids.InstanceID, ref worker.Run) bool { return s.findRun(id, ref) != nil }
--- a/internal/process/pool/occurrence.go
+++ b/internal/process/pool/occurrence.go
@@ -43,8 +43,11 @@
 		if s.Gang {
 			st.units = []*unit{{job: j, stage: st, occurrence: j.opened, step: i, count: s.Tasks}}
 		} else {
-			for k := range s.Tasks {
-				st.units = append(st.units, &unit{job: j, stage: st, occurrence: j.opened, step: i, first: k, count: 1})
+			units := make([]unit, s.Tasks)
+			st.units = make([]*unit, s.Tasks)
+			for k := range units {
+				units[k] = unit{job: j, stage: st, occurrence: j.opened, step: i, first: k, count: 1}
+				st.units[k] = &units[k]
 			}
 		}
 		st.inPhase[waiting] = len(st.units)
--- a/internal/process/pool/preempt.go
+++ b/internal/process/pool/preempt.go
@@ -222,8 +222,9 @@
 // preemptionCost returns the cost of stopping a unit: the work lost, the restart delay, and the unit's whole run time if
 // the job would then miss its objective. Checkpointed work resumes elsewhere.
 func (s *State) preemptionCost(u *unit, now time.Time) float64 {
-	if u.costAt.Equal(now) {
-		return u.cost
+	f := u.forecasts()
+	if f.costAt.Equal(now) {
+		return f.cost
 	}
 	lost := s.lostWork(u, now)
 	seconds := (lost + restartDelay).Seconds()
@@ -231,8 +232,16 @@
 	if end := now.Add(s.remaining(u, now)); !end.After(due) && end.Add(lost+restartDelay).After(due) {
 		seconds += s.runTime(u).Seconds()
 	}
-	u.costAt, u.cost = now, seconds*s.weightedCores(u)*priorityWeight(u.job.Priority)
-	return u.cost
+	f.costAt, f.cost = now, seconds*s.weightedCores(u)*priorityWeight(u.job.Priority)
+	return f.cost
+}
+
+// forecasts returns what was last computed of the unit, for an update.
+func (u *unit) forecasts() *unitForecast {
+	if u.forecast == nil {
+		u.forecast = &unitForecast{}
+	}
+	return u.forecast
 }
 
 // lostWork returns the run time that a stop of the unit would lose.
--- a/internal/process/pool/reservation.go
+++ b/internal/process/pool/reservation.go
@@ -217,8 +217,9 @@
 
 // expectedEnd returns when a unit is expected to end.
 func (s *State) expectedEnd(u *unit, now time.Time) time.Time {
-	if !u.endAt.Equal(now) {
-		u.endAt, u.expectedEnd = now, now.Add(s.remaining(u, now))
+	f := u.forecasts()
+	if !f.endAt.Equal(now) {
+		f.endAt, f.expectedEnd = now, now.Add(s.remaining(u, now))
 	}
-	return u.expectedEnd
+	return f.expectedEnd
 }
--- a/internal/process/pool/run.go
+++ b/internal/process/pool/run.go
@@ -52,7 +52,7 @@
 		s.addRun(r)
 		r.pin()
 		s.countRefill(r)
-		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint, Once: u.isSuspected()})
+		s.actions = append(s.actions, Action{Kind: StartRun, Worker: n.ID, Run: r.Run, Payload: u.job.Payload, Checkpoint: u.checkpoint, Priority: u.job.Priority, Once: u.isSuspected()})
 	}
 	version := u.job.storedVersion
 	if !u.isStartStored(placement) {
@@ -129,12 +129,7 @@
 
 // findRun returns a worker's run, or nil.
 func (n *node) findRun(ref worker.Run) *run {
-	for _, r := range n.runs {
-		if r.Run == ref {
-			return r
-		}
-	}
-	return nil
+	return n.runsByID[ref]
 }
 
 func (s *State) findRun(id ids.InstanceID, ref worker.Run) *run {
@@ -229,7 +224,7 @@
 		u.setPhase(waiting)
 	case starting, running:
 		u.setPhase(stopping)
-		u.ending = unitEnding{number: u.number, cause: cause, at: now}
+		u.ending = &unitEnding{number: u.number, cause: cause, at: now}
 		s.notice(Notice{
 			Kind: "Stopped", Job: u.job.ID, Step: u.step, Task: u.first, Tasks: u.count, Number: u.number, Cause: cause, After: u.job.age(now),
 			Lost: s.lostWork(u, now).Seconds() * s.weightedCores(u),
@@ -260,6 +255,10 @@
 		s.suspects[n] = true
 	}
 	n.runs = append(n.runs, r)
+	if n.runsByID == nil {
+		n.runsByID = make(map[worker.Run]*run)
+	}
+	n.runsByID[r.Run] = r
 	n.used = n.used.Plus(r.resources)
 	s.markChanged(n)
 	s.capacityChanged(n)
@@ -281,6 +280,9 @@
 	}
 	r.phase = runGone
 	r.node.runs = slices.DeleteFunc(r.node.runs, func(other *run) bool { return other == r })
+	if r.node.runsByID[r.Run] == r {
+		delete(r.node.runsByID, r.Run)
+	}
 	s.markChanged(r.node)
 	s.capacityChanged(r.node)
 	r.node.used = r.node.used.Minus(r.resources)
--- a/internal/process/pool/verify.go
+++ b/internal/process/pool/verify.go
@@ -77,7 +77,13 @@
 // verifyNode verifies the resources of a worker.
 func (s *State) verifyNode(n *node) error {
 	var used, held ids.Resources
+	if len(n.runs) != len(n.runsByID) {
+		return errors.Newf("worker %s has %d runs, and %d by id", n.ID, len(n.runs), len(n.runsByID))
+	}
 	for _, r := range n.runs {
+		if n.runsByID[r.Run] != r {
+			return errors.Newf("run %s of %s is not found by its id", r.Task, n.ID)
+		}
 		used = used.Plus(r.resources)
 		if r.phase == runGone || r.node != n {
 			return errors.Newf("run %s is gone, and on the list of %s", r.Task, n.ID)
--- a/internal/process/poolowner/faults_test.go
+++ b/internal/process/poolowner/faults_test.go
@@ -125,7 +125,7 @@
 				owner, _ := w.ownerInstance().current()
 				term := owner.term.Load()
 				l := term.links["worker00"]
-				l.start(pool.Action{Kind: pool.StartRun, Worker: l.id, Run: worker.Run{Task: worker.Task{Job: "late"}, Number: 1001}}, decide(owner.now()))
+				l.start(queuedOrder{action: pool.Action{Kind: pool.StartRun, Worker: l.id, Run: worker.Run{Task: worker.Task{Job: "late"}, Number: 1001}}, decided: decide(owner.now())})
 				time.Sleep(time.Second)
 				require.Zero(t, w.checker.StartCount("late"))
 			})
@@ -141,10 +141,9 @@
 		term := owner.term.Load()
 		l := term.links["worker00"]
 		term.end("test")
-		for range 100 {
-			require.False(t, l.acquireSlot(), "an order got a slot after its term")
+		for i := range 100 {
+			l.start(queuedOrder{action: pool.Action{Kind: pool.StartRun, Worker: l.id, Run: worker.Run{Task: worker.Task{Job: "late"}, Number: 1001}}, decided: owner.now(), waited: i%2 == 0})
 		}
-		l.start(pool.Action{Kind: pool.StartRun, Worker: l.id, Run: worker.Run{Task: worker.Task{Job: "late"}, Number: 1001}}, owner.now())
 		time.Sleep(time.Second)
 		require.Zero(t, w.checker.StartCount("late"))
 	})
--- a/internal/process/poolowner/link.go
+++ b/internal/process/poolowner/link.go
@@ -37,8 +37,11 @@
 		answered atomic.Bool
 		// heard is set if the worker has answered this owner or an earlier one.
 		heard bool
-		// orderSlots limits the concurrent orders, and so the connections.
-		orderSlots chan struct{}
+		// orders are those that wait to be sent.
+		orders orderQueue
+		// stopConfirmedAt is when the worker last confirmed a stop, and isReportDue is set while a report is to be requested after that. They are used by the term's goroutine.
+		stopConfirmedAt time.Time
+		isReportDue     bool
 		// malformed is set once a part of a report could not be read, which is logged once.
 		malformed atomic.Bool
 	}
@@ -78,8 +81,6 @@
 	// maxOrderAge is the time from the decision to start a run within which the order is sent without a further check. It covers the
 	// usual waits of a busy processor; after a longer one the process may have been suspended, and much may have changed.
 	maxOrderAge = 50 * time.Millisecond
-	// maxConcurrentOrders limits the concurrent orders to one worker.
-	maxConcurrentOrders = 2
 	// lateStartDelay is the delay of a start order from which it is logged as late. The tasks of a gang on one worker are ordered two
 	// at a time, which takes some milliseconds; a scheduling pass later, the choice of the worker may be outdated.
 	lateStartDelay = tickInterval
@@ -93,8 +94,9 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	l := &link{
 		term: t, id: w.ID, address: w.Address, service: w.Service, runs: t.owner.Dial(w), ctx: ctx, cancel: cancel,
-		heard: t.answered[w.ID] || t.mayHaveRuns(w.ID), wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxConcurrentOrders),
+		heard: t.answered[w.ID] || t.mayHaveRuns(w.ID), wake: make(chan struct{}, 1),
 	}
+	l.orders.link = l
 	l.desired.Store(&desiredState{renew: true, token: t.state.Token(w.ID)})
 	t.spawn("a worker's renewals", l.renewLoop)
 	return l
--- a/internal/process/poolowner/orders.go
+++ b/internal/process/poolowner/orders.go
@@ -88,51 +88,43 @@
 			return
 		}
 		l.markLeaseOrdered()
-		t.spawn("a start order", func() { l.start(a, decided) })
 	case pool.StopRun:
 		if l == nil {
 			t.state.StopUndelivered(a.Worker, a.Run)
 			return
 		}
-		t.spawn("a stop order", func() {
-			if !l.stop(a) {
-				t.post(func() { t.state.StopUndelivered(a.Worker, a.Run) })
-			}
-		})
+	}
+	if t.orders.add(&l.orders, queuedOrder{action: a, decided: decided}) {
+		t.spawn("orders", t.sendOrders)
 	}
 }
 
-// acquireSlot waits for a free order slot.
-func (l *link) acquireSlot() bool {
-	select {
-	case l.orderSlots <- struct{}{}:
-		if l.ctx.Err() != nil {
-			// Both were ready.
-			<-l.orderSlots
-			return false
+// sendOrders sends the orders that may be sent, until there is none. Each call of it is one order under way.
+func (t *term) sendOrders() {
+	for {
+		q, o, ok := t.orders.take()
+		if !ok {
+			return
 		}
-		return true
-	case <-l.ctx.Done():
-		return false
+		if l := q.link; o.action.Kind == pool.StartRun {
+			l.start(o)
+		} else if !l.stop(o) {
+			t.post(func() { t.state.StopUndelivered(l.id, o.action.Run) })
+		}
+		t.orders.returned(q)
 	}
 }
 
 // start starts a run and reports the outcome to the term, also if the link is closed meanwhile: the worker may have another address.
-func (l *link) start(a pool.Action, decided timestamp) {
-	queued := len(l.orderSlots) == cap(l.orderSlots)
-	t := l.term
-	if !l.acquireSlot() {
-		t.post(func() { t.state.RunRefused(l.id, a.Run, errNotSent, false, time.Now()) })
-		return
-	}
-	defer func() { <-l.orderSlots }()
+func (l *link) start(queued queuedOrder) {
+	t, a, decided := l.term, queued.action, queued.decided
 	o := worker.StartRunRequest{Run: a.Run, Payload: a.Payload, Checkpoint: a.Checkpoint}
 	// unknown means that an order may have been executed, or may still be.
 	unknown := false
 	// checked is when the run was last found to be one that may start.
 	checked := decided
 	for attempt := range maxStartAttempts {
-		if attempt > 0 || queued || t.owner.since(decided) > maxOrderAge {
+		if attempt > 0 || queued.waited || t.owner.since(decided) > maxOrderAge {
 			valid := false
 			if checked, valid = l.mayStart(a.Run); !valid {
 				break
@@ -229,14 +221,13 @@
 	return errors.IsAny(err, worker.ErrNoCapacity, worker.ErrUnhealthy, worker.ErrIncarnationMismatch, worker.ErrInvalid, worker.ErrNotListening)
 }
 
-// stop stops a run. It repeats the order until the worker confirms it or the run can no longer exist there, and reports whether it was confirmed or needs no further
-// order.
-func (l *link) stop(a pool.Action) (done bool) {
-	if !l.acquireSlot() {
+// stop stops a run, and reports whether that was confirmed or needs no further order. An order without an answer is repeated while the worker answers other calls;
+// one that is silent gets it again with its next report.
+func (l *link) stop(queued queuedOrder) (done bool) {
+	t, a := l.term, queued.action
+	if queued.waited && !t.mayStop(l.id, a.Run) {
 		return false
 	}
-	release := func() { <-l.orderSlots }
-	t := l.term
 	for l.ctx.Err() == nil {
 		sent := time.Now()
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
@@ -246,20 +237,20 @@
 		t.owner.metrics.Stops.Add(1)
 		switch {
 		case err == nil || errors.Is(err, worker.ErrSuperseded):
-			release()
-			t.post(func() { t.state.StopConfirmed(l.id, a.Run, time.Now()) })
-			l.pollAfterStop(a)
+			t.post(func() {
+				now := time.Now()
+				t.state.StopConfirmed(l.id, a.Run, now)
+				l.expectEnds(now)
+			})
 			return true
 		case l.isOutdated(token, err):
 			continue
 		case errors.Is(err, worker.ErrFenced):
-			release()
 			t.end("worker " + string(l.id) + " follows a newer owner")
 			return true
 		case l.ctx.Err() != nil:
 		case errors.IsAny(err, worker.ErrIncarnationMismatch, worker.ErrNotListening):
 			// Renewals find out when the worker can be reached again.
-			release()
 			l.callFailed(err, sent, failedAt(sent, 0))
 			return false
 		case !isRefusal(err):
@@ -271,36 +262,40 @@
 		}
 		pause.For(l.ctx, jitter(workerRetryDelay))
 	}
-	release()
 	return false
 }
 
-// mayStop reports whether a stop order may be repeated. The next incarnation of a process that has ended gets a new order.
+// mayStop reports whether a stop order may be sent that has waited or got no answer. A silent worker, and the next incarnation of a process that has ended, gets it with
+// the next report.
 func (t *term) mayStop(id ids.InstanceID, r worker.Run) bool {
 	may := false
-	if err := t.do(t.ctx, func() { may = t.state.HasRun(id, r) && !t.state.HasEnded(id) }); err != nil {
+	if err := t.do(t.ctx, func() { may = t.state.HasRun(id, r) && t.state.Answers(id) }); err != nil {
 		return false
 	}
 	return may
 }
 
-// hasRun reports whether a run still occupies resources on a worker.
-func (t *term) hasRun(id ids.InstanceID, r worker.Run) bool {
-	found := false
-	if err := t.do(t.ctx, func() { found = t.state.HasRun(id, r) }); err != nil {
-		return false
+// expectEnds requests a report once the runs that were stopped must have ended, unless their ends are listed by then: the worker lists no end of a run that it never
+// started. One report is requested for all stops that are confirmed meanwhile. It is called on the term's goroutine.
+func (l *link) expectEnds(now time.Time) {
+	l.stopConfirmedAt = now
+	if !l.isReportDue {
+		l.isReportDue = true
+		time.AfterFunc(l.reportDelay(), func() { l.term.post(l.requestReport) })
 	}
-	return found
 }
 
-// pollAfterStop requests a report once a stopped run must have ended, unless the run's end was reported by then. The
-// worker reports no end of a run that it never started.
-func (l *link) pollAfterStop(a pool.Action) {
-	pause.For(l.ctx, l.term.owner.Pool.Stop+workerRetryDelay)
-	if l.ctx.Err() != nil || !l.term.hasRun(l.id, a.Run) {
+func (l *link) reportDelay() time.Duration { return l.term.owner.Pool.Stop + workerRetryDelay }
+
+func (l *link) requestReport() {
+	l.isReportDue = false
+	if l.ctx.Err() != nil || !l.term.state.AwaitsEnds(l.id) {
 		return
 	}
-	l.poll()
+	l.term.spawn("a report after stops", l.poll)
+	if now := time.Now(); now.Sub(l.stopConfirmedAt) < l.reportDelay() {
+		l.expectEnds(l.stopConfirmedAt)
+	}
 }
 
 // poll requests a report.
--- a/internal/process/poolowner/owner.go
+++ b/internal/process/poolowner/owner.go
@@ -55,6 +55,8 @@
 		MaxValueBytes int
 		// JobMemory returns how much memory accepted jobs may take. Nil or a result of zero means no limit.
 		JobMemory func() pool.Bytes
+		// MaxOrders returns how many orders to workers may be under way. Nil or a result of zero means no limit.
+		MaxOrders func() int
 		// DelayClaims makes this instance delay its claims, so that other instances claim first.
 		DelayClaims bool
 
@@ -242,6 +244,14 @@
 	return contradiction
 }
 
+// Orders returns how many orders to workers wait, and how many are under way; none on instances that do not own the pool.
+func (o *Owner) Orders() (waiting, underWay int) {
+	if t := o.term.Load(); t != nil {
+		return t.orders.counts()
+	}
+	return 0, 0
+}
+
 // Describe returns the workers and the live jobs as text, or ErrNotOwner.
 func (o *Owner) Describe(ctx context.Context) (text string, err error) {
 	t := o.term.Load()
--- a/internal/process/poolowner/pause_test.go
+++ b/internal/process/poolowner/pause_test.go
@@ -43,7 +43,7 @@
 						}
 					}
 				}()
-				l := &link{term: term, id: "w", ctx: ctx, orderSlots: make(chan struct{}, 1)}
+				l := &link{term: term, id: "w", ctx: ctx}
 				l.runs.Start = func(ctx context.Context, _ worker.StartRunRequest) error {
 					// A client sends nothing under a context that is done.
 					if ctx.Err() != nil {
@@ -55,7 +55,7 @@
 				l.runs.Renew = func(context.Context, worker.RenewRunsRequest) (worker.RunReport, error) {
 					return worker.RunReport{}, worker.ErrConnectionClosed
 				}
-				l.start(pool.Action{Worker: "w"}, o.now())
+				l.start(queuedOrder{action: pool.Action{Worker: "w"}, decided: o.now()})
 				require.Equal(t, sent, starts)
 			})
 		})
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -67,6 +67,8 @@
 		jobRevisions map[ids.JobID]store.Revision
 		waiters      map[ids.JobID][]*waiter
 		superseded   supersededCalls
+		// orders are the orders that wait to be sent to the workers, and those under way.
+		orders dispatcher
 		// heldStarts are the starts on workers that a successor does not account for yet.
 		heldStarts []heldStart
 		places     placeLedger
@@ -174,6 +176,7 @@
 		unknownDataCentres: make(map[ids.DataCentreID]bool), firstRenewals: make(chan struct{}, maxFirstRenewals), unheardRenewals: make(chan struct{}, maxFirstRenewals), unheardRetries: newRetryPacer(),
 		jobRevisions: make(map[ids.JobID]store.Revision), waiters: make(map[ids.JobID][]*waiter),
 	}
+	t.orders.limit = o.MaxOrders
 	t.leaseRenewedAt.Store(&c.grantedAt)
 	t.ownedAt.Store(&c.grantedAt)
 	t.log.Info("owner: ownership claimed")
