Don't put off a scheduling pass when the events before it have many results

A burst of events costs one pass, and the reports of all workers after a takeover had a notice of 240 bytes for each of 50,000 runs, in a slice that grows by doubling.

Change: events are drained only until there are 1,024 notices and actions.

--- a/internal/process/pool/decide.go
+++ b/internal/process/pool/decide.go
@@ -48,6 +48,9 @@
 	return actions, notices
 }
 
+// Results returns how many actions and notices the next call of Decide returns besides those of the pass.
+func (s *State) Results() int { return len(s.actions) + len(s.notices) }
+
 // HoldStarts sets whether waiting units are held, so that nothing is started.
 func (s *State) HoldStarts(hold bool) {
 	if s.held != hold {
--- a/internal/process/poolowner/term.go
+++ b/internal/process/poolowner/term.go
@@ -130,6 +130,8 @@
 
 const (
 	eventQueueSize = 4096
+	// maxResults is the number of notices and actions from which a scheduling pass is not put off any more.
+	maxResults = 1024
 	// tickInterval is the interval of scheduling passes without events.
 	tickInterval = 100 * time.Millisecond
 	// recoveryTimeout is how long a new owner waits for the workers' first reports: the time of two calls. While reports of a large pool
@@ -268,9 +270,13 @@
 	}
 }
 
-// drainEvents handles the events that are queued already, so that a burst costs one scheduling pass.
+// drainEvents handles the events that are queued already, so that a burst costs one scheduling pass, unless these events have many results: the reports of all workers of a
+// pool would have one for each run.
 func (t *term) drainEvents() {
 	for range eventQueueSize {
+		if t.state.Results() >= maxResults {
+			return
+		}
 		select {
 		case event := <-t.events:
 			event()
