Split the checker and the stand-in of the workers by what they do

Stray runs, logs, gangs and reports get files of their own; nothing else changes but a field of the dispatcher, which is called waiting as its result is.

--- a/internal/process/poolowner/orderqueue.go
+++ b/internal/process/poolowner/orderqueue.go
@@ -20,7 +20,8 @@
 		underWay int
 		// ready holds the workers that have orders which may be sent, in turn, so that one with many orders does not delay those to others.
 		ready []*orderQueue
-		queue int
+		// waiting counts the orders in all queues.
+		waiting int
 	}
 
 	// orderQueue holds the orders to one worker that wait. Stops go first, since they make room; starts go by the priority of their jobs, then in the order of the decisions,
@@ -132,7 +133,7 @@
 	defer d.mu.Unlock()
 	o.waited = q.underWay >= maxConcurrentOrders || q.waiting() > 0 || d.isFull()
 	q.add(o)
-	d.queue++
+	d.waiting++
 	d.markReady(q)
 	return len(d.ready) > 0 && !d.isFull()
 }
@@ -149,7 +150,7 @@
 	d.ready, q.isReady = d.ready[1:], false
 	o = q.next()
 	d.underWay++
-	d.queue--
+	d.waiting--
 	q.underWay++
 	d.markReady(q)
 	return q, o, true
@@ -168,5 +169,5 @@
 func (d *dispatcher) counts() (waiting, underWay int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.queue, d.underWay
+	return d.waiting, d.underWay
 }
--- a/internal/standin/history/checker.go
+++ b/internal/standin/history/checker.go
@@ -5,13 +5,9 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
 	"github.com/jujubegrade/jujubegrade/internal/connection/worker"
 	"github.com/jujubegrade/jujubegrade/internal/process/pool"
 	"github.com/jujubegrade/jujubegrade/internal/standin/runservice"
@@ -44,11 +40,6 @@
 		events       []string
 	}
 
-	stray struct {
-		worker ids.InstanceID
-		run    worker.Run
-	}
-
 	capacityChange struct {
 		at    time.Time
 		total ids.Resources
@@ -108,10 +99,6 @@
 	minCrashesToFail      = 2
 )
 
-// maxStrayTime is how long a stray run may be active: the longest lease, after which it ends if no owner reaches its worker, and the time in which an owner that does has
-// to stop it, as the platform specifies for tasks that are started late.
-const maxStrayTime = 6*time.Second + stabilityWindow + 400*time.Millisecond
-
 // New returns a checker for workers that each have the given total resources.
 func New(total ids.Resources) *Checker {
 	return &Checker{strays: make(map[stray]time.Time), starts: make(map[ids.JobID]int), draining: make(map[ids.InstanceID]time.Time), evacuated: make(map[ids.InstanceID]time.Time), capacities: make(map[ids.InstanceID][]capacityChange), jobs: make(map[ids.JobID]*job), active: make(map[ids.InstanceID]map[worker.Run]bool), total: total}
@@ -221,24 +208,6 @@
 	c.log(text)
 }
 
-// Logger returns a logger that writes to the event log, so that the cause of a violation can be traced.
-func (c *Checker) Logger(instance string) *zap.Logger {
-	encoder := zapcore.NewConsoleEncoder(zapcore.EncoderConfig{MessageKey: "msg", EncodeDuration: zapcore.StringDurationEncoder})
-	return zap.New(zapcore.NewCore(encoder, zapcore.AddSync(logWriter{c, instance}), zap.InfoLevel))
-}
-
-// logWriter adds an instance's log lines to the checker's event log.
-type logWriter struct {
-	checker  *Checker
-	instance string
-}
-
-// Write adds a line to the event log.
-func (w logWriter) Write(line []byte) (int, error) {
-	w.checker.Log(w.instance + ": " + strings.TrimSpace(string(line)))
-	return len(line), nil
-}
-
 // Observe records and checks an event of a worker.
 func (c *Checker) Observe(e runservice.Event) {
 	c.mu.Lock()
@@ -280,23 +249,6 @@
 	}
 }
 
-// endStray checks how long a run was active if it was a stray one.
-func (c *Checker) endStray(s stray) {
-	if since, found := c.strays[s]; found && time.Since(since) > maxStrayTime {
-		c.addViolation("%s, which was started late on %s, was stopped only after %v", s.run.Task, s.worker, time.Since(since))
-	}
-	delete(c.strays, s)
-}
-
-// forgetStrays removes the stray runs of a worker that has crashed.
-func (c *Checker) forgetStrays(id ids.InstanceID) {
-	for s := range c.strays {
-		if s.worker == id {
-			c.endStray(s)
-		}
-	}
-}
-
 func (c *Checker) checkStart(e runservice.Event, j *job) {
 	if j == nil {
 		c.addViolation("%s was started, but its job was never submitted", e.Run.Task)
--- a/internal/standin/runservice/runservice.go
+++ b/internal/standin/runservice/runservice.go
@@ -116,18 +116,6 @@
 		// stopping means that the run was requested to stop; it ends as stopped unless its lease expires first.
 		stopping bool
 	}
-
-	gangKey struct {
-		job        ids.JobID
-		occurrence int
-		step       int
-		number     ids.RunNumber
-	}
-
-	gang struct {
-		members map[*run]*Worker
-		ended   bool
-	}
 )
 
 // Kinds of events on a worker.
@@ -430,63 +418,6 @@
 	})
 }
 
-// joinGang adds a run to its gang. The run time of the gang begins once all members have started.
-func (w *Worker) joinGang(r *run, end worker.EndReason, runTime time.Duration) {
-	key := gangKey{r.Job, r.Occurrence, r.Step, r.Number}
-	g := w.fleet.gangs[key]
-	if g == nil {
-		g = &gang{members: make(map[*run]*Worker)}
-		w.fleet.gangs[key] = g
-	}
-	if g.ended {
-		r.timer = w.afterFunc(gangStartTimeout, func() { w.endRun(r, worker.EndGangTimeout) })
-		return
-	}
-	g.members[r] = w
-	r.timer = w.afterFunc(gangStartTimeout, func() { w.endRun(r, worker.EndGangTimeout) })
-	if end == worker.EndFailed {
-		r.fails = true
-		r.timer.Stop()
-		r.timer = w.afterFunc(runTime, func() { w.endRun(r, end) })
-	}
-	if len(g.members) < r.spec.Gang {
-		return
-	}
-	hangs := false
-	for member, memberWorker := range g.members {
-		hangs = hangs || memberWorker.hangRuns
-		if end == worker.EndDone && !member.fails {
-			member.timer.Stop()
-		}
-	}
-	if hangs || end == worker.EndFailed {
-		return
-	}
-	r.timer = w.afterFunc(runTime, func() {
-		if g.ended {
-			return
-		}
-		g.ended = true
-		for member, memberWorker := range g.members {
-			memberWorker.endRun(member, worker.EndDone)
-		}
-	})
-}
-
-// breakGang ends the other members of a run's gang.
-func (w *Worker) breakGang(r *run) {
-	g := w.fleet.gangs[gangKey{r.Job, r.Occurrence, r.Step, r.Number}]
-	if r.spec.Gang == 0 || g == nil || g.ended {
-		return
-	}
-	g.ended = true
-	for member, memberWorker := range g.members {
-		if member != r && memberWorker.runs[member.Run] == member {
-			memberWorker.endRun(member, worker.EndGangMemberLost)
-		}
-	}
-}
-
 // endRun ends a run and queues its end for the next report.
 func (w *Worker) endRun(r *run, reason worker.EndReason) {
 	if w.runs[r.Run] != r || w.down {
@@ -545,58 +476,3 @@
 		}
 	})
 }
-
-func (w *Worker) renew(ctx context.Context, o worker.RenewRunsRequest) (worker.RunReport, error) {
-	sent, sentTo := time.Now(), w.Incarnation()
-	var report worker.RunReport
-	var changed chan struct{}
-	buildReport := func() error {
-		report, changed = worker.RunReport{Incarnation: w.incarnation}, w.changed
-		for _, r := range w.runs {
-			report.Active = append(report.Active, worker.ActiveRun{Run: r.Run, Percent: r.progressPercent(w.hangRuns)})
-		}
-		report.Ended = append(report.Ended, w.pendingEnds...)
-		if limit := w.fleet.endsPerReport; limit > 0 && len(report.Ended) >= limit {
-			report.Ended, report.MoreEnds = report.Ended[:limit], true
-		}
-		return nil
-	}
-	err := w.handleCall(ctx, "renew", func() error {
-		if err := w.checkEpoch(o.Epoch); err != nil {
-			return err
-		}
-		for len(w.pendingEnds) > 0 && w.pendingEnds[0].Number <= o.Acknowledged {
-			w.observe(Event{Kind: Acknowledged, Run: w.pendingEnds[0].Run, Number: w.pendingEnds[0].Number, Reason: w.pendingEnds[0].Reason})
-			w.pendingEnds = w.pendingEnds[1:]
-		}
-		if o.Lease > 0 {
-			w.extendLease(w.leaseEnd(sent, sentTo, o.Lease))
-		}
-		return buildReport()
-	})
-	if err != nil {
-		// A call that is executed after a delay may still write to report, so report must not be read here.
-		return worker.RunReport{}, err
-	}
-	if o.Wait == 0 || len(report.Ended) > 0 {
-		return report, nil
-	}
-	select {
-	case <-changed:
-	case <-time.After(o.Wait):
-	case <-ctx.Done():
-		return worker.RunReport{}, errors.New("the worker did not answer")
-	}
-	if err := w.handleCall(ctx, "renewed", buildReport); err != nil {
-		return worker.RunReport{}, err
-	}
-	return report, nil
-}
-
-// progressPercent returns the completed part of a run in percent.
-func (r *run) progressPercent(hangs bool) int {
-	if hangs || r.spec.RunTime <= 0 {
-		return 0
-	}
-	return int(min(99, 100*time.Since(r.started)/r.spec.RunTime))
-}
