--- a/internal/process/poolowner/lateorder_test.go
+++ b/internal/process/poolowner/lateorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +16,8 @@
 // lateOrders leaves the first start orders to one worker unanswered. They are delivered after a delay, to whatever process of the worker is up then.
 type lateOrders struct {
 	*cluster
+
+	mu     sync.Mutex
 	worker ids.InstanceID
 	held   int
 }
@@ -23,6 +26,8 @@
 func (l *lateOrders) leaveUnanswered(most int, delay time.Duration) {
 	for id := range l.listed {
 		l.fleet.Worker(id).SetFault(func(call string) runservice.Fault {
+			l.mu.Lock()
+			defer l.mu.Unlock()
 			if call != "start" || l.held == most || l.worker != "" && l.worker != id {
 				return runservice.Fault{}
 			}
@@ -33,12 +38,20 @@
 	}
 }
 
+// late returns the worker to which orders are late, and how many are.
+func (l *lateOrders) late() (ids.InstanceID, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.worker, l.held
+}
+
 // restart ends the worker's process and starts the next one.
 func (l *lateOrders) restart(down time.Duration) {
-	l.fleet.Worker(l.worker).Crash()
+	id, _ := l.late()
+	l.fleet.Worker(id).Crash()
 	time.Sleep(down)
-	l.fleet.Worker(l.worker).Restart()
-	l.listWorker(l.worker)
+	l.fleet.Worker(id).Restart()
+	l.listWorker(id)
 }
 
 func (l *lateOrders) replaceOwner() {
@@ -108,16 +121,18 @@
 		}},
 		"the worker is not listed for a while": {step: whole, most: maxStartAttempts, delay: 10 * time.Second, runTime: 20 * time.Second, play: func(l *lateOrders) {
 			time.Sleep(3 * time.Second)
-			l.fleet.Worker(l.worker).Crash()
-			l.unlistWorker(l.worker)
+			id, _ := l.late()
+			l.fleet.Worker(id).Crash()
+			l.unlistWorker(id)
 			time.Sleep(4 * time.Second)
 			l.restart(0)
 		}},
 		"it arrives before the first call to the new process": {step: whole, most: maxStartAttempts, delay: 7 * time.Second, runTime: 20 * time.Second, play: func(l *lateOrders) {
 			time.Sleep(4 * time.Second)
+			id, _ := l.late()
 			for _, i := range l.instances {
 				i.mu.Lock()
-				i.unreachable = map[ids.InstanceID]bool{l.worker: true}
+				i.unreachable = map[ids.InstanceID]bool{id: true}
 				i.mu.Unlock()
 			}
 			l.restart(500 * time.Millisecond)
@@ -128,11 +143,12 @@
 				i.mu.Unlock()
 			}
 			time.Sleep(2 * time.Second)
-			l.requireLog(l.t, string(l.worker)+" Started a/0/0", "decision: UnknownRunStopped", string(l.worker)+" Ended a/0/0 .* Stopped")
+			l.requireLog(l.t, string(id)+" Started a/0/0", "decision: UnknownRunStopped", string(id)+" Ended a/0/0 .* Stopped")
 		}},
 		"its data centre is evacuated": {step: whole, most: maxStartAttempts, delay: 7 * time.Second, runTime: 9 * time.Second, play: func(l *lateOrders) {
 			time.Sleep(restart)
-			l.evacuate(l.listed[l.worker].DataCentre)
+			id, _ := l.late()
+			l.evacuate(l.listed[id].DataCentre)
 			time.Sleep(restart)
 			l.restart(restart)
 		}},
@@ -144,7 +160,8 @@
 				l.leaveUnanswered(c.most, c.delay)
 				w.mustSubmit(w.instances[0], "a", jobSpec{steps: []pool.Step{c.step}, runTime: c.runTime})
 				c.play(l)
-				require.Equal(t, c.most, l.held)
+				_, held := l.late()
+				require.Equal(t, c.most, held)
 				time.Sleep(c.delay + c.runTime)
 			})
 		})
